--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+VENV ?= .venv
+PYTHON ?= $(VENV)/bin/python
+SEED ?= 1
+MINUTES ?= 5
+
+.PHONY: env test lint format demo bench soak slopes binary docs
+
+env: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -r requirements-dev.txt
+	touch $@
+
+format: env
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+lint: env
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+test: env
+	$(PYTHON) -m pytest
+
+demo: env
+	$(PYTHON) -m cranberrylever dev
+
+bench: env
+	$(PYTHON) -m bench $(if $(ONLY),--only $(ONLY))
+
+soak: env
+	$(PYTHON) -m bench.soak --seed $(SEED) --minutes $(MINUTES)
+
+slopes: env
+	$(PYTHON) -m bench.slopes
+
+docs: env
+	$(PYTHON) -m cranberrylever docs configuration > docs/configuration.md
+
+binary: env
+	mkdir -p dist
+	$(PYTHON) -m shiv -q -o dist/cranberrylever -e cranberrylever.cli:main -p '/usr/bin/env python3' .
--- /dev/null
+++ b/cranberrylever/__init__.py
@@ -0,0 +1,3 @@
+"""Router for servers that own keys exclusively."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/cranberrylever/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m cranberrylever``."""
+
+from cranberrylever.cli import main
+
+main()
--- /dev/null
+++ b/cranberrylever/state/_commands.py
@@ -0,0 +1,191 @@
+"""Commands of the replicated log."""
+
+import attrs
+
+from cranberrylever.errors import CodecError
+from cranberrylever.membership import Announcement
+from cranberrylever.wire import ClaimAnswer, decode, encode
+
+
+@attrs.frozen
+class AcceptTicket:
+    """Accept a ticket given as TOML text."""
+
+    text: str
+
+
+@attrs.frozen
+class AnnounceTarget:
+    """Insert or update a target; a new incarnation voids its grants and makes it cold."""
+
+    announcement: Announcement
+
+
+@attrs.frozen
+class SetTargetPhase:
+    """Change a target's phase to ``cold``, ``warm``, ``leaving`` or ``lost``."""
+
+    target_id: str
+    incarnation: str
+    phase: str
+    reason: str = ""
+
+
+@attrs.frozen
+class RemoveTarget:
+    """Forget a target that is lost or has left and owns nothing."""
+
+    target_id: str
+    incarnation: str
+
+
+@attrs.frozen
+class ShardRef:
+    """A shard together with the fence under which the sender saw it."""
+
+    shard: int
+    fence: int
+
+
+@attrs.frozen
+class ReleaseShards:
+    """Move owned shards to ``releasing``; a reference with an old fence is ignored."""
+
+    service: str
+    shards: tuple[ShardRef, ...]
+    reason: str = ""
+
+
+@attrs.frozen
+class FreeShards:
+    """Move releasing shards to ``free``; a reference with an old fence is ignored."""
+
+    service: str
+    shards: tuple[ShardRef, ...]
+
+
+@attrs.frozen
+class ShardAssignment:
+    """A free shard and its new owner."""
+
+    shard: int
+    fence: int
+    target_id: str
+    incarnation: str
+
+
+@attrs.frozen
+class AssignShards:
+    """Move free shards to ``owned``; an item with an old fence or incarnation is ignored."""
+
+    service: str
+    items: tuple[ShardAssignment, ...]
+
+
+@attrs.frozen
+class PinKey:
+    """Give one key its own shard."""
+
+    service: str
+    key_hash: int
+
+
+@attrs.frozen
+class UnpinKey:
+    """Return a pinned key to the shard of its hash; ignored unless both have the same owner."""
+
+    service: str
+    key_hash: int
+
+
+@attrs.frozen
+class AllocatePermits:
+    """Set the permits per entry for one cold target."""
+
+    target_id: str
+    incarnation: str
+    allocations: dict[str, int]
+
+
+@attrs.frozen
+class ClaimOpening:
+    """One execution to claim."""
+
+    claim_id: str
+    fingerprint: str
+    entry_id: str
+
+
+@attrs.frozen
+class OpenClaims:
+    """Claim executions."""
+
+    items: tuple[ClaimOpening, ...]
+
+
+@attrs.frozen
+class ClaimCompletion:
+    """The outcome of one claimed execution."""
+
+    claim_id: str
+    entry_id: str
+    answer: ClaimAnswer
+
+
+@attrs.frozen
+class CompleteClaims:
+    """Store the outcomes of claimed executions."""
+
+    items: tuple[ClaimCompletion, ...]
+
+
+@attrs.frozen
+class ExpireClaims:
+    """Forget all claims opened at or before log index ``opened_before``."""
+
+    opened_before: int
+
+
+Command = (
+    AcceptTicket
+    | AnnounceTarget
+    | SetTargetPhase
+    | RemoveTarget
+    | ReleaseShards
+    | FreeShards
+    | AssignShards
+    | PinKey
+    | UnpinKey
+    | AllocatePermits
+    | OpenClaims
+    | CompleteClaims
+    | ExpireClaims
+)
+
+_KINDS: dict[str, type] = {kind.__name__: kind for kind in Command.__args__}
+
+
+@attrs.frozen
+class _CommandFrame:
+    """A command's class name and encoded body."""
+
+    kind: str
+    body: bytes
+
+
+def encode_command(command: Command) -> bytes:
+    """Return ``command`` as the payload of a log entry."""
+    return encode(_CommandFrame(type(command).__name__, encode(command)))
+
+
+def decode_command(data: bytes) -> Command:
+    """Return the command in the payload of a log entry.
+
+    Raises:
+        CodecError: The payload is damaged or its kind is unknown to this version.
+    """
+    frame = decode(data, _CommandFrame)
+    kind = _KINDS.get(frame.kind)
+    if kind is None:
+        raise CodecError(f"unknown command {frame.kind!r} in the log", "upgrade this control member")
+    return decode(frame.body, kind)
--- /dev/null
+++ b/cranberrylever/wire/_messages.py
@@ -0,0 +1,173 @@
+"""Messages exchanged between entries and control, and between control members."""
+
+import attrs
+
+from cranberrylever.routing import View
+
+
+@attrs.frozen
+class PeerFrame:
+    """One Raft message between two control members.
+
+    ``kind`` names the class of the encoded ``body``.
+    """
+
+    cluster_id: str
+    sender: str
+    receiver: str
+    folder_id: str
+    kind: str
+    body: bytes
+
+
+@attrs.frozen
+class EntryHello:
+    """First message of an entry on its stream; ``address`` is its HTTP host and port."""
+
+    entry_id: str
+    incarnation: str
+    address: str
+    failure_domain: str
+
+
+@attrs.frozen
+class ShardCount:
+    """Requests that an entry routed to one shard since its last report."""
+
+    service: str
+    shard: int
+    requests: int
+
+
+@attrs.frozen
+class TargetLoad:
+    """Load of one target as one entry sees it; ``latency_ms`` is a moving average."""
+
+    target_id: str
+    incarnation: str
+    outstanding: int
+    requests: int
+    latency_ms: float
+    appears_cold: bool = False
+
+
+@attrs.frozen
+class SuspectRecord:
+    """A request fingerprint and the targets that crashed while they ran it."""
+
+    fingerprint: str
+    crashed: tuple[str, ...]
+
+
+@attrs.frozen
+class HotKey:
+    """A key hash that receives a large share of a service's requests at one entry."""
+
+    service: str
+    key_hash: int
+    requests: int
+
+
+@attrs.frozen
+class EntryReport:
+    """Poll of an entry for its view, with its load figures.
+
+    ``permits`` are the permits that the entry still uses, per target id.
+    """
+
+    sequence: int
+    entry_id: str
+    incarnation: str
+    applied_version: int
+    settled_version: int
+    shard_counts: tuple[ShardCount, ...] = ()
+    target_loads: tuple[TargetLoad, ...] = ()
+    hot_keys: tuple[HotKey, ...] = ()
+    suspects: tuple[SuspectRecord, ...] = ()
+    permits: dict[str, int] = attrs.field(factory=dict)
+    requests: int = 0
+
+
+@attrs.frozen
+class ViewAnswer:
+    """Answer of the leader to one poll; ``view`` is absent when the entry is up to date.
+
+    ``permits`` are the entry's permits per cold target, valid as long as the view.
+    """
+
+    sequence: int
+    version: int
+    view: View | None = None
+    permits: dict[str, int] = attrs.field(factory=dict)
+    suspects: tuple[SuspectRecord, ...] = ()
+
+
+@attrs.frozen
+class ClaimAnswer:
+    """The stored answer of a request, or the fact that it did not run."""
+
+    outcome: str
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+@attrs.frozen
+class OpenClaim:
+    """Request to claim one execution; ``call`` matches the reply to it."""
+
+    call: int
+    claim_id: str
+    fingerprint: str
+    entry_id: str
+
+
+@attrs.frozen
+class CompleteClaim:
+    """The outcome of a claimed execution."""
+
+    call: int
+    claim_id: str
+    entry_id: str
+    answer: ClaimAnswer
+
+
+@attrs.frozen
+class ClaimResult:
+    """Reply to ``OpenClaim`` and ``CompleteClaim``.
+
+    ``state`` is ``won``, ``open`` (another execution holds it), ``answered``, ``mismatch``
+    (another fingerprint) or ``completed``.
+    """
+
+    call: int
+    state: str
+    answer: ClaimAnswer | None = None
+
+
+@attrs.frozen
+class NotLeader:
+    """The member cannot answer; ``leader_id`` is its latest knowledge, possibly empty."""
+
+    leader_id: str = ""
+
+
+@attrs.frozen
+class EntryFrame:
+    """Message from an entry to control; exactly one field besides ``cluster_id`` is set."""
+
+    cluster_id: str
+    hello: EntryHello | None = None
+    report: EntryReport | None = None
+    open_claim: OpenClaim | None = None
+    complete_claim: CompleteClaim | None = None
+
+
+@attrs.frozen
+class EntryReply:
+    """Message from control to an entry; exactly one field besides ``cluster_id`` is set."""
+
+    cluster_id: str
+    view_answer: ViewAnswer | None = None
+    claim_result: ClaimResult | None = None
+    not_leader: NotLeader | None = None
