Add an entry that forwards keyed and pooled requests

Cause: the other programs need an entry to run against. Change: routing tables, the view lease, the control link, the HTTP listener and client, health routes, logs and metrics. Keyed requests carry shard and fence, wait while their shard must not be served, and every answer carries the outcome header. Ruled out: uvicorn's own server loop, because it installs signal handlers; its protocol class runs on a listener of ours instead.

--- /dev/null
+++ b/cranberrylever/entry/_inflight.py
@@ -0,0 +1,58 @@
+"""Attempts in flight, from which the settled view version follows."""
+
+from collections.abc import Iterator
+
+from cranberrylever.routing import RoutingTable
+
+from ._exchange import Attempt
+
+
+class InFlight:
+    """All attempts that have been registered and not yet ended."""
+
+    def __init__(self) -> None:
+        self.attempts: set[Attempt] = set()
+        self.blockers: set[Attempt] = set()
+
+    def add(self, attempt: Attempt) -> None:
+        """Register an attempt; this must happen in the same step as its look-up in the view."""
+        self.attempts.add(attempt)
+
+    def remove(self, attempt: Attempt) -> None:
+        """Forget an attempt that has ended or whose connection is closed."""
+        self.attempts.discard(attempt)
+        self.blockers.discard(attempt)
+
+    def apply_view(self, previous_version: int, table: RoutingTable) -> None:
+        """Mark the attempts whose shard the new view has taken away.
+
+        The key is looked up again, not the shard: a new pin moves the key to another shard, and an attempt
+        under the old shard must end before that pin may move.
+
+        Args:
+            previous_version: Version in force until now, the last one in which those shards were owned.
+            table: The new view.
+        """
+        for attempt in self.attempts:
+            if attempt.shard < 0 or attempt.blocked_at is not None:
+                continue
+            service = table.services.get(attempt.exchange.service.name)
+            key_hash = attempt.exchange.key_hash
+            if service is not None and service.kind == "keyed" and key_hash is not None:
+                route = table.keyed_route(service, key_hash)
+                if route.target is not None and (route.shard, route.fence) == (attempt.shard, attempt.fence):
+                    continue
+            attempt.blocked_at = previous_version
+            self.blockers.add(attempt)
+
+    def settled_version(self, applied_version: int) -> int:
+        """Return the greatest version that no attempt in flight contradicts."""
+        return min((attempt.blocked_at for attempt in self.blockers), default=applied_version)
+
+    def with_fingerprint(self, fingerprint: str) -> Iterator[Attempt]:
+        """Return the attempts of requests with this fingerprint."""
+        return (attempt for attempt in self.attempts if attempt.exchange.fingerprint == fingerprint)
+
+    def at_target(self, target_id: str) -> list[Attempt]:
+        """Return the attempts at one target whose first byte may have left."""
+        return [attempt for attempt in self.attempts if attempt.target_id == target_id and attempt.sent]
--- /dev/null
+++ b/cranberrylever/entry/_link.py
@@ -0,0 +1,203 @@
+"""Streams to the control members: polls for the view, and frames for claims."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from cranberrylever.errors import CodecError
+from cranberrylever.logs import Log
+from cranberrylever.wire import (
+    ClaimResult,
+    EntryControlStub,
+    EntryFrame,
+    EntryHello,
+    EntryReply,
+    EntryReport,
+    MsgpackCodec,
+    ViewAnswer,
+)
+
+from ._tuning import EntryTuning
+
+_STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, CodecError, asyncio.TimeoutError)
+_MAX_QUEUED_FRAMES = 10_000
+_REMEMBERED_POLLS = 64
+
+
+class MemberStream:
+    """Stream to one control member, reconnected after each loss."""
+
+    def __init__(self, address: str, link: "ControlLink") -> None:
+        self.address = address
+        self.link = link
+        self.connected = False
+        self.frames: asyncio.Queue[EntryFrame] = asyncio.Queue(_MAX_QUEUED_FRAMES)
+
+    def send(self, frame: EntryFrame) -> bool:
+        """Queue a frame; a stream that is down or blocked takes none."""
+        if not self.connected:
+            return False
+        try:
+            self.frames.put_nowait(frame)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    async def run(self) -> None:
+        """Keep the stream open until cancelled."""
+        while True:
+            try:
+                await self._attach()
+            except _STREAM_ERRORS as error:
+                self.link.log.write("debug", "control_stream_lost", address=self.address, error=repr(error))
+            await asyncio.sleep(self.link.tuning.reconnect_delay)
+
+    async def _attach(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        channel = Channel(host, int(port), codec=MsgpackCodec())
+        try:
+            async with EntryControlStub(channel).attach.open() as stream:
+                async with asyncio.timeout(self.link.tuning.connect_timeout):
+                    await stream.send_message(self.link.frame(hello=self.link.hello))
+                await self._exchange(stream)
+        finally:
+            self.connected = False
+            channel.close()
+
+    async def _exchange(self, stream) -> None:  # noqa: ANN001 - grpclib's generic stream type
+        self.frames = asyncio.Queue(_MAX_QUEUED_FRAMES)
+        self.connected = True
+        self.link.member_connected(self)
+        sender = asyncio.create_task(self._send_frames(stream))
+        try:
+            while (reply := await stream.recv_message()) is not None:
+                self.link.receive(self, reply)
+        finally:
+            sender.cancel()
+            with contextlib.suppress(asyncio.CancelledError, *_STREAM_ERRORS):
+                await sender
+
+    async def _send_frames(self, stream) -> None:  # noqa: ANN001
+        while True:
+            await stream.send_message(await self.frames.get())
+
+
+class ControlLink:
+    """Polls the control leader for the view and carries claim messages.
+
+    Args:
+        cluster_id: Id that all frames carry; replies with another id are ignored.
+        addresses: Addresses of all control members.
+        hello: First message on each stream.
+        tuning: Intervals.
+        log: Program log.
+    """
+
+    def __init__(
+        self, cluster_id: str, addresses: tuple[str, ...], hello: EntryHello, tuning: EntryTuning, log: Log
+    ) -> None:
+        self.cluster_id = cluster_id
+        self.hello = hello
+        self.tuning = tuning
+        self.log = log
+        self.members = [MemberStream(address, self) for address in addresses]
+        self.leader: MemberStream | None = None
+        self.leader_heard = 0.0
+        self.build_report: Callable[[int], EntryReport] | None = None
+        self.on_view_answer: Callable[[ViewAnswer, float], None] | None = None
+        self.on_claim_result: Callable[[ClaimResult], None] | None = None
+        self.on_leader_change: Callable[[], None] | None = None
+        self.is_urgent: Callable[[], bool] = lambda: False
+        self.poll_now = asyncio.Event()
+        self.sequence = 0
+        self.polls: dict[int, float] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def frame(self, **fields: object) -> EntryFrame:
+        """Return a frame with this cluster's id."""
+        return EntryFrame(self.cluster_id, **fields)
+
+    def start(self) -> None:
+        """Open all streams and start to poll."""
+        self.tasks = [asyncio.create_task(member.run()) for member in self.members]
+        self.tasks.append(asyncio.create_task(self._poll()))
+
+    async def close(self) -> None:
+        """Close all streams."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def send(self, **fields: object) -> bool:
+        """Send a frame to the leader, or to all members while the leader is unknown.
+
+        Returns:
+            Whether at least one stream took it.
+        """
+        frame = self.frame(**fields)
+        now = asyncio.get_running_loop().time()
+        return sum(member.send(frame) for member in self._receivers(now)) > 0
+
+    def member_connected(self, member: MemberStream) -> None:
+        """Poll at once when the leader is unknown."""
+        if self.leader is None:
+            self.poll_now.set()
+
+    def receive(self, member: MemberStream, reply: EntryReply) -> None:
+        """Handle one reply of a member."""
+        if reply.cluster_id != self.cluster_id:
+            self.log.warning("foreign_cluster_reply", address=member.address, cluster_id=reply.cluster_id)
+            return
+        if reply.view_answer is not None:
+            self._receive_view(member, reply.view_answer)
+        if reply.claim_result is not None and self.on_claim_result is not None:
+            self.on_claim_result(reply.claim_result)
+        if reply.not_leader is not None and self.leader is member:
+            self.leader = None
+            self.poll_now.set()
+
+    def _receive_view(self, member: MemberStream, answer: ViewAnswer) -> None:
+        poll_sent = self.polls.get(answer.sequence)
+        if poll_sent is None:
+            return
+        self.leader_heard = asyncio.get_running_loop().time()
+        if self.leader is not member:
+            self.leader = member
+            if self.on_leader_change is not None:
+                self.on_leader_change()
+        if self.on_view_answer is not None:
+            self.on_view_answer(answer, poll_sent)
+
+    def _receivers(self, now: float) -> list[MemberStream]:
+        leader = self.leader
+        silent = now - self.leader_heard > self.tuning.leader_timeout
+        if leader is None or silent or not leader.connected:
+            return self.members
+        return [leader]
+
+    async def _poll(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            if self.build_report is not None:
+                self._send_poll(loop.time())
+            interval = self.tuning.urgent_poll_interval if self.is_urgent() else self.tuning.poll_interval
+            self.poll_now.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval):
+                    await self.poll_now.wait()
+            # A burst of immediate polls, such as several NotLeader replies, must not flood control.
+            elapsed = loop.time() - self.polls.get(self.sequence, 0.0)
+            if elapsed < self.tuning.urgent_poll_interval:
+                await asyncio.sleep(self.tuning.urgent_poll_interval - elapsed)
+
+    def _send_poll(self, now: float) -> None:
+        self.sequence += 1
+        self.polls[self.sequence] = now
+        self.polls.pop(self.sequence - _REMEMBERED_POLLS, None)
+        report = self.build_report(self.sequence)
+        frame = self.frame(report=report)
+        for member in self._receivers(now):
+            member.send(frame)
--- /dev/null
+++ b/cranberrylever/entry/_server.py
@@ -0,0 +1,116 @@
+"""HTTP listener: uvicorn's protocol with limits, on the running loop and without signal handlers."""
+
+import asyncio
+import logging
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
+
+from ._tuning import EntryTuning
+
+_REQUEST_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\ncranberrylever-outcome: not-run\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+_CLOSE_POLL_INTERVAL = 0.02
+
+
+class EntryProtocol(HttpToolsProtocol):
+    """Connection of a caller with limits on connections and on header bytes."""
+
+    max_connections = 0
+    max_header_bytes = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Accept the connection unless there are too many."""
+        super().connection_made(transport)
+        self.header_bytes = 0
+        self.in_headers = True
+        if len(self.connections) > self.max_connections:
+            transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Refuse a request whose headers are too large before the parser buffers them."""
+        if self.in_headers:
+            self.header_bytes += len(data)
+        super().data_received(data)
+        if self.in_headers and self.header_bytes > self.max_header_bytes and not self.transport.is_closing():
+            self.transport.write(_REQUEST_TOO_LARGE)
+            self.transport.close()
+
+    def on_headers_complete(self) -> None:
+        """Start the request."""
+        self.in_headers = False
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Expect the headers of the next request."""
+        self.in_headers = True
+        self.header_bytes = 0
+        super().on_message_complete()
+
+
+class HttpServer:
+    """Listener of one entry.
+
+    Args:
+        app: ASGI application.
+        listen: Address as ``host:port``; port 0 takes a free one.
+        tuning: Limits.
+    """
+
+    def __init__(self, app: object, listen: str, tuning: EntryTuning) -> None:
+        self.listen = listen
+        self.state = ServerState()
+        self.config = uvicorn.Config(
+            app,
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            timeout_keep_alive=tuning.keep_alive,
+        )
+        self.config.load()
+        # Each truncated answer would otherwise be logged as an error of the application.
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+        limits = {"max_connections": tuning.max_connections, "max_header_bytes": tuning.max_header_bytes}
+        self.protocol_class = type("LimitedProtocol", (EntryProtocol,), limits)
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self.listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self._create_protocol, host, int(port), backlog=2048)
+
+    def _create_protocol(self) -> asyncio.Protocol:
+        return self.protocol_class(config=self.config, server_state=self.state, app_state={})
+
+    @property
+    def bound_address(self) -> str:
+        """Address on which the server listens, as ``host:port``."""
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def stop_accepting(self) -> None:
+        """Close the listener and the idle connections; others close after their answer."""
+        self.server.close()
+        for connection in list(self.state.connections):
+            connection.shutdown()
+
+    async def wait_finished(self, timeout: float) -> None:
+        """Wait until all requests are answered, then close what is left after ``timeout`` seconds."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
+        while self.state.tasks and loop.time() < end:
+            await asyncio.sleep(_CLOSE_POLL_INTERVAL)
+        for task in list(self.state.tasks):
+            task.cancel()
+        for connection in list(self.state.connections):
+            connection.transport.close()
+        await asyncio.sleep(0)
--- a/cranberrylever/routing/__init__.py
+++ b/cranberrylever/routing/__init__.py
@@ -1,5 +1,8 @@
 """Routing rules of an entry."""
 
+from cranberrylever.routing._keys import extract_key, hash_key, split_service
+from cranberrylever.routing._methods import is_idempotent
+from cranberrylever.routing._table import KeyedRoute, RoutingTable, accepts_new_work
 from cranberrylever.routing._view import (
     EntryAddress,
     KeySource,
@@ -8,4 +11,17 @@
     View,
 )
 
-__all__ = ["EntryAddress", "KeySource", "ServiceView", "TargetView", "View"]
+__all__ = [
+    "EntryAddress",
+    "KeySource",
+    "KeyedRoute",
+    "RoutingTable",
+    "ServiceView",
+    "TargetView",
+    "View",
+    "accepts_new_work",
+    "extract_key",
+    "hash_key",
+    "is_idempotent",
+    "split_service",
+]
