--- a/cranberrylever/limits/__init__.py
+++ b/cranberrylever/limits/__init__.py
@@ -1,1 +1,19 @@
 """Limits that protect targets and callers; rules take the time as an argument."""
+
+from cranberrylever.limits._budget import TokenBucket
+from cranberrylever.limits._cold import ColdMarks, LatencyJump
+from cranberrylever.limits._concurrency import AdaptiveLimit, estimated_wait
+from cranberrylever.limits._latency import RunningQuantile, TargetLatency
+from cranberrylever.limits._suspects import BLOCKING_CRASHES, SuspectTable
+
+__all__ = [
+    "BLOCKING_CRASHES",
+    "AdaptiveLimit",
+    "ColdMarks",
+    "LatencyJump",
+    "RunningQuantile",
+    "SuspectTable",
+    "TargetLatency",
+    "TokenBucket",
+    "estimated_wait",
+]
