--- a/cranberrylever/wire/_messages.py
+++ b/cranberrylever/wire/_messages.py
@@ -147,9 +147,13 @@
 
 @attrs.frozen
 class NotLeader:
-    """The member cannot answer; ``leader_id`` is its latest knowledge, possibly empty."""
+    """The member cannot answer; ``leader_id`` is its latest knowledge, possibly empty.
+
+    ``call`` is that of the refused claim message, or 0 for a report.
+    """
 
     leader_id: str = ""
+    call: int = 0
 
 
 @attrs.frozen
