Add ticket parser, ticket registry and claim table

OpenClaim, ClaimOpening, CompleteClaim and ClaimCompletion carry the execution token attempt, so that an opening sent again after a lost reply is won again while any other attempt is refused. ClaimResult gains the states full and expired. Ruled out: a digest of the TOML text, because layout and comments would count as content; dropping claims when answers exceed the byte bound, because a claim without its answer still prevents a second execution.

--- a/cranberrylever/state/_commands.py
+++ b/cranberrylever/state/_commands.py
@@ -109,11 +109,12 @@
 
 @attrs.frozen
 class ClaimOpening:
-    """One execution to claim."""
+    """One execution to claim; ``attempt`` is its execution token."""
 
     claim_id: str
     fingerprint: str
     entry_id: str
+    attempt: str = ""
 
 
 @attrs.frozen
@@ -125,11 +126,12 @@
 
 @attrs.frozen
 class ClaimCompletion:
-    """The outcome of one claimed execution."""
+    """The outcome of one claimed execution; ``attempt`` is the token that won the claim."""
 
     claim_id: str
     entry_id: str
     answer: ClaimAnswer
+    attempt: str = ""
 
 
 @attrs.frozen
--- a/cranberrylever/tickets/__init__.py
+++ b/cranberrylever/tickets/__init__.py
@@ -1,5 +1,30 @@
 """Change tickets: schema, validation and acceptance rules."""
 
+from cranberrylever.tickets._digest import canonical_content, ticket_digest
+from cranberrylever.tickets._parse import MAX_TICKET_BYTES, parse_ticket
+from cranberrylever.tickets._registry import (
+    HISTORY_LIMIT,
+    AcceptedTicket,
+    ObjectStamp,
+    TicketOutcome,
+    TicketRegistry,
+    TicketRegistryRecord,
+)
 from cranberrylever.tickets._schema import FailureDomainSpec, ServiceSpec, TargetSpec, Ticket
 
-__all__ = ["FailureDomainSpec", "ServiceSpec", "TargetSpec", "Ticket"]
+__all__ = [
+    "HISTORY_LIMIT",
+    "MAX_TICKET_BYTES",
+    "AcceptedTicket",
+    "FailureDomainSpec",
+    "ObjectStamp",
+    "ServiceSpec",
+    "TargetSpec",
+    "Ticket",
+    "TicketOutcome",
+    "TicketRegistry",
+    "TicketRegistryRecord",
+    "canonical_content",
+    "parse_ticket",
+    "ticket_digest",
+]
--- a/cranberrylever/wire/_messages.py
+++ b/cranberrylever/wire/_messages.py
@@ -114,30 +114,36 @@
 
 @attrs.frozen
 class OpenClaim:
-    """Request to claim one execution; ``call`` matches the reply to it."""
+    """Request to claim one execution; ``call`` matches the reply to it.
+
+    ``attempt`` is the execution token of one attempt to run a request, unique per entry and kept when the opening
+    is sent again after a lost reply.
+    """
 
     call: int
     claim_id: str
     fingerprint: str
     entry_id: str
+    attempt: str = ""
 
 
 @attrs.frozen
 class CompleteClaim:
-    """The outcome of a claimed execution."""
+    """The outcome of a claimed execution; ``attempt`` is the token that won the claim."""
 
     call: int
     claim_id: str
     entry_id: str
     answer: ClaimAnswer
+    attempt: str = ""
 
 
 @attrs.frozen
 class ClaimResult:
     """Reply to ``OpenClaim`` and ``CompleteClaim``.
 
-    ``state`` is ``won``, ``open`` (another execution holds it), ``answered``, ``mismatch``
-    (another fingerprint) or ``completed``.
+    ``state`` is ``won``, ``open`` (another execution holds it), ``answered``, ``mismatch`` (another fingerprint),
+    ``full`` (no room for another claim), ``completed`` or ``expired`` (the claim to complete is not known).
     """
 
     call: int
