Add settings with validation and the thin command line

Change: each field of a settings class describes its flag, environment variable, conversion and default; the typer options and the error messages are made from that description. Ruled out: typer's own conversion of values, because its errors span several lines and name no remedy.

--- /dev/null
+++ b/cranberrylever/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line."""
--- /dev/null
+++ b/cranberrylever/_cli/_programs.py
@@ -0,0 +1,52 @@
+"""The commands that run a program."""
+
+from typing import Annotated
+
+import typer
+
+from cranberrylever._cli._options import with_settings
+from cranberrylever._cli._run import run_program
+from cranberrylever.settings import ControlSettings, EntrySettings, TargetSettings
+
+Check = Annotated[bool, typer.Option("--check", help="Validate the settings and exit.", show_default=False)]
+
+
+@with_settings(EntrySettings)
+def entry(settings: EntrySettings, check: Check = False) -> None:
+    """Run an entry, which serves callers over HTTP."""
+    if check:
+        return _report_valid()
+    from cranberrylever.entry import create_entry
+
+    return run_program(create_entry(settings), "the entry")
+
+
+@with_settings(ControlSettings)
+def control(settings: ControlSettings, check: Check = False) -> None:
+    """Run a control member, which keeps the durable state."""
+    if check:
+        return _report_valid()
+    from cranberrylever.control import create_control
+
+    return run_program(create_control(settings), "the control member")
+
+
+@with_settings(TargetSettings)
+def target(settings: TargetSettings, check: Check = False) -> None:
+    """Run a stand-in target for tests and benchmarks."""
+    if check:
+        return _report_valid()
+    from cranberrylever.target import create_target
+
+    return run_program(create_target(settings), "the target")
+
+
+def dev() -> None:
+    """Run one control member, two entries and six stand-in targets in one process on loopback."""
+    from cranberrylever.dev import run_dev
+
+    run_dev()
+
+
+def _report_valid() -> None:
+    typer.echo("the settings are valid")
--- a/cranberrylever/claims/_table.py
+++ b/cranberrylever/claims/_table.py
@@ -21,8 +21,9 @@
 class Claim:
     """One claimed execution.
 
-    ``attempt`` is the execution token of the attempt that won the claim. ``opened_index`` is the log index of that
-    win. ``answer`` is absent while the claim is open. A claim whose answer is ``not-run`` can be won again.
+    ``attempt`` is the execution token of the attempt that won the claim. ``opened_index`` is the log index
+    of that win. ``answer`` is absent while the claim is open. A claim whose answer is ``not-run`` can be won
+    again.
     """
 
     claim_id: str
@@ -69,9 +70,10 @@
 class ClaimTable:
     """Claims by id, bounded in number and bytes.
 
-    When the bytes reach their bound, the oldest stored answers are replaced by ``unknown`` first, because a claim
-    that is kept without its answer still prevents a second execution. Then the oldest finished claims leave. Open
-    claims leave only by ``expire``; when they alone reach a bound, further openings are refused as ``full``.
+    When the bytes reach their bound, the oldest stored answers are replaced by ``unknown`` first, because a
+    claim that is kept without its answer still prevents a second execution. Then the oldest finished claims
+    leave. Open claims leave only by ``expire``; when they alone reach a bound, further openings are refused
+    as ``full``.
 
     Args:
         max_claims: Largest number of claims.
--- a/cranberrylever/errors.py
+++ b/cranberrylever/errors.py
@@ -73,3 +73,15 @@
 
 class UnauthorizedError(CranberryleverError):
     """The bearer token is missing or wrong."""
+
+
+class StartError(CranberryleverError):
+    """A program could not start."""
+
+
+class ControlUnavailableError(CranberryleverError):
+    """No control member answered in time."""
+
+
+class ControlRefusedError(CranberryleverError):
+    """Control refused an operator's request."""
--- a/cranberrylever/tickets/_parse.py
+++ b/cranberrylever/tickets/_parse.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from cranberrylever.errors import TicketError
+from cranberrylever.names import NAME_REMEDY, is_name
 from cranberrylever.routing import KeySource
 from cranberrylever.structure import StructureError, structure
 from cranberrylever.tickets._schema import ServiceSpec, Ticket
@@ -19,7 +20,6 @@
 MAX_KEY_SEGMENT = 16
 MAX_RULES = 256
 
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 _HEADER = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}")
 _RULE = re.compile(r"[A-Z]{1,16} /[!-~]{0,255}")
 _TABLES = ("service", "failure_domain", "target")
@@ -87,9 +87,8 @@
     seen: set[str] = set()
     for position, name in enumerate(names, start=1):
         place = f"{table}[{position}].{field}"
-        if not _NAME.fullmatch(name):
-            remedy = "use 1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
-            yield _wrong(place, name, remedy)
+        if not is_name(name):
+            yield _wrong(place, name, NAME_REMEDY)
         if name in seen:
             yield TicketError(
                 f"{place}: {name!r} occurs twice", f"keep one [[{table}]] table for each {field}"
--- a/cranberrylever/tickets/_registry.py
+++ b/cranberrylever/tickets/_registry.py
@@ -15,9 +15,9 @@
 class TicketOutcome:
     """Answer to a submitted ticket.
 
-    ``index`` is the log index at which the ticket was accepted, 0 when it was refused. ``repeated`` is true when
-    the same ticket had been accepted before; the other fields are then those of the first answer. ``conflict``
-    tells a refusal because of the number from one because of the content.
+    ``index`` is the log index at which the ticket was accepted, 0 when it was refused. ``repeated`` is true
+    when the same ticket had been accepted before; the other fields are then those of the first answer.
+    ``conflict`` tells a refusal because of the number from one because of the content.
     """
 
     accepted: bool
@@ -169,7 +169,7 @@
             stamp = self._stamps.get((kind, name))
             if stamp is not None and stamp.number >= ticket.number:
                 return TicketConflictError(
-                    f"number {ticket.number} is not higher than {stamp.number}, the last one of {kind} {name!r}",
+                    f"number {ticket.number} is not higher than {stamp.number}, the last of {kind} {name!r}",
                     f"read the state in force and submit under a number above {self.last_number}",
                 )
         return None
--- a/cranberrylever/wire/_messages.py
+++ b/cranberrylever/wire/_messages.py
@@ -116,8 +116,8 @@
 class OpenClaim:
     """Request to claim one execution; ``call`` matches the reply to it.
 
-    ``attempt`` is the execution token of one attempt to run a request, unique per entry and kept when the opening
-    is sent again after a lost reply.
+    ``attempt`` is the execution token of one attempt to run a request, unique per entry and kept when the
+    opening is sent again after a lost reply.
     """
 
     call: int
@@ -142,8 +142,9 @@
 class ClaimResult:
     """Reply to ``OpenClaim`` and ``CompleteClaim``.
 
-    ``state`` is ``won``, ``open`` (another execution holds it), ``answered``, ``mismatch`` (another fingerprint),
-    ``full`` (no room for another claim), ``completed`` or ``expired`` (the claim to complete is not known).
+    ``state`` is ``won``, ``open`` (another execution holds it), ``answered``, ``mismatch`` (another
+    fingerprint), ``full`` (no room for another claim), ``completed`` or ``expired`` (the claim to complete is
+    not known).
     """
 
     call: int
