Add the stand-in target

A target that checks fences stops work whose grant has expired, because the next owner may start by then. Work on a shard that was released while the grant lasts goes on and is reported as busy. An order without shards extends only the version that it names. Extending whatever is held was ruled out: the shards may have been released since. A request without a shard header is refused once the target has held shards.

A closing target announces that it leaves and closes once it holds no shards and has received nothing for 1.5 s, longer than a view lives.

--- /dev/null
+++ b/cranberrylever/target/_grants.py
@@ -0,0 +1,108 @@
+"""Rule by which a target accepts grants and checks the fences of requests."""
+
+import attrs
+
+
+@attrs.frozen
+class GrantOrder:
+    """Body of ``POST /-/grant``.
+
+    ``expires_at_ms`` is on the target's clock; absent, the order only reads the clock. ``shards`` holds
+    (shard, fence) pairs and is absent while the target already holds ``version``.
+    """
+
+    cluster_id: str
+    target_id: str
+    incarnation: str
+    term: int
+    sequence: int
+    version: int
+    expires_at_ms: float | None = None
+    shards: tuple[tuple[int, int], ...] | None = None
+    tickets_version: int = 0
+
+
+@attrs.frozen
+class GrantReply:
+    """Answer to ``POST /-/grant``; ``busy_shards`` still run work but are not in the grant that is held."""
+
+    incarnation: str
+    clock_ms: float
+    sequence: int
+    version: int
+    busy_shards: tuple[int, ...]
+    state: str
+    running: int
+    queued: int
+    slots: int
+
+
+@attrs.define
+class GrantHolder:
+    """The grant that a target holds.
+
+    A target that does not check fences accepts every order and admits every request.
+    """
+
+    target_id: str
+    incarnation: str
+    checks_fence: bool
+    cluster_id: str = ""
+    term: int = 0
+    sequence: int = 0
+    version: int = 0
+    expires_at_ms: float = 0.0
+    shards: dict[int, int] = attrs.field(factory=dict)
+    keyed: bool = False
+
+    def apply(self, order: GrantOrder) -> str | None:
+        """Adopt an order.
+
+        Returns:
+            The reason for a refusal, or ``None`` when the order was accepted.
+        """
+        if self.checks_fence:
+            refusal = self.refusal(order)
+            if refusal is not None:
+                return refusal
+        self.cluster_id = order.cluster_id
+        self.term = order.term
+        self.sequence = order.sequence
+        if order.expires_at_ms is None:
+            return None
+        if order.shards is not None:
+            self.shards = dict(order.shards)
+            self.version = order.version
+            self.keyed = self.keyed or bool(self.shards)
+        # An order without shards extends only the version that it names. Any other version would extend
+        # shards that control may have released in the meantime.
+        if order.version == self.version:
+            self.expires_at_ms = order.expires_at_ms
+        return None
+
+    def refusal(self, order: GrantOrder) -> str | None:
+        """Return why a target that checks fences refuses this order, or ``None``."""
+        if order.target_id != self.target_id or order.incarnation != self.incarnation:
+            return f"the order is for {order.target_id} {order.incarnation}, this is {self.incarnation}"
+        if self.cluster_id and order.cluster_id != self.cluster_id:
+            return f"the order is from cluster {order.cluster_id}, expected {self.cluster_id}"
+        if (order.term, order.sequence) <= (self.term, self.sequence):
+            return f"order {order.term}.{order.sequence} is not newer than {self.term}.{self.sequence}"
+        return None
+
+    def valid(self, now_ms: float) -> bool:
+        """Return whether the grant has not expired."""
+        return now_ms < self.expires_at_ms
+
+    def admits(self, shard: int | None, fence: int | None, incarnation: str, now_ms: float) -> bool:
+        """Return whether a request may run.
+
+        A request without a shard belongs to a pooled service; a target that has held shards refuses it.
+        """
+        if not self.checks_fence:
+            return True
+        if incarnation and incarnation != self.incarnation:
+            return False
+        if shard is None:
+            return not self.keyed
+        return self.valid(now_ms) and fence is not None and self.shards.get(shard) == fence
--- /dev/null
+++ b/cranberrylever/target/_program.py
@@ -0,0 +1,232 @@
+"""The stand-in target as a program."""
+
+import asyncio
+import contextlib
+import os
+import uuid
+
+import attrs
+
+from cranberrylever.membership import Announcement
+from cranberrylever.settings import TargetSettings
+from cranberrylever.target._admission import Admission
+from cranberrylever.target._announcer import Announcer
+from cranberrylever.target._app import create_app
+from cranberrylever.target._executor import Executor
+from cranberrylever.target._faults import FaultOrder, Faults
+from cranberrylever.target._grants import GrantHolder, GrantReply
+from cranberrylever.target._load import LoadHistory
+from cranberrylever.target._record import Run, RunRecord
+from cranberrylever.target._server import HttpServer
+
+FENCE_CHECK_SECONDS = 0.02
+LEAVE_POLL_SECONDS = 0.05
+# Longer than the lifetime of a routing view with its margin, so that no entry still routes here.
+LEAVE_QUIET_SECONDS = 1.5
+LEAVE_LIMIT_SECONDS = 15.0
+CRASH_EXIT_STATUS = 70
+# Connections beyond the limit for requests: grants, load probes and operators.
+RESERVED_CONNECTIONS = 10
+
+
+@attrs.frozen
+class RunReport:
+    """Answer of ``GET /-/runs``."""
+
+    target_id: str
+    incarnation: str
+    runs: tuple[Run, ...]
+    started: int
+    most_work: int
+    cold_peak: int
+    overloads: int
+    shed: int
+
+
+class TargetProgram:
+    """One stand-in target.
+
+    Attributes:
+        bound_address: ``host:port`` once started.
+        crashed: Set when a fault crashed the target.
+    """
+
+    def __init__(self, settings: TargetSettings, exit_on_crash: bool = False) -> None:
+        self.settings = settings
+        self.exit_on_crash = exit_on_crash
+        self.incarnation = uuid.uuid4().hex
+        self.leaving = False
+        self.crashed = asyncio.Event()
+        self.faults = Faults()
+        self.record = RunRecord(settings.record)
+        self.load = LoadHistory(settings.load_lag_s)
+        self.admission = Admission(
+            slots=settings.slots,
+            queue_limit=settings.queue_limit,
+            cold_capacity=settings.cold_capacity,
+            warmup_requests=settings.warmup_requests,
+            cold=settings.starts_cold,
+        )
+        self.holder = GrantHolder(settings.target_id, self.incarnation, settings.checks_fence)
+        self.executor = Executor(
+            target_id=settings.target_id,
+            incarnation=self.incarnation,
+            service_time_ms=settings.service_time_ms,
+            holder=self.holder,
+            admission=self.admission,
+            faults=self.faults,
+            record=self.record,
+            load=self.load,
+            crash=self.crash,
+        )
+        self.server = HttpServer(create_app(self), settings.listen)
+        self.announcer = Announcer(settings.control, settings.token, self.announcement, self.faults.thawed)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def bound_address(self) -> str:
+        """The address on which the target listens."""
+        return self.server.bound_address
+
+    async def start(self) -> None:
+        """Listen, then announce."""
+        await self.server.start()
+        self.tasks.append(asyncio.create_task(self.watch_grant()))
+        if self.settings.control:
+            self.tasks.append(asyncio.create_task(self.announcer.run()))
+
+    async def close(self) -> None:
+        """Leave: announce it, finish all work, then stop."""
+        if not self.crashed.is_set():
+            self.drain()
+            await self.wait_until_left()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop without leaving first."""
+        for task in self.tasks:
+            task.cancel()
+        for task in self.tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        self.tasks.clear()
+        await self.server.close()
+        self.record.close()
+
+    async def wait_until_left(self) -> None:
+        """Wait until control has taken all shards away, no work is left and no entry sends any more."""
+        if self.announcer.acknowledged is None:
+            return
+        now = asyncio.get_running_loop().time
+        limit = now() + LEAVE_LIMIT_SECONDS
+        quiet_since = now()
+        while now() < limit and now() - quiet_since < LEAVE_QUIET_SECONDS:
+            held = self.holder.valid(now() * 1000) and bool(self.holder.shards)
+            if held or self.executor.active or not self.announcer.acknowledged.leaving:
+                quiet_since = now()
+            quiet_since = max(quiet_since, self.executor.last_arrival)
+            await asyncio.sleep(LEAVE_POLL_SECONDS)
+
+    def drain(self) -> None:
+        """Announce that the target is leaving; it still serves what arrives."""
+        self.leaving = True
+        self.announcer.changed.set()
+
+    def crash(self) -> None:
+        """Stop as a crashed process does: exit, or drop all connections and stop listening."""
+        if self.exit_on_crash:
+            os._exit(CRASH_EXIT_STATUS)
+        self.crashed.set()
+        self.record.close()
+        self.server.abort()
+        for task in self.tasks:
+            task.cancel()
+
+    def apply_fault(self, order: FaultOrder) -> None:
+        """Switch faults on or off."""
+        now = asyncio.get_running_loop().time()
+        if order.slow_factor is not None:
+            self.faults.slow(order.slow_factor, order.for_ms, now)
+        if order.cold is not None:
+            if order.cold:
+                self.admission.turn_cold()
+            else:
+                self.admission.cold = False
+        if order.crash_path is not None:
+            self.faults.crash_path = order.crash_path
+        if order.load_lag_s is not None:
+            self.load.lag = order.load_lag_s
+        if order.freeze_ms is not None:
+            self.faults.freeze(order.freeze_ms / 1000)
+
+    async def watch_grant(self) -> None:
+        """Stop work whose grant has expired."""
+        while True:
+            await asyncio.sleep(FENCE_CHECK_SECONDS)
+            await self.faults.thawed.wait()
+            self.executor.stop_fenced()
+
+    def connections_exceeded(self) -> bool:
+        """Return whether more connections are open than the target supports."""
+        return self.server.connection_count() > self.settings.connections + RESERVED_CONNECTIONS
+
+    def state(self) -> str:
+        """Return ``cold``, ``warm`` or ``leaving``."""
+        if self.leaving:
+            return "leaving"
+        return "cold" if self.admission.cold else "warm"
+
+    def announcement(self) -> Announcement:
+        """Return what the target says about itself."""
+        return Announcement(
+            target_id=self.settings.target_id,
+            service=self.settings.service,
+            address=self.bound_address,
+            failure_domain=self.settings.failure_domain,
+            incarnation=self.incarnation,
+            slots=self.settings.slots,
+            connections=self.settings.connections,
+            cold_capacity=self.settings.cold_capacity,
+            checks_fence=self.settings.checks_fence,
+            weight=self.settings.weight,
+            leaving=self.leaving,
+        )
+
+    def grant_reply(self) -> GrantReply:
+        """Return the answer to an accepted grant order."""
+        now = asyncio.get_running_loop().time()
+        sample = self.load.report(now)
+        return GrantReply(
+            incarnation=self.incarnation,
+            clock_ms=now * 1000,
+            sequence=self.holder.sequence,
+            version=self.holder.version,
+            busy_shards=self.executor.busy_shards(),
+            state=self.state(),
+            running=sample.running,
+            queued=sample.queued,
+            slots=self.settings.slots,
+        )
+
+    def run_report(self) -> RunReport:
+        """Return the record of executions."""
+        return RunReport(
+            target_id=self.settings.target_id,
+            incarnation=self.incarnation,
+            runs=tuple(self.record.runs),
+            started=self.admission.started,
+            most_work=self.admission.most_work,
+            cold_peak=self.admission.cold_peak,
+            overloads=self.admission.overloads,
+            shed=self.admission.shed,
+        )
+
+
+def create_target(settings: TargetSettings, exit_on_crash: bool = False) -> TargetProgram:
+    """Return a stand-in target that is not started yet.
+
+    Args:
+        settings: Settings of the target.
+        exit_on_crash: Whether a crash fault ends the process; several targets in one process need ``False``.
+    """
+    return TargetProgram(settings, exit_on_crash)
--- /dev/null
+++ b/tests/target/test_admission.py
@@ -0,0 +1,50 @@
+"""Slots, queue, cold start and load report of a target."""
+
+import testtools
+
+from cranberrylever.target._admission import Admission, Decision
+from cranberrylever.target._load import LoadHistory
+
+
+class AdmissionTest(testtools.TestCase):
+    def test_queue_takes_what_the_slots_cannot(self):
+        """Work beyond slots and queue is shed, and the next in the queue gets the freed slot."""
+        admission = Admission(slots=1, queue_limit=1, cold_capacity=1, warmup_requests=1)
+        decisions = [admission.arrive() for _ in range(3)]
+        self.assertEqual([Decision.RUN, Decision.QUEUE, Decision.SHED], decisions)
+        admission.finish(completed=True)
+        self.assertTrue(admission.has_free_slot())
+        admission.start_queued()
+        self.assertFalse(admission.has_free_slot())
+        self.assertEqual(
+            (1, 0, 2, 0), (admission.running, admission.queued, admission.most_work, admission.overloads)
+        )
+
+    def test_cold_target_counts_work_beyond_its_capacity(self):
+        """The figure cold_peak depends on shed work being counted as offered."""
+        admission = Admission(slots=3, queue_limit=9, cold_capacity=1, warmup_requests=2, cold=True)
+        self.assertEqual([Decision.RUN, Decision.SHED], [admission.arrive(), admission.arrive()])
+        self.assertEqual((1, 2), (admission.overloads, admission.cold_peak))
+
+    def test_cold_start_ends_after_completed_requests_only(self):
+        """Cancelled requests warm nothing."""
+        admission = Admission(slots=3, queue_limit=9, cold_capacity=1, warmup_requests=1, cold=True)
+        admission.arrive()
+        admission.finish(completed=False)
+        self.assertTrue(admission.cold)
+        admission.arrive()
+        admission.finish(completed=True)
+        self.assertFalse(admission.cold)
+        admission.turn_cold()
+        self.assertTrue(admission.cold)
+
+
+class LoadHistoryTest(testtools.TestCase):
+    def test_report_is_as_old_as_its_lag(self):
+        """A report without lag would hide what routing does with late reports."""
+        history = LoadHistory(lag=2.0)
+        history.record(1, 0, now=10.0)
+        history.record(3, 4, now=11.0)
+        self.assertEqual(0, history.report(11.0).running)
+        self.assertEqual(1, history.report(12.5).running)
+        self.assertEqual((3, 4), (history.report(13.0).running, history.report(13.0).queued))
