--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, process helpers and one module per figure."""
--- /dev/null
+++ b/cranberrylever/dev/_program.py
@@ -0,0 +1,131 @@
+"""Runs the demonstration until it is interrupted."""
+
+import asyncio
+import signal
+import tempfile
+
+import aiohttp
+
+from cranberrylever.dev._cluster import EXAMPLE_TICKET, KEYED_SERVICE, POOLED_SERVICE, DevCluster
+from cranberrylever.errors import CranberryleverError
+
+START_LIMIT_SECONDS = 20.0
+RETRY_SECONDS = 0.1
+
+
+class DevStartError(CranberryleverError):
+    """The demonstration did not become ready."""
+
+
+def run_dev(token: str = "") -> None:
+    """Run the demonstration in a temporary data folder until SIGINT or SIGTERM.
+
+    Args:
+        token: Bearer token of the operator API; empty for none.
+    """
+    with tempfile.TemporaryDirectory(prefix="cranberrylever-dev-") as folder:
+        asyncio.run(serve(DevCluster(folder, token)))
+
+
+async def serve(cluster: DevCluster, stop: asyncio.Event | None = None) -> None:
+    """Start the cluster, show that it serves, and run until stopped.
+
+    Args:
+        cluster: The cluster to run.
+        stop: Ends the run when set; SIGINT and SIGTERM set it as well.
+    """
+    stop = stop or asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        await cluster.start()
+        async with aiohttp.ClientSession() as session:
+            await submit_example(cluster, session)
+            await show_requests(cluster, session)
+        print_guide(cluster)
+        await stop.wait()
+    finally:
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.remove_signal_handler(number)
+        print("stopping", flush=True)
+        await cluster.close()
+
+
+async def submit_example(cluster: DevCluster, session: aiohttp.ClientSession) -> None:
+    """Submit the example ticket.
+
+    Raises:
+        DevStartError: Control refused the ticket or did not answer in time.
+    """
+    answer = ""
+    header = {"Authorization": f"Bearer {cluster.token}"} if cluster.token else {}
+    url = f"http://{cluster.control_http}/v1/tickets"
+    limit = asyncio.get_running_loop().time() + START_LIMIT_SECONDS
+    while asyncio.get_running_loop().time() < limit:
+        try:
+            async with session.post(url, data=EXAMPLE_TICKET, headers=header) as response:
+                answer = await response.text()
+                if response.status < 300:
+                    print(f"ticket 1 accepted: {answer}", flush=True)
+                    return
+                if response.status != 503:
+                    break
+        except aiohttp.ClientError as error:
+            answer = str(error)
+        await asyncio.sleep(RETRY_SECONDS)
+    raise DevStartError(f"ticket 1 was not accepted: {answer}", f"read the logs in {cluster.data_dir}")
+
+
+async def show_requests(cluster: DevCluster, session: aiohttp.ClientSession) -> None:
+    """Serve one request of each kind at each entry and print the answers."""
+    for entry in cluster.entries:
+        for path in (f"/{KEYED_SERVICE}/build-17", f"/{POOLED_SERVICE}/quotes"):
+            answer = await get_until_served(cluster, session, f"http://{entry.bound_address}{path}")
+            print(f"GET {path} at {entry.bound_address}: {answer}", flush=True)
+
+
+async def get_until_served(cluster: DevCluster, session: aiohttp.ClientSession, url: str) -> str:
+    """Return the answer of a request that is repeated until it is served.
+
+    Raises:
+        DevStartError: It was not served in time.
+    """
+    text = ""
+    limit = asyncio.get_running_loop().time() + START_LIMIT_SECONDS
+    while asyncio.get_running_loop().time() < limit:
+        try:
+            async with session.get(url) as response:
+                text = await response.text()
+                if response.status == 200:
+                    return text
+        except aiohttp.ClientError as error:
+            text = str(error)
+        await asyncio.sleep(RETRY_SECONDS)
+    raise DevStartError(f"{url} was not served: {text}", f"read the logs in {cluster.data_dir}")
+
+
+def print_guide(cluster: DevCluster) -> None:
+    """Print commands to try."""
+    entry = cluster.entries[0].bound_address
+    target = cluster.targets[0]
+    header = f"-H 'Authorization: Bearer {cluster.token}' " if cluster.token else ""
+    print(
+        f"""
+try:
+  curl -i http://{entry}/{KEYED_SERVICE}/build-17
+  curl -i -X POST -H 'Idempotency-Key: order-1' -d '{{"boards": 40}}' http://{entry}/{POOLED_SERVICE}/orders
+  curl -s {header}http://{cluster.control_http}/v1/status
+  curl -s http://{target.bound_address}/-/runs
+withdraw a failure domain and bring it back:
+  printf 'number = 2\\n[[failure_domain]]\\nname = "valley"\\nstate = "withdrawn"\\n' |
+    curl -s {header}--data-binary @- http://{cluster.control_http}/v1/tickets
+  printf 'number = 3\\n[[failure_domain]]\\nname = "valley"\\nstate = "active"\\n' |
+    curl -s {header}--data-binary @- http://{cluster.control_http}/v1/tickets
+let a target turn cold, or be 20 times slower for 5 s:
+  curl -s -d '{{"cold": true}}' http://{target.bound_address}/-/fault
+  curl -s -d '{{"slow_factor": 20, "for_ms": 5000}}' http://{target.bound_address}/-/fault
+Ctrl-C stops everything; data and logs are in {cluster.data_dir}
+""",
+        flush=True,
+    )
