--- /dev/null
+++ b/cranberrylever/entry/_claims.py
@@ -0,0 +1,121 @@
+"""Execution claims and their completion, committed by control."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from cranberrylever.wire import ClaimAnswer, ClaimResult, CompleteClaim, OpenClaim
+
+from . import _headers
+from ._guard import wait_with_timeout
+from ._tuning import EntryTuning
+
+OPENING_LOST = ClaimAnswer(_headers.NOT_RUN)
+
+
+@attrs.frozen
+class ClaimHandle:
+    """One attempt to run a request with an idempotency key; ``attempt`` is its execution token."""
+
+    claim_id: str
+    fingerprint: str
+    attempt: str
+
+
+@attrs.define(eq=False)
+class _Call:
+    """A claim message without a reply yet; ``fields`` are those of its frame."""
+
+    future: asyncio.Future[ClaimResult]
+    fields: dict[str, Any]
+
+
+class ClaimClient:
+    """Opens and completes claims; each message is sent again until control answers it.
+
+    Args:
+        entry_id: Id of this entry.
+        tuning: Intervals.
+        send: Sends a frame with the given fields to the control leader.
+    """
+
+    def __init__(self, entry_id: str, tuning: EntryTuning, send: Callable[..., bool]) -> None:
+        self.entry_id = entry_id
+        self.tuning = tuning
+        self.send = send
+        self.next_call = 0
+        self.pending: dict[int, _Call] = {}
+        self.completions: set[asyncio.Task[None]] = set()
+
+    async def open(self, claim: ClaimHandle) -> ClaimResult:
+        """Return control's answer to an opening.
+
+        When the caller is cancelled before the answer, the opening may still be committed. It is then
+        completed as not run in the background, so that a resend may claim it.
+        """
+        try:
+            return await self._call(
+                lambda call: {
+                    "open_claim": OpenClaim(
+                        call, claim.claim_id, claim.fingerprint, self.entry_id, claim.attempt
+                    )
+                }
+            )
+        except asyncio.CancelledError:
+            self.complete(claim, OPENING_LOST)
+            raise
+
+    def complete(self, claim: ClaimHandle, answer: ClaimAnswer) -> asyncio.Task[None]:
+        """Store the outcome of a claim in the background; the task ends once that is committed."""
+        task = asyncio.get_running_loop().create_task(self._complete(claim, answer))
+        self.completions.add(task)
+        task.add_done_callback(self.completions.discard)
+        return task
+
+    async def complete_and_wait(self, claim: ClaimHandle, answer: ClaimAnswer) -> bool:
+        """Store the outcome of a claim and wait a short time for its commit.
+
+        Returns:
+            Whether it is committed; if not, it goes on in the background.
+        """
+        return await wait_with_timeout(self.complete(claim, answer), self.tuning.claim_commit_wait)
+
+    def receive(self, result: ClaimResult) -> None:
+        """Take a reply of control."""
+        call = self.pending.get(result.call)
+        if call is not None and not call.future.done():
+            call.future.set_result(result)
+
+    def resend(self) -> None:
+        """Send all messages without a reply again, because there is a new leader."""
+        for call in self.pending.values():
+            self.send(**call.fields)
+
+    async def close(self, timeout: float) -> None:
+        """Wait until all outcomes are committed, at most ``timeout`` seconds."""
+        if self.completions:
+            await asyncio.wait(self.completions, timeout=timeout)
+        for task in list(self.completions):
+            task.cancel()
+
+    async def _complete(self, claim: ClaimHandle, answer: ClaimAnswer) -> None:
+        await self._call(
+            lambda call: {
+                "complete_claim": CompleteClaim(call, claim.claim_id, self.entry_id, answer, claim.attempt)
+            }
+        )
+
+    async def _call(self, fields: Callable[[int], dict[str, Any]]) -> ClaimResult:
+        self.next_call += 1
+        number = self.next_call
+        call = _Call(asyncio.get_running_loop().create_future(), fields(number))
+        self.pending[number] = call
+        try:
+            while True:
+                self.send(**call.fields)
+                if await wait_with_timeout(call.future, self.tuning.claim_resend_interval):
+                    return call.future.result()
+        finally:
+            del self.pending[number]
--- a/cranberrylever/entry/_client.py
+++ b/cranberrylever/entry/_client.py
@@ -1,5 +1,6 @@
 """HTTP client for targets over aiohttp, without its own resends and redirects."""
 
+import asyncio
 import contextvars
 from collections.abc import Callable
 
@@ -22,16 +23,23 @@
     Args:
         status: Status of the answer.
         is_cold: Whether the target said that it is in cold start.
+        incarnation: Incarnation that the target named, or empty.
     """
 
-    def __init__(self, status: int, is_cold: bool) -> None:
+    def __init__(self, status: int, is_cold: bool, incarnation: str) -> None:
         super().__init__(f"the target refused the request with {status}", "retry later")
         self.status = status
         self.is_cold = is_cold
+        self.incarnation = incarnation
 
 
 class ConnectionLostError(UnknownOutcomeError):
-    """The connection to the target ended after a byte of the request may have left."""
+    """The connection to the target ended after a byte of the request may have left.
+
+    ``probe`` finds out whether the target crashed; ``None`` when there is nothing to find out.
+    """
+
+    probe: asyncio.Task[bool] | None = None
 
 
 class _TargetRequest(aiohttp.ClientRequest):
@@ -47,6 +55,7 @@
         """Send the request unless its attempt became invalid while it waited for a connection."""
         attempt = _current_attempt.get()
         self.check_before_send(attempt)
+        attempt.transport = conn.transport
         attempt.sent = True
         attempt.exchange.open_dispatches += 1
         return await super().send(conn)
@@ -110,11 +119,13 @@
             raise ConnectionLostError(
                 f"connection to {attempt.address} lost: {error!r}", "check the outcome before a resend"
             ) from error
-        if response.headers.get(_headers.OUTCOME) == _headers.NOT_RUN and response.status in (409, 503):
+        if response.status >= 400 and response.headers.get(_headers.OUTCOME) == _headers.NOT_RUN:
+            attempt.refused = True
             exchange.open_dispatches -= 1
             is_cold = response.headers.get(_headers.TARGET_STATE) == "cold"
+            incarnation = response.headers.get(_headers.TARGET_INCARNATION, "")
             response.release()
-            raise TargetRefusedError(response.status, is_cold)
+            raise TargetRefusedError(response.status, is_cold, incarnation)
         return response
 
     def _headers(self, attempt: Attempt, now: float) -> list[tuple[str, str]]:
@@ -125,7 +136,7 @@
             (_headers.DEADLINE_MS, str(remaining_ms)),
             (_headers.REQUEST_ID, exchange.request_id),
         ]
-        if attempt.through_entry:
+        if attempt.state is None:
             headers.append((_headers.HOP, "1"))
             return headers
         headers.append((_headers.TARGET_INCARNATION, attempt.incarnation))
--- a/cranberrylever/entry/_dispatcher.py
+++ b/cranberrylever/entry/_dispatcher.py
@@ -1,77 +1,208 @@
-"""Chooses targets for a request and runs its attempts."""
+"""Runs a request at targets: attempts, retries, hedging and crash suspects."""
 
 import asyncio
-import random
+from collections.abc import Callable
 
 import aiohttp
 
 from cranberrylever.errors import NotRunError
-from cranberrylever.logs import Log
-from cranberrylever.routing import RoutingTable
+from cranberrylever.limits import RunningQuantile, TokenBucket
+from cranberrylever.metrics import Metrics
 
-from ._client import TargetClient
+from ._admission import Admission
+from ._client import ConnectionLostError, TargetClient, TargetRefusedError
+from ._crashes import CrashWatch
 from ._exchange import Attempt, Exchange
-from ._inflight import InFlight
+from ._hedging import Answer, HedgedSend
+from ._targets import TargetStates
 from ._tuning import EntryTuning
 from ._views import ViewStore
 
+HEDGE_QUANTILE = 0.95
+MIN_HEDGE_DELAY = 0.001
+
+
+class ServiceLimits:
+    """Budgets and latency of one service at this entry."""
+
+    def __init__(self, tuning: EntryTuning) -> None:
+        self.retries = TokenBucket(tuning.retry_ratio)
+        self.hedges = TokenBucket(tuning.hedge_ratio)
+        self.latency = RunningQuantile(HEDGE_QUANTILE)
+
 
 class Dispatcher:
-    """Runs requests at targets under the view in force."""
+    """Runs requests at targets under the view in force.
+
+    Args:
+        views: The view in force.
+        admission: Finds targets with room.
+        targets: States of the targets.
+        crashes: Crash suspects.
+        client: HTTP client.
+        tuning: Constants.
+        metrics: Metrics of the process.
+        report_soon: Makes the next report to control leave at once.
+    """
 
     def __init__(
-        self, views: ViewStore, in_flight: InFlight, client: TargetClient, tuning: EntryTuning, log: Log
+        self,
+        views: ViewStore,
+        admission: Admission,
+        targets: TargetStates,
+        crashes: CrashWatch,
+        client: TargetClient,
+        tuning: EntryTuning,
+        metrics: Metrics,
+        report_soon: Callable[[], None],
     ) -> None:
         self.views = views
-        self.in_flight = in_flight
+        self.admission = admission
+        self.targets = targets
+        self.crashes = crashes
         self.client = client
         self.tuning = tuning
-        self.log = log
-        self.random = random.Random()
+        self.metrics = metrics
+        self.report_soon = report_soon
+        self.limits: dict[str, ServiceLimits] = {}
 
-    async def run(self, exchange: Exchange) -> tuple[Attempt, aiohttp.ClientResponse]:
+    async def run(self, exchange: Exchange) -> Answer:
         """Return the attempt that was answered, and the answer with its body unread.
 
+        The caller must pass the attempt to ``finish``.
+
         Raises:
-            NotRunError: No target ran the request.
-            UnknownOutcomeError: A target may have run it.
+            NotRunError: The last attempt did not run; an earlier one may have (``exchange.may_have_run``).
+            UnknownOutcomeError: A target may have run the request.
         """
-        loop = asyncio.get_running_loop()
-        while True:
-            now = loop.time()
-            table = self.views.current(now)
-            attempt = self._choose(exchange, table)
-            if attempt is None:
-                await self.views.wait_for_change(exchange.deadline - now)
-                if loop.time() >= exchange.deadline:
-                    raise NotRunError("no target could take the request before its deadline", "retry later")
-                continue
-            self.in_flight.add(attempt)
-            try:
-                return attempt, await self.client.send(attempt, now)
-            except BaseException:
-                self.in_flight.remove(attempt)
-                raise
+        name = exchange.service.name
+        limits = self.limits.get(name)
+        if limits is None:
+            limits = self.limits[name] = ServiceLimits(self.tuning)
+        limits.retries.record_request()
+        limits.hedges.record_request()
+        tried: set[str] = set()
+        reason = ""
+        backoff = self.tuning.retry_backoff
+        try:
+            while True:
+                await self.crashes.admit(exchange)
+                attempt = await self.admission.acquire(exchange, tried, reason)
+                try:
+                    return await self._send(exchange, attempt, limits, tried)
+                except (NotRunError, ConnectionLostError) as error:
+                    await self._prepare_retry(exchange, attempt, error, limits, tried, backoff)
+                    reason = "retry"
+                    backoff = min(2 * backoff, self.tuning.max_retry_backoff)
+        finally:
+            self.crashes.leave(exchange)
 
     def finish(self, attempt: Attempt) -> None:
         """Note that the answer to an attempt is complete or its connection closed."""
-        self.in_flight.remove(attempt)
-
-    def _choose(self, exchange: Exchange, table: RoutingTable) -> Attempt | None:
-        service = table.services.get(exchange.service.name)
-        if service is None:
-            raise NotRunError(f"unknown service {exchange.service.name!r}", "check the path")
-        shard, fence = -1, 0
-        if exchange.is_keyed:
-            route = table.keyed_route(service, exchange.key_hash)
-            target, shard, fence = route.target, route.shard, route.fence
-        else:
-            pool = table.pools[service.name]
-            target = self.random.choice(pool) if pool else None
-        if target is None:
-            return None
-        reason = "owner" if exchange.is_keyed else "pooled"
-        self.log.decision(service.name, exchange.key_hash, target.target_id, reason, fence, table.version)
-        return Attempt(
-            exchange, target.target_id, target.address, target.incarnation, table.version, shard, fence
-        )
+        if self.admission.release(attempt):
+            self.report_soon()
+
+    def note_truncated(self, attempt: Attempt) -> None:
+        """Note that the connection ended within the answer."""
+        self.crashes.note_loss(attempt)
+
+    async def _prepare_retry(
+        self,
+        exchange: Exchange,
+        attempt: Attempt,
+        error: NotRunError | ConnectionLostError,
+        limits: ServiceLimits,
+        tried: set[str],
+        backoff: float,
+    ) -> None:
+        """Wait before the next attempt, or raise ``error`` when there must be none."""
+        if isinstance(error, ConnectionLostError) and error.probe is not None:
+            await asyncio.shield(error.probe)
+        if exchange.may_have_run and not exchange.idempotent:
+            raise error
+        now = asyncio.get_running_loop().time()
+        remaining = exchange.deadline - now
+        if remaining <= 0 or not self.views.is_valid(now) or not limits.retries.take():
+            raise error
+        self.metrics.count("retries")
+        is_new_target_likely = not exchange.is_keyed and attempt.target_id not in tried
+        tried.add(attempt.target_id)
+        if not is_new_target_likely:
+            await self.views.wait_for_change(min(backoff, remaining))
+
+    async def _send(
+        self, exchange: Exchange, attempt: Attempt, limits: ServiceLimits, tried: set[str]
+    ) -> Answer:
+        if exchange.is_keyed or not exchange.idempotent or attempt.state is None:
+            return attempt, await self._send_one(attempt)
+        delay = limits.latency.value()
+        if delay is None or exchange.is_forwarded:
+            return attempt, await self._send_one(attempt)
+
+        def second() -> Attempt | None:
+            if limits.hedges.tokens < 1.0 or not self.crashes.is_clear(exchange):
+                return None
+            hedge = self.admission.try_acquire(exchange, tried | {attempt.target_id}, "hedge")
+            if hedge is not None:
+                limits.hedges.take()
+                self.metrics.count("hedges")
+            return hedge
+
+        hedged = HedgedSend(self._send_one, second, self._discard)
+        return await hedged.run(attempt, max(delay, MIN_HEDGE_DELAY))
+
+    async def _send_one(self, attempt: Attempt) -> aiohttp.ClientResponse:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        try:
+            response = await self.client.send(attempt, started)
+        except TargetRefusedError as error:
+            self._record_refusal(attempt, error, loop.time())
+            self.finish(attempt)
+            raise
+        except ConnectionLostError as error:
+            error.probe = self.crashes.note_loss(attempt)
+            self.finish(attempt)
+            raise
+        except asyncio.CancelledError:
+            self._record_abandoned(attempt, loop.time())
+            self.finish(attempt)
+            raise
+        except BaseException:
+            self.finish(attempt)
+            raise
+        if attempt.state is not None:
+            now = loop.time()
+            if self.targets.record_answer(attempt.state, attempt, now):
+                self._report_cold(attempt, "latency jump")
+            if not attempt.exchange.is_keyed:
+                self.limits[attempt.exchange.service.name].latency.record(now - started)
+        return response
+
+    def _record_abandoned(self, attempt: Attempt, now: float) -> None:
+        if attempt.state is None or not attempt.sent:
+            return
+        self.targets.record_abandoned(attempt.state, attempt, now)
+        if now >= attempt.exchange.deadline:
+            attempt.state.limit.record_refusal(now)
+
+    def _discard(self, attempt: Attempt, response: aiohttp.ClientResponse | None) -> None:
+        if response is not None:
+            response.close()
+        self.finish(attempt)
+
+    def _record_refusal(self, attempt: Attempt, error: TargetRefusedError, now: float) -> None:
+        state = attempt.state
+        if state is None:
+            return
+        if error.status == 503:
+            state.limit.record_refusal(now)
+        looks_cold = error.is_cold or error.incarnation not in ("", attempt.incarnation)
+        if not looks_cold or state.view.phase != "warm":
+            return
+        if self.targets.marks.mark(attempt.target_id, attempt.incarnation, now):
+            self._report_cold(attempt, "shed while cold" if error.is_cold else "new incarnation")
+
+    def _report_cold(self, attempt: Attempt, reason: str) -> None:
+        self.admission.log.warning("target_appears_cold", target=attempt.target_id, reason=reason)
+        self.report_soon()
--- a/cranberrylever/entry/_exchange.py
+++ b/cranberrylever/entry/_exchange.py
@@ -1,23 +1,28 @@
 """One caller's request and the attempts to run it."""
 
+import asyncio
+
 import attrs
 import xxhash
 
 from cranberrylever.routing import ServiceView
 
+from . import _headers
+from ._targets import TargetState
+
 
 @attrs.define(eq=False)
 class Exchange:
     """A request as received from a caller; ``deadline`` is a loop time.
 
-    ``path`` is the undecoded path, ``url_suffix`` the path with its query. ``is_forwarded`` tells that
+    ``url_suffix`` is the undecoded path with its query. ``is_forwarded`` tells that
     another entry sent the request, so it must not be forwarded again. ``open_dispatches`` counts the attempts
-    of which a byte may have left and that no target refused.
+    of which a byte may have left and that no target refused. ``held_elsewhere`` tells that another request
+    with the same idempotency key holds the claim.
     """
 
     service: ServiceView
     method: str
-    path: str
     url_suffix: str
     headers: list[tuple[str, str]]
     body: bytes
@@ -28,6 +33,7 @@
     is_forwarded: bool = False
     open_dispatches: int = 0
     answer_started: bool = False
+    held_elsewhere: bool = False
     own_fingerprint: str = ""
 
     @property
@@ -35,6 +41,11 @@
         """Whether a target may have run the request."""
         return self.open_dispatches > 0
 
+    @property
+    def outcome(self) -> str:
+        """Outcome to tell the caller when there is no answer."""
+        return _headers.UNKNOWN if self.may_have_run or self.held_elsewhere else _headers.NOT_RUN
+
     @property
     def is_keyed(self) -> bool:
         """Whether the request must go to the owner of its key."""
@@ -57,8 +68,9 @@
 class Attempt:
     """One dispatch of an exchange to a target under one view.
 
-    ``address`` differs from the target's when the request goes through another entry. ``blocked_at`` is set
-    while a later view has taken the shard away: the last version in which the shard was still this target's.
+    ``address`` is that of another entry when ``state`` is ``None``. ``blocked_at`` is set while a later view
+    has taken the shard away: the last version in which the shard was still this target's. ``transport`` is
+    that of the connection once the request is being sent.
     """
 
     exchange: Exchange
@@ -68,7 +80,16 @@
     view_version: int
     shard: int = -1
     fence: int = 0
-    through_entry: bool = False
+    state: TargetState | None = None
     sent: bool = False
+    refused: bool = False
+    aborted: bool = False
+    finished: bool = False
     blocked_at: int | None = None
-    started: float = 0.0
+    transport: asyncio.Transport | None = None
+
+    def abort(self) -> None:
+        """Break the connection, which ends the target's work and fails the attempt."""
+        self.aborted = True
+        if self.transport is not None:
+            self.transport.abort()
--- a/cranberrylever/entry/_guard.py
+++ b/cranberrylever/entry/_guard.py
@@ -55,3 +55,13 @@
             if message["type"] == "http.disconnect":
                 self._cancel(CALLER_GONE)
                 return
+
+
+async def wait_with_timeout(waiter: asyncio.Future, timeout: float) -> bool:
+    """Wait for a future without raising on timeout.
+
+    Returns:
+        Whether the future has a result.
+    """
+    done, _ = await asyncio.wait({waiter}, timeout=max(0.0, timeout))
+    return bool(done)
--- a/cranberrylever/entry/_inflight.py
+++ b/cranberrylever/entry/_inflight.py
@@ -18,10 +18,17 @@
         """Register an attempt; this must happen in the same step as its look-up in the view."""
         self.attempts.add(attempt)
 
-    def remove(self, attempt: Attempt) -> None:
-        """Forget an attempt that has ended or whose connection is closed."""
+    def remove(self, attempt: Attempt) -> bool:
+        """Forget an attempt that has ended or whose connection is closed.
+
+        Returns:
+            Whether the settled version may have advanced.
+        """
         self.attempts.discard(attempt)
+        if attempt not in self.blockers:
+            return False
         self.blockers.discard(attempt)
+        return True
 
     def apply_view(self, previous_version: int, table: RoutingTable) -> None:
         """Mark the attempts whose shard the new view has taken away.
@@ -53,6 +60,13 @@
         """Return the attempts of requests with this fingerprint."""
         return (attempt for attempt in self.attempts if attempt.exchange.fingerprint == fingerprint)
 
-    def at_target(self, target_id: str) -> list[Attempt]:
-        """Return the attempts at one target whose first byte may have left."""
-        return [attempt for attempt in self.attempts if attempt.target_id == target_id and attempt.sent]
+    def abort_lost(self, table: RoutingTable) -> None:
+        """Break the connections to targets that the view shows as lost or no longer has.
+
+        A request to a frozen target would otherwise hold the settled version back until its deadline.
+        """
+        for attempt in list(self.attempts):
+            target = table.targets.get(attempt.target_id)
+            is_same = target is not None and target.incarnation == attempt.incarnation
+            if attempt.state is not None and not (is_same and target.phase != "lost"):
+                attempt.abort()
--- a/cranberrylever/entry/_link.py
+++ b/cranberrylever/entry/_link.py
@@ -182,7 +182,7 @@
         loop = asyncio.get_running_loop()
         while True:
             if self.build_report is not None:
-                self._send_poll(loop.time())
+                self.send_poll(loop.time())
             interval = self.tuning.urgent_poll_interval if self.is_urgent() else self.tuning.poll_interval
             self.poll_now.clear()
             with contextlib.suppress(TimeoutError):
@@ -193,7 +193,8 @@
             if elapsed < self.tuning.urgent_poll_interval:
                 await asyncio.sleep(self.tuning.urgent_poll_interval - elapsed)
 
-    def _send_poll(self, now: float) -> None:
+    def send_poll(self, now: float) -> None:
+        """Send a report to the leader, or to all members while it is unknown."""
         self.sequence += 1
         self.polls[self.sequence] = now
         self.polls.pop(self.sequence - _REMEMBERED_POLLS, None)
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -5,24 +5,36 @@
 import uuid
 
 from cranberrylever.errors import NotRunError
-from cranberrylever.logs import Log
+from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_metrics
 from cranberrylever.settings import EntrySettings
 from cranberrylever.wire import EntryHello, EntryReport, ViewAnswer
 
+from ._admission import Admission
 from ._app import EntryApp
+from ._claimed import ClaimedRunner
+from ._claims import ClaimClient
 from ._client import TargetClient
+from ._crashes import CrashWatch
 from ._dispatcher import Dispatcher
 from ._exchange import Attempt
 from ._inflight import InFlight
 from ._link import ControlLink
+from ._reader import RequestReader
+from ._reports import RequestCounts
 from ._server import HttpServer
+from ._targets import TargetStates
 from ._tuning import EntryTuning
 from ._views import ViewStore
 
 
 class EntryProgram:
-    """One entry: a listener for callers, a client for targets and streams to control."""
+    """One entry: a listener for callers, a client for targets and streams to control.
+
+    Args:
+        settings: Settings of this entry.
+        tuning: Constants, changed only by tests.
+    """
 
     def __init__(self, settings: EntrySettings, tuning: EntryTuning) -> None:
         self.settings = settings
@@ -32,22 +44,35 @@
         self.metrics = create_metrics(settings.statsd, "entry")
         self.views = ViewStore(tuning.view_lifetime)
         self.in_flight = InFlight()
+        self.counts = RequestCounts()
+        self.targets = TargetStates(tuning.cold_mark_lifetime)
+        self.crashes = CrashWatch(self.in_flight, self.report_now, self.log)
+        self.admission = Admission(
+            settings.entry_id, self.views, self.targets, self.in_flight, self.counts, self.log
+        )
 
     async def start(self) -> None:
         """Listen for callers and attach to control; readiness follows with the first view."""
         self.loop = asyncio.get_running_loop()
+        self.installed_log = install_log(self.settings.log)
         self.client = TargetClient(self.tuning, self._check_before_send)
-        self.dispatcher = Dispatcher(self.views, self.in_flight, self.client, self.tuning, self.log)
-        self.app = EntryApp(self.views, self.dispatcher, self.tuning)
+        self.dispatcher = Dispatcher(
+            self.views,
+            self.admission,
+            self.targets,
+            self.crashes,
+            self.client,
+            self.tuning,
+            self.metrics,
+            self.report_soon,
+        )
+        self.claims = ClaimClient(self.settings.entry_id, self.tuning, self._send_frame)
+        claimed = ClaimedRunner(self.claims, self.dispatcher, self.tuning)
+        reader = RequestReader(self.views, self.tuning)
+        self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning)
         self.server = HttpServer(self.app, self.settings.listen, self.tuning)
         await self.server.start()
-        address = self.settings.advertise or self.bound_address
-        settings = self.settings
-        hello = EntryHello(settings.entry_id, self.incarnation, address, settings.failure_domain)
-        self.link = ControlLink(settings.cluster_id, settings.control, hello, self.tuning, self.log)
-        self.link.build_report = self._build_report
-        self.link.on_view_answer = self._receive_view
-        self.link.is_urgent = lambda: bool(self.views.waiters)
+        self.link = self._create_link()
         self.link.start()
         self.log.info("entry_started", address=self.bound_address)
 
@@ -57,16 +82,18 @@
         return self.server.bound_address
 
     async def close(self) -> None:
-        """Fail readiness, wait for the drain delay, finish requests, then close."""
+        """Fail readiness, wait for the drain delay, finish requests and claims, then close."""
         self.app.draining = True
         self.log.info("entry_draining", delay=self.settings.drain_delay)
         await asyncio.sleep(self.settings.drain_delay)
         self.server.stop_accepting()
         await self.server.wait_finished(self.tuning.finish_timeout)
+        await self.claims.close(self.tuning.claim_close_timeout)
         await self.link.close()
         await self.client.close()
         self.metrics.close()
         self.log.info("entry_stopped")
+        self.installed_log.close()
 
     async def __aenter__(self) -> "EntryProgram":
         """Start the program."""
@@ -78,12 +105,45 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self.close()
 
+    def report_soon(self) -> None:
+        """Let the next report leave without waiting for the poll interval."""
+        self.link.poll_now.set()
+
+    def report_now(self) -> None:
+        """Send a report in this step."""
+        self.link.send_poll(self.loop.time())
+
+    def _create_link(self) -> ControlLink:
+        settings = self.settings
+        address = settings.advertise or self.bound_address
+        hello = EntryHello(settings.entry_id, self.incarnation, address, settings.failure_domain)
+        link = ControlLink(settings.cluster_id, settings.control, hello, self.tuning, self.log)
+        link.build_report = self._build_report
+        link.on_view_answer = self._receive_view
+        link.on_claim_result = self.claims.receive
+        link.on_leader_change = self.claims.resend
+        link.is_urgent = self._is_urgent
+        return link
+
+    def _send_frame(self, **fields: object) -> bool:
+        return self.link.send(**fields)
+
+    def _is_urgent(self) -> bool:
+        return bool(self.views.waiters) or self.admission.waiting() > 0
+
     def _check_before_send(self, attempt: Attempt) -> None:
-        self.views.current(self.loop.time())
-        if attempt.blocked_at is not None:
+        """Raise unless the attempt may still be sent; time has passed since it was chosen."""
+        now = self.loop.time()
+        self.views.current(now)
+        if attempt.blocked_at is not None or attempt.aborted:
             raise NotRunError("the key is moving to another target", "retry later")
+        if not self.crashes.may_send(attempt.exchange):
+            raise NotRunError("a request like this one may have crashed a target", "retry later")
+        if attempt.state is not None and self.targets.exceeds_permits(attempt.state, now):
+            raise NotRunError("the permit for the target in cold start has gone", "retry later")
 
     def _build_report(self, sequence: int) -> EntryReport:
+        now = self.loop.time()
         version = self.views.version
         return EntryReport(
             sequence=sequence,
@@ -91,15 +151,37 @@
             incarnation=self.incarnation,
             applied_version=version,
             settled_version=self.in_flight.settled_version(version),
+            shard_counts=self.counts.take_shards(),
+            target_loads=self.targets.take_loads(now),
+            hot_keys=self.counts.take_hot_keys(now),
+            suspects=self.crashes.records(now),
+            permits=self.targets.used_permits(now),
+            requests=self.counts.take_requests(),
         )
 
     def _receive_view(self, answer: ViewAnswer, poll_sent: float) -> None:
+        now = self.loop.time()
         previous = self.views.version
-        if self.views.offer(answer, poll_sent):
-            self.in_flight.apply_view(previous, self.views.table)
+        if answer.version < previous:
+            return
+        changed = self.views.offer(answer, poll_sent)
+        if changed:
+            table = self.views.table
+            self.targets.apply_view(table)
+            self.in_flight.apply_view(previous, table)
+            self.in_flight.abort_lost(table)
+            incarnations = {target.target_id: target.incarnation for target in table.view.targets}
+            self.crashes.apply_incarnations(incarnations, now)
             self.log.info("view_applied", version=answer.version)
-            self.link.poll_now.set()
+        permits_changed = answer.version == self.views.version and self.targets.permits != answer.permits
+        if permits_changed:
+            self.targets.permits = dict(answer.permits)
+        self.crashes.merge(answer.suspects, now)
+        if changed:
+            self.report_soon()
             self.views.wake()
+        if changed or permits_changed or self.targets.marks.take_expired(now):
+            self.admission.wake_all()
 
 
 def create_entry(settings: EntrySettings, tuning: EntryTuning | None = None) -> EntryProgram:
--- /dev/null
+++ b/cranberrylever/entry/_reader.py
@@ -0,0 +1,155 @@
+"""Reads a caller's request: service, key, deadline and body, within the limits."""
+
+import asyncio
+import os
+
+from cranberrylever.routing import ServiceView, extract_key, hash_key, is_idempotent, split_service
+
+from . import _headers
+from ._answers import RefusalError
+from ._exchange import Exchange
+from ._tuning import EntryTuning
+from ._views import ViewStore
+
+MAX_REQUEST_ID = 128
+MAX_IDEMPOTENCY_KEY = 256
+
+_REQUEST_ID_NAME = _headers.REQUEST_ID.lower().encode()
+_DEADLINE_NAME = _headers.DEADLINE_MS.lower().encode()
+_HOP_NAME = _headers.HOP.lower().encode()
+
+
+class RequestReader:
+    """Builds exchanges from ASGI requests.
+
+    Args:
+        views: The view in force.
+        tuning: Limits.
+    """
+
+    def __init__(self, views: ViewStore, tuning: EntryTuning) -> None:
+        self.views = views
+        self.tuning = tuning
+        self.buffered_bytes = 0
+        self.id_prefix = os.urandom(6).hex()
+        self.id_number = 0
+
+    async def read(self, scope: dict, receive, now: float) -> Exchange | None:  # noqa: ANN001
+        """Return the request, or ``None`` when its caller left.
+
+        Raises:
+            RefusalError: The request is invalid or too large.
+            NotRunError: There is no valid view.
+        """
+        headers = scope["headers"]
+        raw_path = scope["raw_path"].decode("latin-1")
+        name, rest = split_service(raw_path)
+        service = self.views.current(now).services.get(name)
+        if service is None:
+            raise RefusalError(404, f"unknown service {name!r}", "use a path that starts with a service name")
+        key_hash = self._key_hash(service, raw_path, headers)
+        query = scope["query_string"]
+        method = scope["method"]
+        exchange = Exchange(
+            service=service,
+            method=method,
+            url_suffix=f"{raw_path}?{query.decode('latin-1')}" if query else raw_path,
+            headers=_headers.request_headers(headers),
+            body=b"",
+            deadline=now + self._deadline_ms(headers, service.deadline_ms) / 1000,
+            idempotent=is_idempotent(service, method, rest),
+            request_id=self._request_id(headers),
+            key_hash=key_hash,
+            is_forwarded=_headers.find(headers, _HOP_NAME) is not None and self._is_entry(scope["client"]),
+        )
+        body = await self._read_body(headers, receive, service.max_body_bytes, exchange.deadline)
+        if body is None:
+            return None
+        exchange.body = body
+        return exchange
+
+    def idempotency_key(self, headers: list[tuple[bytes, bytes]]) -> str:
+        """Return the caller's idempotency key, or an empty string.
+
+        Raises:
+            RefusalError: The key is too long.
+        """
+        value = _headers.find(headers, b"idempotency-key") or b""
+        if len(value) > MAX_IDEMPOTENCY_KEY:
+            raise RefusalError(
+                400, "the idempotency key is too long", f"use up to {MAX_IDEMPOTENCY_KEY} bytes"
+            )
+        return value.decode("latin-1")
+
+    def _key_hash(
+        self, service: ServiceView, raw_path: str, headers: list[tuple[bytes, bytes]]
+    ) -> int | None:
+        if service.kind != "keyed":
+            return None
+        key = extract_key(service.key, raw_path, headers)
+        if key is None:
+            raise RefusalError(400, "the request names no key", "put the key where the service expects it")
+        return hash_key(key)
+
+    def _is_entry(self, client: tuple[str, int] | None) -> bool:
+        """Tell whether a request comes from the address of another entry.
+
+        A caller could otherwise skip its claim by setting the header that entries use among themselves.
+        """
+        if client is None or self.views.table is None:
+            return False
+        return any(address.rpartition(":")[0] == client[0] for address in self.views.table.entries.values())
+
+    def _deadline_ms(self, headers: list[tuple[bytes, bytes]], default: int) -> int:
+        value = _headers.find(headers, _DEADLINE_NAME)
+        if value is None:
+            return default
+        if not value.isdigit() or int(value) == 0:
+            raise RefusalError(400, f"{_headers.DEADLINE_MS} is not a positive integer", "give milliseconds")
+        return min(int(value), self.tuning.max_deadline_ms)
+
+    def _request_id(self, headers: list[tuple[bytes, bytes]]) -> str:
+        value = _headers.find(headers, _REQUEST_ID_NAME)
+        if value and len(value) <= MAX_REQUEST_ID:
+            return value.decode("latin-1")
+        self.id_number += 1
+        return f"{self.id_prefix}-{self.id_number}"
+
+    async def _read_body(
+        self,
+        headers: list[tuple[bytes, bytes]],
+        receive,  # noqa: ANN001
+        limit: int,
+        deadline: float,
+    ) -> bytes | None:
+        length = _headers.find(headers, b"content-length")
+        if length is None and _headers.find(headers, b"transfer-encoding") is None:
+            return b""
+        if length is not None and int(length) > limit:
+            raise _too_large(limit)
+        if self.buffered_bytes >= self.tuning.max_buffered_bytes:
+            raise RefusalError(503, "too many request bodies are held at this entry", "use another entry")
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await _collect_body(receive, limit)
+        except TimeoutError:
+            raise RefusalError(408, "the body did not arrive before the deadline", "retry") from None
+
+
+async def _collect_body(receive, limit: int) -> bytes | None:  # noqa: ANN001
+    chunks = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        chunks.append(message["body"])
+        size += len(message["body"])
+        if size > limit:
+            raise _too_large(limit)
+        if not message["more_body"]:
+            return b"".join(chunks)
+
+
+def _too_large(limit: int) -> RefusalError:
+    return RefusalError(413, f"the body exceeds {limit} bytes", "send a smaller body")
--- a/cranberrylever/entry/_server.py
+++ b/cranberrylever/entry/_server.py
@@ -25,30 +25,51 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection unless there are too many."""
         super().connection_made(transport)
-        self.header_bytes = 0
+        self.received_bytes = 0
         self.in_headers = True
+        self.refused = False
         if len(self.connections) > self.max_connections:
+            self.refused = True
             transport.close()
 
     def data_received(self, data: bytes) -> None:
-        """Refuse a request whose headers are too large before the parser buffers them."""
+        """Parse data; refuse headers that are too large before the parser has buffered all of them."""
+        if self.refused:
+            return
         if self.in_headers:
-            self.header_bytes += len(data)
+            self.received_bytes += len(data)
         super().data_received(data)
-        if self.in_headers and self.header_bytes > self.max_header_bytes and not self.transport.is_closing():
-            self.transport.write(_REQUEST_TOO_LARGE)
-            self.transport.close()
+        if self.in_headers and self.received_bytes > self.max_header_bytes:
+            self._refuse_headers()
 
     def on_headers_complete(self) -> None:
         """Start the request."""
         self.in_headers = False
-        super().on_headers_complete()
+        # The bytes received may contain a part of the body, so only a large number needs an exact count.
+        if self.received_bytes > self.max_header_bytes:
+            size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+            if size > self.max_header_bytes:
+                self._refuse_headers()
+        if not self.refused:
+            super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a part of the body on."""
+        if not self.refused:
+            super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Expect the headers of the next request."""
         self.in_headers = True
-        self.header_bytes = 0
-        super().on_message_complete()
+        self.received_bytes = 0
+        if not self.refused:
+            super().on_message_complete()
+
+    def _refuse_headers(self) -> None:
+        self.refused = True
+        if not self.transport.is_closing():
+            self.transport.write(_REQUEST_TOO_LARGE)
+            self.transport.close()
 
 
 class HttpServer:
--- a/cranberrylever/entry/_tuning.py
+++ b/cranberrylever/entry/_tuning.py
@@ -17,9 +17,7 @@
     leader_timeout: float = 0.3
     reconnect_delay: float = 0.2
     connect_timeout: float = 1.0
-    default_deadline_ms: int = 10_000
     max_deadline_ms: int = 120_000
-    max_body_bytes: int = 1_048_576
     max_buffered_bytes: int = 64 * 1_048_576
     max_header_bytes: int = 32_768
     max_connections: int = 2_000
@@ -36,4 +34,5 @@
     claim_resend_interval: float = 0.3
     claim_poll_interval: float = 0.1
     max_stored_answer_bytes: int = 262_144
+    claim_close_timeout: float = 5.0
     cold_mark_lifetime: float = 3.0
--- a/cranberrylever/entry/_views.py
+++ b/cranberrylever/entry/_views.py
@@ -8,6 +8,8 @@
 from cranberrylever.routing import RoutingTable
 from cranberrylever.wire import ViewAnswer
 
+from ._guard import wait_with_timeout
+
 
 class ViewStore:
     """Versioned view that never goes back and expires.
@@ -75,9 +77,6 @@
         waiter = asyncio.get_running_loop().create_future()
         self.waiters.add(waiter)
         try:
-            async with asyncio.timeout(timeout):
-                await waiter
-        except TimeoutError:
-            return
+            await wait_with_timeout(waiter, timeout)
         finally:
             self.waiters.discard(waiter)
--- a/cranberrylever/limits/_cold.py
+++ b/cranberrylever/limits/_cold.py
@@ -37,13 +37,17 @@
 
     def appears_cold(self, target_id: str, now: float) -> bool:
         """Tell whether the target is marked."""
-        mark = self.marks.get(target_id)
-        if mark is None:
+        if not self.marks:
             return False
-        if now >= mark.until:
+        mark = self.marks.get(target_id)
+        return mark is not None and now < mark.until
+
+    def take_expired(self, now: float) -> bool:
+        """Drop the marks that have expired; returns whether there were any."""
+        expired = [target_id for target_id, mark in self.marks.items() if now >= mark.until]
+        for target_id in expired:
             del self.marks[target_id]
-            return False
-        return True
+        return bool(expired)
 
     def confirm(self, target_id: str) -> None:
         """Drop the mark, because the view now says that the target is cold."""
--- a/cranberrylever/logs.py
+++ b/cranberrylever/logs.py
@@ -1,7 +1,6 @@
 """Log set-up over eliot, with a buffered writer that never stalls the event loop."""
 
 import os
-import sys
 import threading
 import time
 from collections.abc import Callable
@@ -17,6 +16,8 @@
 MAX_BUFFERED_LINES = 20_000
 """Lines kept for a slow reader; later lines are dropped and counted."""
 
+STANDARD_ERROR = 2
+
 _LEVELS = {"debug": 0, "info": 1, "warning": 2, "error": 3}
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
@@ -87,7 +88,7 @@
 def open_log(settings: LogSettings) -> BufferedLogWriter:
     """Return a writer to the destination in ``settings``."""
     if settings.destination == "-":
-        return BufferedLogWriter(_file_writer(sys.stderr.fileno()))
+        return BufferedLogWriter(_file_writer(STANDARD_ERROR))
     descriptor = os.open(settings.destination, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
     return BufferedLogWriter(_file_writer(descriptor))
 
@@ -151,20 +152,32 @@
         self.logger.write(fields)
 
 
-_installed: list[BufferedLogWriter] = []
-
+class InstalledLog:
+    """Use of one destination by one program; programs in one process may share it."""
 
-def install_log(settings: LogSettings) -> BufferedLogWriter:
-    """Send all eliot messages of this process to the destination in ``settings``."""
-    writer = open_log(settings)
-    eliot.add_destinations(writer)
-    _installed.append(writer)
-    return writer
+    users: dict[str, int] = {}
+    writers: dict[str, BufferedLogWriter] = {}
 
+    def __init__(self, settings: LogSettings) -> None:
+        self.destination = settings.destination
+        if self.destination not in self.writers:
+            self.writers[self.destination] = open_log(settings)
+            eliot.add_destinations(self.writers[self.destination])
+        self.users[self.destination] = self.users.get(self.destination, 0) + 1
 
-def remove_logs() -> None:
-    """Write what is buffered and detach the writers that ``install_log`` attached."""
-    for writer in _installed:
+    def close(self) -> None:
+        """Write what is buffered and detach the writer when this is its last user."""
+        self.users[self.destination] -= 1
+        if self.users[self.destination]:
+            return
+        writer = self.writers.pop(self.destination)
         eliot.remove_destination(writer)
         writer.close()
-    _installed.clear()
+
+
+def install_log(settings: LogSettings) -> InstalledLog:
+    """Send the eliot messages of this process to the destination in ``settings``.
+
+    Lines go to all destinations installed in the process; ``node`` in each line tells its program.
+    """
+    return InstalledLog(settings)
--- a/cranberrylever/routing/__init__.py
+++ b/cranberrylever/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing rules of an entry."""
 
+from cranberrylever.routing._chooser import Chooser, LastReport, LeastWait, RoundRobin, TwoChoices
 from cranberrylever.routing._keys import extract_key, hash_key, split_service
 from cranberrylever.routing._methods import is_idempotent
 from cranberrylever.routing._table import KeyedRoute, RoutingTable, accepts_new_work
@@ -12,6 +13,11 @@
 )
 
 __all__ = [
+    "Chooser",
+    "LastReport",
+    "LeastWait",
+    "RoundRobin",
+    "TwoChoices",
     "EntryAddress",
     "KeySource",
     "KeyedRoute",
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -1,6 +1,7 @@
 """Stand-ins for control and for targets, and a runner for entries on a real loop."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -8,7 +9,7 @@
 
 from cranberrylever.entry import EntryProgram, EntryTuning, create_entry
 from cranberrylever.routing import ServiceView, TargetView, View
-from cranberrylever.settings import EntrySettings
+from cranberrylever.settings import EntrySettings, LogSettings
 from cranberrylever.wire import (
     ClaimAnswer,
     ClaimResult,
@@ -164,6 +165,9 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         method, path, _ = first.split(" ")
         request = FakeRequest(method, path, headers, body)
+        if path == "/-/health":
+            writer.write(answer(json.dumps({"state": "warm", "incarnation": self.incarnation}).encode()))
+            return False
         self.requests.append(request)
         handling = asyncio.ensure_future(self.handler(request, writer))
         watching = asyncio.ensure_future(reader.read(1))
@@ -241,7 +245,12 @@
 
     async def start_entry(self, tuning: EntryTuning = TEST_TUNING, **settings) -> EntryProgram:
         entry_id = f"e{len(self.entries) + 1}"
-        settings = {"control": (self.control_address,), "drain_delay": 0.0, **settings}
+        settings = {
+            "control": (self.control_address,),
+            "drain_delay": 0.0,
+            "log": LogSettings("/dev/null"),
+            **settings,
+        }
         entry = create_entry(EntrySettings(CLUSTER, entry_id, "127.0.0.1:0", **settings), tuning)
         await entry.start()
         self.entries.append(entry)
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -1,8 +1,31 @@
 """Tests of forwarding through a whole entry."""
 
+import asyncio
+
 import testtools
+from attrs import evolve
+
+from cranberrylever.routing import ServiceView
+from tests.entry.fakes import (
+    TEST_TUNING,
+    FakeRequest,
+    World,
+    answer,
+    keyed_view,
+    pooled_view,
+    run,
+    wait_until,
+)
+
+OUTCOME = "Cranberrylever-Outcome"
+
 
-from tests.entry.fakes import World, keyed_view, pooled_view, run
+async def refuse_fence(request: FakeRequest, writer) -> bytes:
+    return answer(b"no", 409, **{"Cranberrylever_Outcome": "not-run"})
+
+
+async def close_connection(request: FakeRequest, writer) -> None:
+    return None
 
 
 class ForwardingTest(testtools.TestCase):
@@ -14,7 +37,7 @@
                 world.control.view = keyed_view(5, world.targets, owner=1, fence=7)
                 await world.start_entry()
                 status, headers, body = await world.call("/ledger/build-1?x=1", "POST", data=b"abc")
-                self.assertEqual((200, b"t2", "done"), (status, body, headers["Cranberrylever-Outcome"]))
+                self.assertEqual((200, b"t2", "done"), (status, body, headers[OUTCOME]))
                 request = world.targets[1].requests[0]
                 self.assertEqual(
                     ("POST", "/ledger/build-1?x=1", b"abc"), (request.method, request.path, request.body)
@@ -39,3 +62,313 @@
                 self.assertNotIn("cranberrylever-fence", requests[0].headers)
 
         run(main)
+
+    def test_hop_by_hop_and_own_headers_are_dropped(self):
+        """Guards against a caller that sets fences or whose connection options reach the target."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets, fence=3)
+                await world.start_entry()
+
+                async def respond(request, writer):
+                    return answer(b"x", Connection="X-Private", X_Private="1", X_Public="2")
+
+                world.targets[0].handler = respond
+                headers = {
+                    "Connection": "keep-alive, X-Drop",
+                    "X-Drop": "1",
+                    "X-Keep": "2",
+                    "TE": "trailers",
+                    "Cranberrylever-Fence": "99",
+                    "Cranberrylever-Hop": "1",
+                }
+                _, answered, _ = await world.call("/ledger/k", headers=headers)
+                received = world.targets[0].requests[0].headers
+                self.assertEqual("2", received["x-keep"])
+                self.assertEqual("3", received["cranberrylever-fence"])
+                for name in ("x-drop", "te", "cranberrylever-hop", "connection"):
+                    self.assertNotIn(name, received)
+                self.assertEqual("2", answered["X-Public"])
+                self.assertNotIn("X-Private", answered)
+
+        run(main)
+
+    def test_request_for_free_shard_waits_for_next_view(self):
+        """Guards against refusals, or requests to the old owner, while a shard moves."""
+
+        async def main():
+            async with World(2) as world:
+                world.control.view = keyed_view(1, world.targets, owner=-1)
+                await world.start_entry()
+                call = asyncio.create_task(world.call("/ledger/k", "POST", data=b"x"))
+                await asyncio.sleep(0.15)
+                self.assertFalse(call.done())
+                world.control.view = keyed_view(2, world.targets, owner=1, fence=2)
+                status, _, body = await call
+                self.assertEqual((200, b"t2"), (status, body))
+
+        run(main)
+
+    def test_held_request_ends_at_its_deadline_as_not_run(self):
+        """Guards against requests held without bound, and against ``unknown`` for one that never left."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets, owner=-1)
+                await world.start_entry()
+                headers = {"Cranberrylever-Deadline-Ms": "150"}
+                status, answered, _ = await world.call("/ledger/k", headers=headers)
+                self.assertEqual((503, "not-run"), (status, answered[OUTCOME]))
+
+        run(main)
+
+    def test_deadline_after_dispatch_is_unknown_and_cancels(self):
+        """Guards against ``not-run`` for a request that a target may have run."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                await world.start_entry()
+                world.targets[0].handler = lambda request, writer: asyncio.sleep(5)
+                headers = {"Cranberrylever-Deadline-Ms": "100"}
+                status, answered, _ = await world.call("/ledger/k", "POST", headers=headers)
+                self.assertEqual((504, "unknown"), (status, answered[OUTCOME]))
+                await wait_until(lambda: world.targets[0].disconnects == 1)
+
+        run(main)
+
+    def test_refused_fence_is_retried_under_the_next_view(self):
+        """Guards against errors to callers when a target has lost a shard that the view still shows."""
+
+        async def main():
+            async with World(2) as world:
+                world.control.view = keyed_view(1, world.targets)
+                await world.start_entry()
+                world.targets[0].handler = refuse_fence
+                call = asyncio.create_task(world.call("/ledger/k", "POST", data=b"x"))
+                await wait_until(lambda: len(world.targets[0].requests) >= 1)
+                await world.apply(keyed_view(2, world.targets, owner=1, fence=2))
+                status, _, body = await call
+                self.assertEqual((200, b"t2"), (status, body))
+
+        run(main)
+
+    def test_refusals_without_end_are_not_run(self):
+        """Guards against endless retries and a wrong outcome when all targets refuse."""
+
+        async def main():
+            async with World(2) as world:
+                world.control.view = pooled_view(1, world.targets)
+                await world.start_entry()
+                for target in world.targets:
+                    target.handler = refuse_fence
+                headers = {"Cranberrylever-Deadline-Ms": "300"}
+                status, answered, _ = await world.call("/desk/a", "POST", headers=headers)
+                self.assertEqual((503, "not-run"), (status, answered[OUTCOME]))
+
+        run(main)
+
+    def test_dropped_kept_connection_is_never_resent(self):
+        """Guards against aiohttp's own resend of idempotent requests, and any resend of a POST."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                entry = await world.start_entry(evolve(TEST_TUNING, retry_ratio=0.0))
+                for method in ("POST", "GET", "PUT"):
+                    await world.call("/ledger/warm-up")
+                    entry.dispatcher.limits["ledger"].retries.tokens = 0.0
+                    before = len(world.targets[0].requests)
+                    world.targets[0].handler = close_connection
+                    status, answered, _ = await world.call("/ledger/k", method)
+                    self.assertEqual((method, 502, "unknown"), (method, status, answered[OUTCOME]))
+                    self.assertEqual(before + 1, len(world.targets[0].requests))
+                    world.targets[0].handler = world.targets[0].answer_ok
+
+        run(main)
+
+    def test_idempotent_request_is_retried_within_the_budget(self):
+        """Guards against failures that a second target could have answered."""
+
+        async def main():
+            async with World(2) as world:
+                world.control.view = pooled_view(1, world.targets)
+                await world.start_entry()
+                world.targets[0].handler = close_connection
+                for _ in range(10):
+                    status, _, body = await world.call("/desk/a")
+                    self.assertEqual((200, b"t2"), (status, body))
+                self.assertTrue(world.targets[0].requests)
+
+        run(main)
+
+    def test_redirects_are_passed_on(self):
+        """Guards against aiohttp following a redirect, which runs a request at a place nobody chose."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                await world.start_entry()
+
+                async def redirect(request, writer):
+                    return answer(b"", 302, Location="/ledger/other")
+
+                world.targets[0].handler = redirect
+                status, answered, _ = await world.call("/ledger/k", allow_redirects=False)
+                self.assertEqual((302, "/ledger/other"), (status, answered["Location"]))
+                self.assertEqual(1, len(world.targets[0].requests))
+
+        run(main)
+
+    def test_limits_on_requests(self):
+        """Guards against bodies and headers that exhaust an entry's memory."""
+
+        async def main():
+            async with World() as world:
+                view = keyed_view(1, world.targets)
+                small = evolve(view.services[0], max_body_bytes=10)
+                world.control.view = evolve(view, services=(small, ServiceView("desk", "pooled")))
+                await world.start_entry()
+
+                async def chunks():
+                    for _ in range(5):
+                        yield b"12345"
+
+                for data in (b"12345678901", chunks()):
+                    status, answered, _ = await world.call("/ledger/k", "POST", data=data)
+                    self.assertEqual((413, "not-run"), (status, answered[OUTCOME]))
+                status, answered, _ = await world.call("/ledger/k", headers={"X-Large": "x" * 40_000})
+                self.assertEqual((431, "not-run"), (status, answered[OUTCOME]))
+                for path, expected in (("/none/k", 404), ("/ledger", 400)):
+                    status, answered, _ = await world.call(path)
+                    self.assertEqual((expected, "not-run"), (status, answered[OUTCOME]))
+                self.assertEqual([], world.targets[0].requests)
+
+        run(main)
+
+
+class ConnectionTest(testtools.TestCase):
+    def test_answers_are_streamed(self):
+        """Guards against answers that are held back until they are complete."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                await world.start_entry()
+                second_part = asyncio.Event()
+
+                async def respond(request, writer):
+                    writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n")
+                    await second_part.wait()
+                    return b"3\r\ndef\r\n0\r\n\r\n"
+
+                world.targets[0].handler = respond
+                url = f"http://{world.entries[0].bound_address}/ledger/k"
+                async with world.session.get(url) as response:
+                    self.assertEqual(b"abc", await response.content.readany())
+                    second_part.set()
+                    self.assertEqual(b"def", await response.read())
+
+        run(main)
+
+    def test_truncated_answer_breaks_the_connection(self):
+        """Guards against a truncated answer that looks complete to the caller."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                entry = await world.start_entry()
+                for head in (b"content-length: 10", b"transfer-encoding: chunked"):
+
+                    async def respond(request, writer, head=head):
+                        writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n3\r\nabc\r\n")
+                        await writer.drain()
+
+                    world.targets[0].handler = respond
+                    host, port = entry.bound_address.split(":")
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                    writer.write(b"GET /ledger/k HTTP/1.1\r\nHost: x\r\n\r\n")
+                    received = await asyncio.wait_for(reader.read(), 2)
+                    self.assertIn(b"abc", received)
+                    self.assertFalse(received.endswith(b"0\r\n\r\n"))
+                    writer.close()
+
+        run(main)
+
+    def test_caller_that_leaves_cancels_the_work(self):
+        """Guards against work for nobody, and a late answer on a connection that serves another request."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                entry = await world.start_entry()
+
+                async def late(request, writer):
+                    await asyncio.sleep(0.3)
+                    return answer(b"late")
+
+                world.targets[0].handler = late
+                host, port = entry.bound_address.split(":")
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"POST /ledger/k HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+                await wait_until(lambda: len(world.targets[0].requests) == 1)
+                writer.close()
+                await wait_until(lambda: world.targets[0].disconnects == 1)
+                world.targets[0].handler = world.targets[0].answer_ok
+                _, _, body = await world.call("/ledger/k")
+                self.assertEqual(b"t1", body)
+                self.assertEqual(set(), entry.in_flight.attempts)
+
+        run(main)
+
+    def test_concurrent_answers_reach_their_own_callers(self):
+        """Guards against answers that are swapped between callers under cancellations."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                await world.start_entry()
+
+                async def echo(request, writer):
+                    await asyncio.sleep((hash(request.path) % 20) / 1000)
+                    return answer(request.path.encode())
+
+                world.targets[0].handler = echo
+
+                async def one(number):
+                    headers = {"Cranberrylever-Deadline-Ms": "30" if number % 3 == 0 else "5000"}
+                    status, _, body = await world.call(f"/ledger/{number}", headers=headers)
+                    if status == 200:
+                        self.assertEqual(f"/ledger/{number}".encode(), body)
+
+                await asyncio.gather(*(one(number) for number in range(150)))
+
+        run(main)
+
+    def test_shutdown_finishes_requests(self):
+        """Guards against requests interrupted by a planned stop, and a stop while readiness still passes."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                entry = await world.start_entry(drain_delay=0.2)
+
+                async def slow(request, writer):
+                    await asyncio.sleep(0.4)
+                    return answer(b"slow")
+
+                world.targets[0].handler = slow
+                call = asyncio.create_task(world.call("/ledger/k"))
+                await wait_until(lambda: len(world.targets[0].requests) == 1)
+                world.entries.clear()
+                closing = asyncio.create_task(entry.close())
+                await asyncio.sleep(0.05)
+                url = f"http://{entry.bound_address}/readyz"
+                async with world.session.get(url) as response:
+                    self.assertEqual(503, response.status)
+                status, answered, body = await call
+                self.assertEqual((200, b"slow"), (status, body))
+                await closing
+
+        run(main)
