--- /dev/null
+++ b/tests/entry/test_views.py
@@ -0,0 +1,210 @@
+"""Tests of the view lease, the link to control and the settled version."""
+
+import asyncio
+import math
+
+import testtools
+from attrs import evolve
+
+from cranberrylever.entry._views import ViewStore
+from cranberrylever.errors import NotRunError
+from cranberrylever.routing import View
+from cranberrylever.wire import EntryReply, ViewAnswer
+from tests.entry.fakes import TEST_TUNING, FakeControl, World, answer, keyed_view, run, wait_until
+
+OUTCOME = "Cranberrylever-Outcome"
+
+
+class ViewStoreTest(testtools.TestCase):
+    def test_lease_counts_from_the_poll(self):
+        """Guards against a lease that a delayed answer makes longer than control assumes."""
+        store = ViewStore(1.2)
+        self.assertTrue(store.offer(ViewAnswer(1, 3, View(3, 0)), poll_sent=10.0))
+        self.assertTrue(store.is_valid(11.19))
+        self.assertFalse(store.is_valid(11.2))
+        self.assertRaises(NotRunError, store.current, 11.2)
+
+    def test_older_view_is_ignored(self):
+        """Guards against a view that goes back, or a lease extended by a leader that is behind."""
+        store = ViewStore(1.2)
+        store.offer(ViewAnswer(1, 3, View(3, 0)), poll_sent=0.0)
+        self.assertFalse(store.offer(ViewAnswer(2, 2, View(2, 0)), poll_sent=5.0))
+        self.assertEqual(3, store.version)
+        self.assertFalse(store.is_valid(5.0))
+
+    def test_reordered_answers_keep_the_later_lease(self):
+        """Guards against a lease that an answer to an earlier poll makes shorter."""
+        store = ViewStore(1.2)
+        store.offer(ViewAnswer(2, 3, View(3, 0)), poll_sent=5.0)
+        store.offer(ViewAnswer(1, 3), poll_sent=4.0)
+        self.assertTrue(store.is_valid(6.1))
+
+    def test_no_view_is_never_valid(self):
+        """Guards against routing before the first view."""
+        store = ViewStore(1.2)
+        self.assertFalse(store.is_valid(-math.inf))
+        self.assertFalse(store.offer(ViewAnswer(1, 3), poll_sent=0.0))
+        self.assertRaises(NotRunError, store.current, 0.5)
+
+
+class LinkTest(testtools.TestCase):
+    def test_expired_view_answers_not_run_and_fails_readiness(self):
+        """Guards against an entry on the wrong side of a partition that keeps routing."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                entry = await world.start_entry(evolve(TEST_TUNING, view_lifetime=0.3))
+                status, _, _ = await world.call("/readyz")
+                self.assertEqual(200, status)
+                world.control.answers_polls = False
+                await wait_until(lambda: not entry.views.is_valid(asyncio.get_running_loop().time()))
+                status, headers, _ = await world.call("/ledger/k")
+                self.assertEqual((503, "not-run"), (status, headers[OUTCOME]))
+                status, _, _ = await world.call("/readyz")
+                self.assertEqual(503, status)
+                world.control.answers_polls = True
+                await wait_until(lambda: entry.views.is_valid(asyncio.get_running_loop().time()))
+                status, _, _ = await world.call("/ledger/k")
+                self.assertEqual(200, status)
+
+        run(main)
+
+    def test_entry_follows_a_new_leader(self):
+        """Guards against an entry that loses its lease when the control leader changes."""
+
+        async def main():
+            async with World() as world:
+                view = keyed_view(1, world.targets)
+                other = FakeControl(view)
+                other.is_leader = False
+                other_address = await other.start()
+                world.control.view = view
+                entry = await world.start_entry(control=(world.control_address, other_address))
+                for old, new in ((world.control, other), (other, world.control)):
+                    old.is_leader = False
+                    new.is_leader = True
+                    new.view = evolve(view, version=new.view.version + 2)
+                    await wait_until(lambda new=new: entry.views.version == new.view.version)
+                    self.assertTrue(entry.views.is_valid(asyncio.get_running_loop().time()))
+                await other.close()
+
+        run(main)
+
+    def test_silent_leader_is_replaced_and_streams_reopen(self):
+        """Guards against an entry that waits for a frozen leader, or gives up after a lost stream."""
+
+        async def main():
+            async with World() as world:
+                view = keyed_view(1, world.targets)
+                other = FakeControl(evolve(view, version=2))
+                other.is_leader = False
+                other_address = await other.start()
+                world.control.view = view
+                entry = await world.start_entry(control=(world.control_address, other_address))
+                world.control.answers_polls = False
+                other.is_leader = True
+                await wait_until(lambda: entry.views.version == 2)
+                await other.close()
+                world.control.view = evolve(view, version=3)
+                world.control.answers_polls = True
+                await wait_until(lambda: entry.views.version == 3)
+
+        run(main)
+
+    def test_foreign_cluster_is_ignored(self):
+        """Guards against a view of another cluster after a wrong address in the settings."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                entry = await world.start_entry()
+                foreign = EntryReply("other", view_answer=ViewAnswer(entry.link.sequence, 9, View(9, 0)))
+                entry.link.receive(entry.link.members[0], foreign)
+                self.assertEqual(1, entry.views.version)
+
+        run(main)
+
+
+class SettledVersionTest(testtools.TestCase):
+    def test_settled_version_waits_for_requests_to_released_shards(self):
+        """Guards against a shard that moves while a request to its old owner is in flight."""
+
+        async def main():
+            async with World(2) as world:
+                world.control.view = keyed_view(3, world.targets)
+                entry = await world.start_entry()
+                release = asyncio.Event()
+
+                async def slow(request, writer):
+                    await release.wait()
+                    return answer(b"ok")
+
+                world.targets[0].handler = slow
+                call = asyncio.create_task(world.call("/ledger/k", "POST"))
+                await wait_until(lambda: len(world.targets[0].requests) == 1)
+                for version in (7, 9):
+                    await world.apply(keyed_view(version, world.targets, owner=-1, fence=version))
+                await wait_until(lambda: world.control.reports[-1].applied_version == 9)
+                self.assertEqual(3, world.control.reports[-1].settled_version)
+                release.set()
+                self.assertEqual(200, (await call)[0])
+                await wait_until(lambda: world.control.reports[-1].settled_version == 9)
+                self.assertEqual(set(), entry.in_flight.blockers)
+
+        run(main)
+
+    def test_new_pin_holds_the_settled_version_back(self):
+        """Guards against a pin that moves while a request under the key's old shard is in flight."""
+
+        async def main():
+            async with World(1) as world:
+                view = keyed_view(3, world.targets)
+                world.control.view = view
+                entry = await world.start_entry()
+                release = asyncio.Event()
+
+                async def slow(request, writer):
+                    await release.wait()
+                    return answer(b"ok")
+
+                world.targets[0].handler = slow
+                call = asyncio.create_task(world.call("/ledger/k", "POST"))
+                await wait_until(lambda: len(world.targets[0].requests) == 1)
+                (attempt,) = entry.in_flight.attempts
+                service = view.services[0]
+                pinned = evolve(
+                    service,
+                    owners=(*service.owners, 0),
+                    fences=(*service.fences, 2),
+                    pins={attempt.exchange.key_hash: 2},
+                )
+                await world.apply(evolve(view, version=4, services=(pinned,)))
+                await wait_until(lambda: world.control.reports[-1].applied_version == 4)
+                self.assertEqual(3, world.control.reports[-1].settled_version)
+                release.set()
+                await call
+                await wait_until(lambda: world.control.reports[-1].settled_version == 4)
+                await world.call("/ledger/k")
+                self.assertEqual("2", world.targets[0].requests[-1].headers["cranberrylever-shard"])
+
+        run(main)
+
+    def test_requests_to_lost_targets_are_closed(self):
+        """Guards against a frozen target that holds the settled version back until a deadline."""
+
+        async def main():
+            async with World(2) as world:
+                world.control.view = keyed_view(3, world.targets)
+                await world.start_entry()
+                world.targets[0].handler = lambda request, writer: asyncio.sleep(5)
+                call = asyncio.create_task(world.call("/ledger/k", "POST"))
+                await wait_until(lambda: len(world.targets[0].requests) == 1)
+                view = keyed_view(4, world.targets, owner=1, fence=2)
+                lost = evolve(view.targets[0], phase="lost", routable=False)
+                await world.apply(evolve(view, targets=(lost, view.targets[1])))
+                status, headers, _ = await call
+                self.assertEqual((502, "unknown"), (status, headers[OUTCOME]))
+                await wait_until(lambda: world.control.reports[-1].settled_version == 4)
+
+        run(main)
