--- /dev/null
+++ b/cranberrylever/membership/_directory.py
@@ -0,0 +1,101 @@
+"""The replicated directory of targets."""
+
+import attrs
+
+from cranberrylever.membership._announcement import Announcement
+
+PHASE_COLD = "cold"
+PHASE_WARM = "warm"
+PHASE_LEAVING = "leaving"
+PHASE_LOST = "lost"
+PHASES = (PHASE_COLD, PHASE_WARM, PHASE_LEAVING, PHASE_LOST)
+
+MAX_PAST_INCARNATIONS = 32
+
+
+@attrs.frozen
+class TargetRecord:
+    """One target as the log knows it.
+
+    ``phase_version`` is the log index of the last change of phase or incarnation. ``grant_version`` is the
+    index of the last change to the set of shards that the target owns. ``past_incarnations`` are the
+    incarnations before the present one, latest last.
+    """
+
+    announcement: Announcement
+    phase: str
+    phase_version: int
+    grant_version: int
+    past_incarnations: tuple[str, ...] = ()
+
+    @property
+    def target_id(self) -> str:
+        """Return the target's id."""
+        return self.announcement.target_id
+
+    @property
+    def incarnation(self) -> str:
+        """Return the present incarnation."""
+        return self.announcement.incarnation
+
+
+class TargetDirectory:
+    """All known targets by id."""
+
+    def __init__(self, records: tuple[TargetRecord, ...] = ()) -> None:
+        self.records = {record.target_id: record for record in records}
+
+    def get(self, target_id: str) -> TargetRecord | None:
+        """Return the record of ``target_id``, if any."""
+        return self.records.get(target_id)
+
+    def current(self, target_id: str, incarnation: str) -> TargetRecord | None:
+        """Return the record of ``target_id`` if ``incarnation`` is its present one."""
+        record = self.records.get(target_id)
+        if record is None or record.incarnation != incarnation:
+            return None
+        return record
+
+    def is_superseded(self, announcement: Announcement) -> bool:
+        """Tell whether a later incarnation of the same target has announced itself already.
+
+        An announcement held up in a buffer would otherwise void the grants of the process that replaced it.
+        When the later incarnation is lost, the earlier one may return, because no grant can be valid then.
+        """
+        record = self.records.get(announcement.target_id)
+        if record is None or record.phase == PHASE_LOST:
+            return False
+        return announcement.incarnation in record.past_incarnations
+
+    def announce(self, index: int, announcement: Announcement) -> None:
+        """Insert or update a target; a new incarnation starts cold."""
+        previous = self.records.get(announcement.target_id)
+        if previous is None:
+            record = TargetRecord(announcement, PHASE_COLD, index, index)
+        elif previous.incarnation == announcement.incarnation:
+            record = attrs.evolve(previous, announcement=announcement)
+        else:
+            earlier = (*previous.past_incarnations, previous.incarnation)
+            past = tuple(name for name in earlier if name != announcement.incarnation)
+            past = past[-MAX_PAST_INCARNATIONS:]
+            record = TargetRecord(announcement, PHASE_COLD, index, index, past)
+        self.records[announcement.target_id] = record
+
+    def set_phase(self, index: int, target_id: str, phase: str) -> None:
+        """Change the phase of a known target."""
+        record = self.records[target_id]
+        self.records[target_id] = attrs.evolve(record, phase=phase, phase_version=index)
+
+    def set_grant_version(self, index: int, target_id: str) -> None:
+        """Note that the set of shards owned by ``target_id`` changed at ``index``."""
+        record = self.records.get(target_id)
+        if record is not None:
+            self.records[target_id] = attrs.evolve(record, grant_version=index)
+
+    def remove(self, target_id: str) -> None:
+        """Forget a target."""
+        del self.records[target_id]
+
+    def to_record(self) -> tuple[TargetRecord, ...]:
+        """Return the content for a snapshot."""
+        return tuple(self.records[target_id] for target_id in sorted(self.records))
--- /dev/null
+++ b/cranberrylever/ownership/_permit_rules.py
@@ -0,0 +1,142 @@
+"""Rules that divide the capacity of cold targets among entries."""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from cranberrylever.membership import PHASE_COLD, EntryLease, EntryLeases, TargetRecord
+from cranberrylever.ownership._permits import EntryUse, PermitLedger, divide_permits, limit_increase
+from cranberrylever.ownership._proposals import PendingProposals
+from cranberrylever.ownership._timings import Timings
+from cranberrylever.state._commands import AllocatePermits
+from cranberrylever.wire import EntryReport
+
+if TYPE_CHECKING:
+    from cranberrylever.state._cluster import ClusterState
+
+DEMAND_WEIGHT = 0.5
+TOLERATED_DIFFERENCE = 1
+
+EntryKey = tuple[str, str]
+
+
+class PermitRules:
+    """Proposes allocations of permits by demand."""
+
+    def __init__(
+        self, state: "ClusterState", timings: Timings, leases: EntryLeases, pending: PendingProposals
+    ) -> None:
+        self.state = state
+        self.timings = timings
+        self.leases = leases
+        self.pending = pending
+        self.ledger = PermitLedger()
+        self.demand: dict[tuple[str, str], float] = {}
+        self.changed_at: dict[str, float] = {}
+
+    def start_term(self) -> None:
+        """Forget what entries use."""
+        self.ledger.clear()
+        self.demand.clear()
+        self.changed_at.clear()
+
+    def record_report(self, report: EntryReport) -> None:
+        """Update the moving average of an entry's demand for each target."""
+        for load in report.target_loads:
+            key = (load.target_id, report.entry_id)
+            latest = float(load.outstanding + load.requests)
+            previous = self.demand.get(key, latest)
+            self.demand[key] = (1 - DEMAND_WEIGHT) * previous + DEMAND_WEIGHT * latest
+
+    def step(self, now: float, reports: Mapping[EntryKey, EntryReport]) -> list[AllocatePermits]:
+        """Return the allocations to propose; none while an entry with a valid view may be unknown."""
+        if not self.leases.all_known(now):
+            return []
+        live = self.leases.live(now)
+        cold = [record for record in self.state.targets.records.values() if record.phase == PHASE_COLD]
+        self._forget({_target_key(record) for record in cold}, live)
+        commands = [self._allocation(record, live, reports, now) for record in cold]
+        return [command for command in commands if command is not None]
+
+    def permits_of(self, entry_id: str, incarnation: str, now: float) -> dict[str, int]:
+        """Return the permits to send to an entry, none while an earlier process of it may still use them."""
+        for lease in self.leases.live(now):
+            if lease.entry_id == entry_id and lease.incarnation != incarnation:
+                return {}
+        return self.state.permits.for_entry(entry_id)
+
+    def _forget(self, target_keys: set[str], live: tuple[EntryLease, ...]) -> None:
+        self.ledger.keep_only(target_keys, {(lease.entry_id, lease.incarnation) for lease in live})
+        entries = {lease.entry_id for lease in live}
+        known = self.state.targets.records
+        self.demand = {
+            key: demand for key, demand in self.demand.items() if key[0] in known and key[1] in entries
+        }
+
+    def _allocation(
+        self,
+        record: TargetRecord,
+        live: tuple[EntryLease, ...],
+        reports: Mapping[EntryKey, EntryReport],
+        now: float,
+    ) -> AllocatePermits | None:
+        budget = self.state.cold_budget(record)
+        permits = self.state.permits.get(record.target_id)
+        current = permits.allocations if permits else {}
+        demands = {lease.entry_id: self.demand.get((record.target_id, lease.entry_id), 0.0) for lease in live}
+        wanted = divide_permits(budget, demands, int(now / self.timings.permit_rotation))
+        uses = self._uses(record, live, reports, budget)
+        if self._is_close(current, wanted, uses):
+            return None
+        allocations = limit_increase(wanted, uses, budget)
+        if allocations == current:
+            return None
+        is_reduction = any(allocations.get(entry, 0) < count for entry, count in current.items())
+        changed_at = self.changed_at.get(record.target_id)
+        is_early = changed_at is not None and now - changed_at < self.timings.permit_interval
+        if is_reduction and is_early:
+            return None
+        version = max(record.phase_version, permits.version if permits else 0)
+        if not self.pending.add(("permits", *_identity(record), version), now):
+            return None
+        self.changed_at[record.target_id] = now
+        return AllocatePermits(record.target_id, record.incarnation, allocations)
+
+    def _uses(
+        self,
+        record: TargetRecord,
+        live: tuple[EntryLease, ...],
+        reports: Mapping[EntryKey, EntryReport],
+        budget: int,
+    ) -> dict[str, int]:
+        """Return the permits that each live entry may still use for one target."""
+        permits = self.state.permits.get(record.target_id)
+        uses: dict[str, int] = {}
+        for lease in live:
+            report = reports.get((lease.entry_id, lease.incarnation))
+            reported = report.permits.get(record.target_id, 0) if report else 0
+            use = EntryUse(
+                _target_key(record), lease.entry_id, lease.incarnation, lease.applied_version, reported
+            )
+            count = self.ledger.possible_use(permits, record.phase_version, use, budget)
+            uses[lease.entry_id] = uses.get(lease.entry_id, 0) + count
+        return uses
+
+    @staticmethod
+    def _is_close(current: Mapping[str, int], wanted: Mapping[str, int], uses: Mapping[str, int]) -> bool:
+        """Tell whether a change would follow only noise in the demand."""
+        if sum(current.values()) != sum(wanted.values()) or any(entry not in uses for entry in current):
+            return False
+        if any((current.get(entry, 0) > 0) != (wanted.get(entry, 0) > 0) for entry in uses):
+            return False
+        return all(
+            abs(current.get(entry, 0) - wanted.get(entry, 0)) <= TOLERATED_DIFFERENCE for entry in uses
+        )
+
+
+def _identity(record: TargetRecord) -> tuple[str, str]:
+    return record.target_id, record.incarnation
+
+
+def _target_key(record: TargetRecord) -> str:
+    """Return a key that changes whenever a target becomes cold again."""
+    return f"{record.target_id}/{record.incarnation}/{record.phase_version}"
--- /dev/null
+++ b/cranberrylever/ownership/_phases.py
@@ -0,0 +1,129 @@
+"""Rules that move targets between cold, warm, leaving and lost."""
+
+from typing import TYPE_CHECKING
+
+from cranberrylever.membership import PHASE_COLD, PHASE_LEAVING, PHASE_LOST, PHASE_WARM, TargetRecord
+from cranberrylever.ownership._grants import GrantLedger
+from cranberrylever.ownership._proposals import PendingProposals
+from cranberrylever.ownership._timings import Timings
+from cranberrylever.state._commands import Command, RemoveTarget, SetTargetPhase
+
+if TYPE_CHECKING:
+    from cranberrylever.state._cluster import ClusterState
+
+
+class TargetHealth:
+    """What acknowledgements tell about targets.
+
+    After a stall of this process acknowledgements may wait unread, so no target is suspected until they have
+    been read.
+    """
+
+    def __init__(self, state: "ClusterState", grants: GrantLedger, timings: Timings) -> None:
+        self.state = state
+        self.grants = grants
+        self.timings = timings
+        self.stepped_at: float | None = None
+        self.trusted_from = 0.0
+
+    def start_term(self, now: float) -> None:
+        """Start without a stall."""
+        self.stepped_at = now
+        self.trusted_from = now
+
+    def note_step(self, now: float) -> None:
+        """Detect a stall of this process between two steps."""
+        if self.stepped_at is not None and now - self.stepped_at > self.timings.stall_gap:
+            self.trusted_from = now + self.timings.stall_grace
+        self.stepped_at = now
+
+    def is_answering(self, record: TargetRecord, now: float) -> bool:
+        """Tell whether a target has acknowledged a renewal recently."""
+        holder = self.grants.holder(record.target_id, record.incarnation, now)
+        return holder.ack is not None and now - holder.ack_received_at < self.timings.suspect_after
+
+    def is_suspect(self, record: TargetRecord, now: float) -> bool:
+        """Tell whether a target has stopped to acknowledge renewals."""
+        age = self.grants.ack_age(record.target_id, record.incarnation, now)
+        return now >= self.trusted_from and age >= self.timings.suspect_after
+
+    def is_gone(self, record: TargetRecord, now: float) -> bool:
+        """Tell whether the last grant has certainly expired without an acknowledgement."""
+        if now < self.trusted_from:
+            return False
+        age = self.grants.ack_age(record.target_id, record.incarnation, now)
+        is_expired = self.grants.is_expired(record.target_id, record.incarnation, now)
+        return is_expired and age >= self.timings.grant_bound
+
+    def reported_state(self, record: TargetRecord, now: float) -> str:
+        """Return the state of the last acknowledgement, or an empty text."""
+        ack = self.grants.holder(record.target_id, record.incarnation, now).ack
+        return ack.state if ack else ""
+
+    def is_leaving(self, record: TargetRecord, now: float) -> bool:
+        """Tell whether a target has to give its shards away."""
+        reason = self.state.leaving_reason(record)
+        return bool(reason) or self.reported_state(record, now) == PHASE_LEAVING
+
+    def may_own(self, record: TargetRecord, now: float) -> bool:
+        """Tell whether a target may be assigned shards now."""
+        if not self.state.may_receive_work(record) or self.is_leaving(record, now):
+            return False
+        return self.is_answering(record, now)
+
+
+class PhaseRules:
+    """Proposes changes of phase and the removal of targets that stay lost."""
+
+    def __init__(self, state: "ClusterState", health: TargetHealth, pending: PendingProposals) -> None:
+        self.state = state
+        self.health = health
+        self.pending = pending
+        self.lost_since: dict[tuple[str, str], float] = {}
+
+    def start_term(self) -> None:
+        """Forget how long targets have been lost."""
+        self.lost_since.clear()
+
+    def step(self, now: float, appear_cold: set[tuple[str, str]]) -> list[Command]:
+        """Return the changes to propose.
+
+        Args:
+            now: Loop time in seconds.
+            appear_cold: Targets (id, incarnation) that live entries report as cold.
+        """
+        commands: list[Command] = []
+        for record in list(self.state.targets.records.values()):
+            phase = self._phase(record, now, (record.target_id, record.incarnation) in appear_cold)
+            key = ("phase", record.target_id, record.incarnation, record.phase_version, phase)
+            if phase != record.phase and self.pending.add(key, now):
+                reason = self.state.leaving_reason(record)
+                commands.append(SetTargetPhase(record.target_id, record.incarnation, phase, reason))
+            commands.extend(self._removal(record, now))
+        return commands
+
+    def _phase(self, record: TargetRecord, now: float, appears_cold: bool) -> str:
+        if self.health.is_gone(record, now):
+            return PHASE_LOST
+        if record.phase == PHASE_LOST and not self.health.is_answering(record, now):
+            return PHASE_LOST
+        if self.health.is_leaving(record, now):
+            # A cold target keeps its phase, and thereby its permits, until it has given its shards away.
+            keeps_cold = record.phase == PHASE_COLD and self.state.owned_shards(record)
+            return PHASE_COLD if keeps_cold else PHASE_LEAVING
+        reported = self.health.reported_state(record, now)
+        if not reported:
+            return record.phase
+        return PHASE_COLD if appears_cold or reported == PHASE_COLD else PHASE_WARM
+
+    def _removal(self, record: TargetRecord, now: float) -> list[Command]:
+        key = (record.target_id, record.incarnation)
+        if record.phase != PHASE_LOST:
+            self.lost_since.pop(key, None)
+            return []
+        lost_since = self.lost_since.setdefault(key, now)
+        if now - lost_since < self.health.timings.remove_lost_after:
+            return []
+        if not self.pending.add(("remove", *key), now):
+            return []
+        return [RemoveTarget(record.target_id, record.incarnation)]
--- /dev/null
+++ b/cranberrylever/ownership/_suspects.py
@@ -0,0 +1,45 @@
+"""Request fingerprints that were in flight on crashed targets, collected from entries."""
+
+from collections.abc import Iterable
+
+from cranberrylever.wire import SuspectRecord
+
+MAX_SUSPECTS = 1_000
+
+
+class SuspectTable:
+    """Crash suspects in the leader's memory.
+
+    Args:
+        retention: Time in seconds for which a fingerprint is kept after its last report of a new crash.
+    """
+
+    def __init__(self, retention: float) -> None:
+        self.retention = retention
+        self.crashed: dict[str, frozenset[str]] = {}
+        self.changed_at: dict[str, float] = {}
+
+    def record(self, suspects: Iterable[SuspectRecord], now: float) -> None:
+        """Merge the suspects of one report; repeating a known crash does not prolong its retention."""
+        for suspect in suspects:
+            known = self.crashed.get(suspect.fingerprint, frozenset())
+            merged = known | frozenset(suspect.crashed)
+            if merged != known:
+                self.crashed[suspect.fingerprint] = merged
+                self.changed_at[suspect.fingerprint] = now
+        while len(self.crashed) > MAX_SUSPECTS:
+            self._forget(min(self.changed_at, key=self.changed_at.__getitem__))
+
+    def current(self, now: float) -> tuple[SuspectRecord, ...]:
+        """Return all suspects that have not been forgotten."""
+        for fingerprint, changed_at in list(self.changed_at.items()):
+            if now - changed_at >= self.retention:
+                self._forget(fingerprint)
+        return tuple(
+            SuspectRecord(fingerprint, tuple(sorted(self.crashed[fingerprint])))
+            for fingerprint in sorted(self.crashed)
+        )
+
+    def _forget(self, fingerprint: str) -> None:
+        del self.crashed[fingerprint]
+        del self.changed_at[fingerprint]
--- /dev/null
+++ b/cranberrylever/ownership/_views.py
@@ -0,0 +1,49 @@
+"""Views for entries, built once per change."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from cranberrylever.membership import EntryLease
+from cranberrylever.routing import EntryAddress, View
+from cranberrylever.state._view import build_view
+from cranberrylever.wire import EntryReport
+
+if TYPE_CHECKING:
+    from cranberrylever.state._cluster import ClusterState
+
+
+class ViewSource:
+    """Caches the view and remembers which list of entries each entry was sent.
+
+    The list of entries is not part of the replicated state, so it can change within one version.
+    """
+
+    def __init__(self, state: "ClusterState") -> None:
+        self.state = state
+        self.view: View | None = None
+        self.sent: dict[tuple[str, str], tuple[EntryAddress, ...]] = {}
+
+    def reset(self) -> None:
+        """Forget what was sent."""
+        self.view = None
+        self.sent.clear()
+
+    def forget(self, entry: tuple[str, str]) -> None:
+        """Note that an entry opened a new stream, so an answer on the old one may be lost."""
+        self.sent.pop(entry, None)
+
+    def view_for(self, report: EntryReport, leases: Iterable[EntryLease]) -> View | None:
+        """Return the view to send in answer to a report, or ``None`` when the entry has it."""
+        addresses = {lease.entry_id: lease.address for lease in leases if lease.address}
+        entries = tuple(EntryAddress(entry_id, addresses[entry_id]) for entry_id in sorted(addresses))
+        key = (report.entry_id, report.incarnation)
+        if report.applied_version >= self.state.view_version and self.sent.get(key) == entries:
+            return None
+        self.sent[key] = entries
+        return self._current(entries)
+
+    def _current(self, entries: tuple[EntryAddress, ...]) -> View:
+        view = self.view
+        if view is None or view.version != self.state.view_version or view.entries != entries:
+            self.view = build_view(self.state, entries)
+        return self.view
--- a/cranberrylever/state/__init__.py
+++ b/cranberrylever/state/__init__.py
@@ -1,5 +1,6 @@
 """The replicated state machine of control and its commands."""
 
+from cranberrylever.state._cluster import ClusterState
 from cranberrylever.state._commands import (
     AcceptTicket,
     AllocatePermits,
@@ -22,6 +23,7 @@
     decode_command,
     encode_command,
 )
+from cranberrylever.state._view import build_view
 
 __all__ = [
     "AcceptTicket",
@@ -30,6 +32,7 @@
     "AssignShards",
     "ClaimCompletion",
     "ClaimOpening",
+    "ClusterState",
     "Command",
     "CompleteClaims",
     "ExpireClaims",
@@ -42,6 +45,7 @@
     "ShardAssignment",
     "ShardRef",
     "UnpinKey",
+    "build_view",
     "decode_command",
     "encode_command",
 ]
