Add Raft rules, disk storage, driver and peer transport

Cause: tickets, assignments and claims need a replicated log that survives the loss of one member. Ruled out: syncing on the loop's thread, which would stall heartbeats for the length of an fdatasync.

--- /dev/null
+++ b/cranberrylever/consensus/_disk.py
@@ -0,0 +1,253 @@
+"""Storage in a data folder."""
+
+import asyncio
+import concurrent.futures
+import fcntl
+import os
+import threading
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+
+from cranberrylever.consensus._files import FileOperations
+from cranberrylever.consensus._messages import HardState, Snapshot
+from cranberrylever.consensus._segments import SEGMENT_BYTES, SegmentedLog, damaged
+from cranberrylever.consensus._storage import (
+    Storage,
+    StorageBatch,
+    StoredState,
+    check_bootstrap,
+    new_folder_id,
+    usable_entries,
+)
+from cranberrylever.errors import ClusterMismatchError, CodecError, StorageError
+from cranberrylever.wire import decode, encode
+
+_FOLDER_FILE = "folder"
+_HARD_STATE_FILE = "hard-state"
+_LOCK_FILE = "lock"
+_LOG_FOLDER = "log"
+_SNAPSHOT_FOLDER = "snapshots"
+_SNAPSHOT_SUFFIX = ".snapshot"
+_CRC_BYTES = 4
+
+
+@attrs.frozen
+class _FolderRecord:
+    """Identity of a data folder."""
+
+    cluster_id: str
+    folder_id: str
+    founder: bool
+
+
+def _seal(record: object) -> bytes:
+    body = encode(record)
+    return zlib.crc32(body).to_bytes(_CRC_BYTES, "little") + body
+
+
+def _unseal(path: Path, record_type: type):
+    if not path.exists():
+        raise damaged(path, "the file is missing")
+    data = path.read_bytes()
+    body = data[_CRC_BYTES:]
+    if zlib.crc32(body).to_bytes(_CRC_BYTES, "little") != data[:_CRC_BYTES]:
+        raise damaged(path, "it fails its check")
+    try:
+        return decode(body, record_type)
+    except CodecError as error:
+        raise damaged(path, error.message) from error
+
+
+class DiskStorage(Storage):
+    """Storage in a folder on disk; writes and syncs run on threads so that the loop does not stall.
+
+    Args:
+        path: Data folder.
+        cluster_id: Cluster id that the folder must have.
+        bootstrap: Whether an empty folder founds a group.
+        files: File operations.
+        segment_bytes: Size in bytes at which a new log segment is started.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        cluster_id: str,
+        bootstrap: bool = False,
+        files: FileOperations | None = None,
+        segment_bytes: int = SEGMENT_BYTES,
+    ) -> None:
+        self.path = path
+        self.files = files or FileOperations()
+        self.log = SegmentedLog(path / _LOG_FOLDER, self.files, segment_bytes)
+        self._failed = False
+        self._snapshot_lock = threading.Lock()
+        self._lock_descriptor = -1
+        self._log_thread = concurrent.futures.ThreadPoolExecutor(1, "consensus-log")
+        self._snapshot_thread = concurrent.futures.ThreadPoolExecutor(1, "consensus-snapshot")
+        try:
+            self._state = self._open(cluster_id, bootstrap)
+        except OSError as error:
+            self._release()
+            raise self._storage_error(error) from error
+        except BaseException:
+            self._release()
+            raise
+
+    def load(self) -> StoredState:
+        """Return the stored state."""
+        return self._state
+
+    async def save(self, batch: StorageBatch) -> None:
+        """Write and sync ``batch``."""
+        await self._run(self._log_thread, lambda: self._save(batch))
+
+    async def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Write and sync ``snapshot`` beside the log."""
+        await self._run(self._snapshot_thread, lambda: self._save_snapshot(snapshot))
+
+    async def compact(self, index: int) -> None:
+        """Remove log segments that end at or before ``index``."""
+        await self._run(self._log_thread, lambda: self.log.compact(index))
+
+    async def close(self) -> None:
+        """Wait for outstanding writes and release the folder."""
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(None, self._release)
+
+    def _release(self) -> None:
+        self._log_thread.shutdown()
+        self._snapshot_thread.shutdown()
+        self.log.close()
+        if self._lock_descriptor >= 0:
+            os.close(self._lock_descriptor)
+            self._lock_descriptor = -1
+
+    async def _run(self, thread: concurrent.futures.Executor, action: Callable[[], None]) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(thread, self._guard, action)
+
+    def _guard(self, action: Callable[[], None]) -> None:
+        """Run ``action``; after an error nothing is written any more, because its extent is unknown."""
+        if self._failed:
+            raise StorageError(f"{self.path} failed before", "restart this member")
+        try:
+            action()
+        except OSError as error:
+            self._failed = True
+            raise self._storage_error(error) from error
+
+    def _storage_error(self, error: OSError) -> StorageError:
+        return StorageError(
+            f"{self.path} cannot be read or written: {error.strerror or error}",
+            "free space or replace the disk, then restart this member",
+        )
+
+    # Opening -----------------------------------------------------------------------------------
+
+    def _open(self, cluster_id: str, bootstrap: bool) -> StoredState:
+        self.path.mkdir(parents=True, exist_ok=True)
+        self._lock_folder()
+        folder_file = self.path / _FOLDER_FILE
+        check_bootstrap(folder_file.exists(), bootstrap)
+        if not folder_file.exists():
+            self._create(cluster_id, bootstrap)
+        record = _unseal(folder_file, _FolderRecord)
+        if record.cluster_id != cluster_id:
+            raise ClusterMismatchError(
+                f"{self.path} belongs to cluster {record.cluster_id!r}, not {cluster_id!r}",
+                "start with the data folder of this cluster",
+            )
+        hard_state = _unseal(self.path / _HARD_STATE_FILE, HardState)
+        snapshot = self._read_snapshot()
+        held = self.log.open()
+        if snapshot is None and self.log.base_index > 0:
+            raise damaged(self.path / _SNAPSHOT_FOLDER, "the snapshot before the log is missing")
+        if snapshot is not None and self.log.base_index > snapshot.index:
+            raise damaged(self.path / _SNAPSHOT_FOLDER, "the latest snapshot is missing")
+        entries, base_term = usable_entries(snapshot, held, self.log.base_index, self.log.base_term)
+        if snapshot is not None and not entries and (held or self.log.base_index < snapshot.index):
+            self.log.reset(snapshot.index, snapshot.term)
+        last = max(self.log.last_index, snapshot.index if snapshot else 0)
+        if last < hard_state.commit_index:
+            raise damaged(
+                self.log.path, f"it ends before index {hard_state.commit_index}, which was committed"
+            )
+        return StoredState(record.folder_id, record.founder, hard_state, snapshot, entries, base_term)
+
+    def _lock_folder(self) -> None:
+        self._lock_descriptor = os.open(self.path / _LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self._lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            raise StorageError(
+                f"{self.path} is used by another process", "stop that process or use another folder"
+            ) from error
+
+    def _create(self, cluster_id: str, bootstrap: bool) -> None:
+        """Create the files of an empty folder; the identity is written last.
+
+        A log without an identity was in use, so it is refused.
+        """
+        log_folder = self.path / _LOG_FOLDER
+        snapshot_folder = self.path / _SNAPSHOT_FOLDER
+        if (self.path / _HARD_STATE_FILE).exists():
+            state = _unseal(self.path / _HARD_STATE_FILE, HardState)
+            if state != HardState():
+                raise damaged(self.path / _FOLDER_FILE, "the file is missing")
+        log_folder.mkdir(exist_ok=True)
+        snapshot_folder.mkdir(exist_ok=True)
+        self.log.create()
+        self.log.close()
+        self.log.segments.clear()
+        self.files.replace_file(self.path / _HARD_STATE_FILE, _seal(HardState()))
+        record = _FolderRecord(cluster_id, new_folder_id(), bootstrap)
+        self.files.replace_file(self.path / _FOLDER_FILE, _seal(record))
+        self.files.sync_folder(self.path.parent)
+
+    def _read_snapshot(self) -> Snapshot | None:
+        paths = sorted((self.path / _SNAPSHOT_FOLDER).glob("*" + _SNAPSHOT_SUFFIX))
+        return _unseal(paths[-1], Snapshot) if paths else None
+
+    # Writing -----------------------------------------------------------------------------------
+
+    def _save(self, batch: StorageBatch) -> None:
+        if batch.hard_state is not None:
+            self.files.replace_file(self.path / _HARD_STATE_FILE, _seal(batch.hard_state))
+        if batch.snapshot is not None:
+            self._save_snapshot(batch.snapshot)
+            self.log.reset(batch.snapshot.index, batch.snapshot.term)
+        if batch.truncate_from is not None:
+            self.log.truncate(batch.truncate_from)
+        if batch.entries:
+            self.log.append(batch.entries)
+            self.log.sync()
+
+    def _save_snapshot(self, snapshot: Snapshot) -> None:
+        with self._snapshot_lock:
+            folder = self.path / _SNAPSHOT_FOLDER
+            path = folder / f"{snapshot.index:020d}{_SNAPSHOT_SUFFIX}"
+            self.files.replace_file(path, _seal(snapshot))
+            older = sorted(folder.glob("*" + _SNAPSHOT_SUFFIX))[:-1]
+            for old in older:
+                self.files.remove(old)
+
+
+def open_disk_storage(path: str | Path, cluster_id: str, bootstrap: bool = False) -> DiskStorage:
+    """Open or create the data folder ``path``.
+
+    Args:
+        path: Data folder.
+        cluster_id: Cluster id.
+        bootstrap: Whether an empty folder founds a group.
+
+    Raises:
+        ClusterMismatchError: The folder belongs to another cluster.
+        LogDamagedError: Synced data are damaged.
+        SettingError: ``bootstrap`` is given for a folder that is in use.
+        StorageError: The folder cannot be read or written.
+    """
+    return DiskStorage(Path(path), cluster_id, bootstrap)
--- /dev/null
+++ b/cranberrylever/consensus/_driver.py
@@ -0,0 +1,439 @@
+"""Connects the Raft rules to storage, transport and state machine on the event loop."""
+
+import asyncio
+import random
+
+import attrs
+import eliot
+
+from cranberrylever.consensus._config import ConsensusConfig, MemberStatus
+from cranberrylever.consensus._log import is_voter
+from cranberrylever.consensus._machine import StateMachine
+from cranberrylever.consensus._messages import MESSAGE_KINDS, EntryKind, Message, Snapshot
+from cranberrylever.consensus._node import RaftNode
+from cranberrylever.consensus._storage import Storage, StorageBatch
+from cranberrylever.consensus._transport import Transport
+from cranberrylever.errors import (
+    CodecError,
+    CranberryleverError,
+    NotLeaderError,
+    ProposalLostError,
+    StorageError,
+)
+from cranberrylever.wire import PeerFrame, decode, encode
+
+MAX_APPLY_BATCH = 512
+KEPT_ENTRIES_DIVISOR = 4
+
+
+@attrs.define
+class _Proposal:
+    """A proposal that waits for its entry to be applied."""
+
+    term: int
+    future: asyncio.Future
+
+
+@attrs.define
+class _Barrier:
+    """A read that waits until ``index`` is applied."""
+
+    index: int
+    future: asyncio.Future
+
+
+class RaftDriver:
+    """One running member.
+
+    Args:
+        config: Identity and timings.
+        storage: Durable state.
+        transport: Connection to the other members.
+        machine: State machine.
+        rng: Source of election timeouts.
+    """
+
+    def __init__(
+        self,
+        config: ConsensusConfig,
+        storage: Storage,
+        transport: Transport,
+        machine: StateMachine,
+        rng: random.Random,
+    ) -> None:
+        self.config = config
+        self.storage = storage
+        self.transport = transport
+        self.machine = machine
+        self.rng = rng
+        self.node: RaftNode | None = None
+        self.applied_index = 0
+        self.leader_since: float | None = None
+        self.error: CranberryleverError | None = None
+        self.stopped = asyncio.Event()
+        self._proposals: dict[int, _Proposal] = {}
+        self._reads: dict[int, asyncio.Future] = {}
+        self._barriers: list[_Barrier] = []
+        self._is_saving = False
+        self._is_pump_scheduled = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._is_snapshotting = False
+
+    # Status ------------------------------------------------------------------------------------
+
+    @property
+    def leader_id(self) -> str | None:
+        """Member id of the leader, when known."""
+        return self.node.leader_id if self.node else None
+
+    @property
+    def term(self) -> int:
+        """Latest term that this member has seen."""
+        return self.node.hard.term if self.node else 0
+
+    @property
+    def commit_index(self) -> int:
+        """Highest index known to be committed."""
+        return self.node.commit_index if self.node else 0
+
+    @property
+    def folder_id(self) -> str:
+        """Id of this member's data folder."""
+        return self.node.folder_id if self.node else ""
+
+    def has_lease(self, now: float) -> bool:
+        """Return whether no other member can have become leader by ``now`` (loop time in seconds)."""
+        return self.error is None and self.node is not None and self.node.has_lease(now)
+
+    def members(self) -> tuple[MemberStatus, ...]:
+        """Return what this member knows of each member of the group."""
+        return tuple(self._member_status(member) for member in self.config.members)
+
+    def _member_status(self, member: str) -> MemberStatus:
+        node = self.node
+        now = self._now()
+        if member == self.config.member_id:
+            role = "voter" if node.may_vote() else "learner"
+            folder_id, match_index, heard_at = node.folder_id, node.persisted_index, now
+        else:
+            folder = node.folders.get(member)
+            folder_id = folder.folder_id if folder else ""
+            founder = folder.founder if folder else False
+            _, membership = node.memberships.at(node.commit_index)
+            role = "voter" if is_voter(membership, member, folder_id, founder) else "learner"
+            heard_at = folder.heard_at if folder else None
+            match_index = node.leadership.progress[member].match_index if node.leadership else 0
+        if member == node.leader_id:
+            role = "leader"
+        return MemberStatus(member, role, folder_id, match_index, heard_at)
+
+    # Life cycle --------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Restore the state machine and take part in the group."""
+        stored = self.storage.load()
+        self.node = RaftNode(self.config, stored, self._now(), self.rng)
+        if stored.snapshot is not None:
+            self.machine.restore(stored.snapshot.index, stored.snapshot.data)
+            self.applied_index = stored.snapshot.index
+        self.transport.set_receiver(self._on_frame)
+        self._pump()
+
+    async def close(self) -> None:
+        """Stop taking part; waiting proposals end with ``ProposalLostError``."""
+        self._stop(ProposalLostError("this member was closed", "repeat the proposal at the leader"))
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        await self.storage.close()
+
+    async def wait_stopped(self) -> CranberryleverError | None:
+        """Wait until the member stops and return the error that stopped it, if any."""
+        await self.stopped.wait()
+        return self.error
+
+    def _fail(self, error: BaseException) -> None:
+        """Stop the member after an error that it can not continue from."""
+        if self.stopped.is_set():
+            return
+        if not isinstance(error, CranberryleverError):
+            error = StorageError(f"unexpected {type(error).__name__}: {error}", "report the log lines before")
+        self.error = error
+        eliot.log_message("consensus:stopped", member=self.config.member_id, error=str(error))
+        self._stop(error)
+
+    def _stop(self, error: CranberryleverError) -> None:
+        if self.stopped.is_set():
+            return
+        self.stopped.set()
+        self.transport.set_receiver(lambda frame: None)
+        if self._timer is not None:
+            self._timer.cancel()
+        self.leader_since = None
+        if self.node is not None:
+            self.node.step_down(self._now())
+        self._fail_proposals(error)
+        self._fail_reads(error)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # Client calls ------------------------------------------------------------------------------
+
+    async def propose(self, payload: bytes) -> object:
+        """Replicate ``payload`` and return the result of applying it.
+
+        Raises:
+            NotLeaderError: This member does not lead; nothing was proposed.
+            ProposalLostError: Leadership changed; the payload may or may not be committed.
+        """
+        self._require_running()
+        index = self.node.propose(payload)
+        future = asyncio.get_running_loop().create_future()
+        self._proposals[index] = _Proposal(self.node.hard.term, future)
+        self._schedule_pump()
+        return await future
+
+    async def barrier(self) -> None:
+        """Wait until everything committed before this call is applied here.
+
+        A majority confirms by a heartbeat round sent after this call that no other leader exists.
+
+        Raises:
+            NotLeaderError: This member does not lead.
+        """
+        self._require_running()
+        read_id = self.node.request_read()
+        future = asyncio.get_running_loop().create_future()
+        self._reads[read_id] = future
+        self._schedule_pump()
+        await future
+
+    def _require_running(self) -> None:
+        if self.error is not None:
+            raise self.error
+        if self.node is None or self.stopped.is_set():
+            raise NotLeaderError()
+
+    # Input -------------------------------------------------------------------------------------
+
+    def _on_frame(self, frame: PeerFrame) -> None:
+        if frame.cluster_id != self.config.cluster_id or frame.receiver != self.config.member_id:
+            return
+        kind = MESSAGE_KINDS.get(frame.kind)
+        if kind is None:
+            return
+        try:
+            message = decode(frame.body, kind)
+        except CodecError as error:
+            eliot.log_message("consensus:bad_frame", sender=frame.sender, error=str(error))
+            return
+        try:
+            self.node.step(frame.sender, frame.folder_id, message, self._now())
+        except CranberryleverError as error:
+            self._fail(error)
+            return
+        self._schedule_pump()
+
+    def _schedule_pump(self) -> None:
+        """Run ``_pump`` once after the events of this loop pass, so that they share a sync."""
+        if not self._is_pump_scheduled:
+            self._is_pump_scheduled = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._pump()
+
+    # Output ------------------------------------------------------------------------------------
+
+    def _pump(self) -> None:
+        """Send, save and apply whatever the rules have ready."""
+        self._is_pump_scheduled = False
+        if self.stopped.is_set():
+            return
+        try:
+            self._pump_once()
+        except Exception as error:
+            self._fail(error)
+
+    def _pump_once(self) -> None:
+        node = self.node
+        now = self._now()
+        if now >= node.deadline():
+            node.tick(now)
+        if node.refused is not None:
+            raise StorageError(node.refused, "empty the data folder and start without --bootstrap")
+        for receiver, message in node.take_messages(now):
+            self._send(receiver, message)
+        self._save_next()
+        self._apply()
+        self._finish_reads()
+        self._observe_leadership(now)
+        self._set_timer(now)
+
+    def _send(self, receiver: str, message: Message) -> None:
+        kind = type(message).__name__
+        frame = PeerFrame(
+            self.config.cluster_id,
+            self.config.member_id,
+            receiver,
+            self.node.folder_id,
+            kind,
+            encode(message),
+        )
+        self.transport.send(receiver, frame)
+
+    def _save_next(self) -> None:
+        if self._is_saving:
+            return
+        batch = self.node.take_batch()
+        if batch is None:
+            return
+        if batch.needs_sync:
+            self._is_saving = True
+            self._start_task(self._save(batch))
+            return
+        for receiver, message in batch.messages:
+            self._send(receiver, message)
+
+    async def _save(self, batch: StorageBatch) -> None:
+        await self.storage.save(batch)
+        if self.stopped.is_set():
+            return
+        if batch.snapshot is not None:
+            self.machine.restore(batch.snapshot.index, batch.snapshot.data)
+            self.applied_index = batch.snapshot.index
+        self._is_saving = False
+        for receiver, message in batch.messages:
+            self._send(receiver, message)
+        self.node.batch_synced(batch, self._now())
+        self._pump()
+
+    def _start_task(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(self._guard(coroutine))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _guard(self, coroutine) -> None:
+        try:
+            await coroutine
+        except Exception as error:
+            self._fail(error)
+
+    def _apply(self) -> None:
+        node = self.node
+        if node.installed is not None:
+            return
+        limit = min(node.commit_index, node.persisted_index, self.applied_index + MAX_APPLY_BATCH)
+        while self.applied_index < limit:
+            self._apply_entry(self.applied_index + 1)
+        if self.applied_index < min(node.commit_index, node.persisted_index):
+            self._schedule_pump()
+        self._maybe_snapshot()
+
+    def _apply_entry(self, index: int) -> None:
+        entry = self.node.log.get(index)
+        result = None
+        if entry.kind == EntryKind.COMMAND:
+            result = self.machine.apply(index, entry.payload)
+        self.applied_index = index
+        proposal = self._proposals.pop(index, None)
+        if proposal is None or proposal.future.done():
+            return
+        if proposal.term == entry.term:
+            proposal.future.set_result(result)
+        else:
+            proposal.future.set_exception(_lost())
+
+    def _finish_reads(self) -> None:
+        node = self.node
+        for read_id, index in node.confirmed_reads:
+            self._barriers.append(_Barrier(index, self._reads.pop(read_id)))
+        node.confirmed_reads.clear()
+        for read_id in node.failed_reads:
+            future = self._reads.pop(read_id)
+            if not future.done():
+                future.set_exception(NotLeaderError(node.leader_id))
+        node.failed_reads.clear()
+        for barrier in self._barriers:
+            if barrier.index <= self.applied_index and not barrier.future.done():
+                barrier.future.set_result(None)
+        self._barriers = [barrier for barrier in self._barriers if not barrier.future.done()]
+
+    def _observe_leadership(self, now: float) -> None:
+        node = self.node
+        if node.leadership is None:
+            self.leader_since = None
+            self._fail_proposals(_lost())
+        elif self.leader_since is None and self.applied_index >= node.leadership.first_index:
+            self.leader_since = now
+
+    def _fail_proposals(self, error: CranberryleverError) -> None:
+        proposals, self._proposals = self._proposals, {}
+        for proposal in proposals.values():
+            if not proposal.future.done():
+                proposal.future.set_exception(error)
+
+    def _fail_reads(self, error: CranberryleverError) -> None:
+        futures = [*self._reads.values(), *(barrier.future for barrier in self._barriers)]
+        self._reads = {}
+        self._barriers = []
+        for future in futures:
+            if not future.done():
+                future.set_exception(error)
+
+    def _set_timer(self, now: float) -> None:
+        """Wake at the next deadline; a timer that is early is left, so heartbeats do not replace it."""
+        deadline = self.node.deadline()
+        if self._timer is not None:
+            if self._timer.when() <= deadline:
+                return
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_at(max(deadline, now), self._on_timer)
+
+    # Snapshots ---------------------------------------------------------------------------------
+
+    def _maybe_snapshot(self) -> None:
+        node = self.node
+        last = node.snapshot.index if node.snapshot else 0
+        if self._is_snapshotting or self.applied_index - last < self.config.snapshot_entries:
+            return
+        _, membership = node.memberships.at(self.applied_index)
+        term = node.log.term_at(self.applied_index)
+        self._is_snapshotting = True
+        self._start_task(
+            self._snapshot(Snapshot(self.applied_index, term, membership, self.machine.snapshot()))
+        )
+
+    async def _snapshot(self, snapshot: Snapshot) -> None:
+        await self.storage.save_snapshot(snapshot)
+        keep = self.config.snapshot_entries // KEPT_ENTRIES_DIVISOR
+        self.node.snapshot_saved(snapshot, keep)
+        await self.storage.compact(self.node.log.base_index)
+        self._is_snapshotting = False
+
+
+def _lost() -> ProposalLostError:
+    return ProposalLostError(
+        "leadership changed while the proposal was pending", "check whether it took effect, then repeat it"
+    )
+
+
+def create_driver(
+    config: ConsensusConfig,
+    storage: Storage,
+    transport: Transport,
+    machine: StateMachine,
+    rng: random.Random | None = None,
+) -> RaftDriver:
+    """Return a member that is not started yet.
+
+    Args:
+        config: Identity and timings.
+        storage: Durable state.
+        transport: Connection to the other members.
+        machine: State machine.
+        rng: Source of election timeouts, seeded by the system when absent.
+    """
+    return RaftDriver(config, storage, transport, machine, rng or random.Random())
--- /dev/null
+++ b/cranberrylever/consensus/_progress.py
@@ -0,0 +1,76 @@
+"""The leader's record of one other member."""
+
+import collections
+import enum
+
+import attrs
+
+from cranberrylever.consensus._messages import Snapshot
+
+
+class Mode(enum.Enum):
+    """How entries are sent to a member."""
+
+    PROBE = "probe"
+    REPLICATE = "replicate"
+    SNAPSHOT = "snapshot"
+
+
+@attrs.define
+class Progress:
+    """Replication state of one member, for one of its data folders.
+
+    Args:
+        next_index: Next index to send.
+        folder_id: Folder id that the state belongs to, empty until the member was heard.
+        founder: Whether that folder was created with bootstrap.
+        match_index: Last index that the member has synced and that matches the leader's log.
+        match_round: The leader's round when ``match_index`` was raised last.
+        acknowledged_round: Latest heartbeat round that the member answered.
+        is_paused: In probe mode, whether a request awaits its answer.
+        in_flight: Last index of each request that awaits its answer.
+        snapshot: Snapshot being sent.
+        snapshot_offset: Next byte of it that the member wants.
+    """
+
+    next_index: int
+    folder_id: str = ""
+    founder: bool = False
+    match_index: int = 0
+    match_round: int = 0
+    acknowledged_round: int = 0
+    mode: Mode = Mode.PROBE
+    is_paused: bool = False
+    in_flight: collections.deque[int] = attrs.field(factory=collections.deque)
+    snapshot: Snapshot | None = None
+    snapshot_offset: int = 0
+
+    def probe(self, next_index: int) -> None:
+        """Send one request at a time from ``next_index`` until one succeeds."""
+        self.mode = Mode.PROBE
+        self.is_paused = False
+        self.next_index = next_index
+        self.in_flight.clear()
+        self.snapshot = None
+
+    def start_snapshot(self, snapshot: Snapshot) -> None:
+        """Send ``snapshot`` from its first byte."""
+        self.mode = Mode.SNAPSHOT
+        self.snapshot = snapshot
+        self.snapshot_offset = 0
+        self.next_index = snapshot.index + 1
+        self.in_flight.clear()
+
+    def acknowledge(self, match_index: int, current_round: int) -> None:
+        """Take over a successful answer up to ``match_index``."""
+        if match_index > self.match_index:
+            self.match_index = match_index
+            self.match_round = current_round
+        self.next_index = max(self.next_index, match_index + 1)
+        while self.in_flight and self.in_flight[0] <= match_index:
+            self.in_flight.popleft()
+        if self.mode is Mode.SNAPSHOT and self.snapshot is not None and match_index < self.snapshot.index:
+            return
+        self.mode = Mode.REPLICATE
+        self.is_paused = False
+        self.snapshot = None
--- /dev/null
+++ b/cranberrylever/consensus/_transport.py
@@ -0,0 +1,105 @@
+"""Delivery of frames between members: the abstract transport and its in-memory twin."""
+
+import abc
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from cranberrylever.wire import PeerFrame
+
+Receiver = Callable[[PeerFrame], None]
+
+
+class Transport(abc.ABC):
+    """Best-effort delivery of frames; a frame may be lost, delayed or reordered."""
+
+    @abc.abstractmethod
+    def send(self, receiver: str, frame: PeerFrame) -> None:
+        """Queue ``frame`` for the member ``receiver``; never blocks and never raises."""
+
+    @abc.abstractmethod
+    def set_receiver(self, callback: Receiver) -> None:
+        """Call ``callback`` for every frame that arrives for this member."""
+
+
+@attrs.define
+class MemoryNetwork:
+    """Simulated network between ``MemoryTransport`` objects.
+
+    Args:
+        rng: Source of losses and delays.
+        min_delay: Shortest delivery time in seconds.
+        max_delay: Longest delivery time in seconds; different delays reorder frames.
+        loss: Probability that a frame is lost.
+    """
+
+    rng: random.Random = attrs.field(factory=lambda: random.Random(1))
+    min_delay: float = 0.0
+    max_delay: float = 0.0
+    loss: float = 0.0
+    transports: dict[str, "MemoryTransport"] = attrs.field(factory=dict)
+    blocked: set[tuple[str, str]] = attrs.field(factory=set)
+
+    def partition(self, *groups: set[str]) -> None:
+        """Block all links between members of different groups."""
+        members = [(member, number) for number, group in enumerate(groups) for member in group]
+        self.blocked = {(a, b) for a, group_a in members for b, group_b in members if group_a != group_b}
+
+    def block(self, sender: str, receiver: str) -> None:
+        """Block one direction between two members."""
+        self.blocked.add((sender, receiver))
+
+    def heal(self) -> None:
+        """Unblock all links."""
+        self.blocked.clear()
+
+    def deliver(self, frame: PeerFrame) -> None:
+        """Deliver ``frame`` after a random delay unless it is lost."""
+        if self.loss and self.rng.random() < self.loss:
+            return
+        delay = self.rng.uniform(self.min_delay, self.max_delay) if self.max_delay else 0.0
+        asyncio.get_running_loop().call_later(delay, self._arrive, frame)
+
+    def _arrive(self, frame: PeerFrame) -> None:
+        transport = self.transports.get(frame.receiver)
+        if transport is None or (frame.sender, frame.receiver) in self.blocked:
+            return
+        transport.receive(frame)
+
+
+class MemoryTransport(Transport):
+    """In-memory twin of the grpclib transport.
+
+    Args:
+        network: Network that delivers the frames.
+        member_id: Member that this transport belongs to.
+    """
+
+    def __init__(self, network: MemoryNetwork, member_id: str) -> None:
+        self.network = network
+        self.callback: Receiver | None = None
+        self.member_id = member_id
+        network.transports[member_id] = self
+
+    def send(self, receiver: str, frame: PeerFrame) -> None:
+        """Hand ``frame`` to the network unless this transport was replaced or closed."""
+        if self.network.transports.get(self.member_id) is self and (
+            (self.member_id, receiver) not in self.network.blocked
+        ):
+            self.network.deliver(frame)
+
+    def set_receiver(self, callback: Receiver) -> None:
+        """Call ``callback`` for every frame that arrives."""
+        self.callback = callback
+
+    def receive(self, frame: PeerFrame) -> None:
+        """Pass an arrived frame on."""
+        if self.callback is not None:
+            self.callback(frame)
+
+    def close(self) -> None:
+        """Take this member off the network."""
+        if self.network.transports.get(self.member_id) is self:
+            del self.network.transports[self.member_id]
--- /dev/null
+++ b/cranberrylever/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control program."""
