--- a/cranberrylever/errors.py
+++ b/cranberrylever/errors.py
@@ -63,6 +63,14 @@
     """A ticket number is not higher than the last one of an object that it touches."""
 
 
+class AnnouncementError(CranberryleverError):
+    """A target's announcement is malformed."""
+
+
+class RequestTooLargeError(CranberryleverError):
+    """The body of a request to the operator API exceeds its limit."""
+
+
 class NotRunError(CranberryleverError):
     """A request was refused before any byte of it left for a target."""
 
--- a/cranberrylever/tickets/__init__.py
+++ b/cranberrylever/tickets/__init__.py
@@ -5,6 +5,7 @@
 from cranberrylever.tickets._registry import (
     HISTORY_LIMIT,
     AcceptedTicket,
+    Configuration,
     ObjectStamp,
     TicketOutcome,
     TicketRegistry,
@@ -16,6 +17,7 @@
     "HISTORY_LIMIT",
     "MAX_TICKET_BYTES",
     "AcceptedTicket",
+    "Configuration",
     "FailureDomainSpec",
     "ObjectStamp",
     "ServiceSpec",
--- a/cranberrylever/tickets/_registry.py
+++ b/cranberrylever/tickets/_registry.py
@@ -52,17 +52,24 @@
 
 
 @attrs.frozen
-class TicketRegistryRecord:
-    """Snapshot form of ``TicketRegistry``."""
+class Configuration:
+    """The accepted state of all objects, with the last accepted ticket of each."""
 
     services: tuple[ServiceSpec, ...] = ()
     failure_domains: tuple[FailureDomainSpec, ...] = ()
     directives: tuple[TargetSpec, ...] = ()
     stamps: tuple[ObjectStamp, ...] = ()
-    history: tuple[AcceptedTicket, ...] = ()
     last_number: int = 0
 
 
+@attrs.frozen
+class TicketRegistryRecord:
+    """Snapshot form of ``TicketRegistry``."""
+
+    configuration: Configuration = attrs.field(factory=Configuration)
+    history: tuple[AcceptedTicket, ...] = ()
+
+
 class TicketRegistry:
     """Accepted tickets and the state of every object that they describe.
 
@@ -127,29 +134,33 @@
         """Return the last accepted ticket of one object."""
         return self._stamps.get((kind, name))
 
-    def to_record(self) -> TicketRegistryRecord:
-        """Return the snapshot form."""
-        return TicketRegistryRecord(
+    def configuration(self) -> Configuration:
+        """Return the accepted state of all objects."""
+        return Configuration(
             tuple(self.services.values()),
             tuple(self.failure_domains.values()),
             tuple(self.directives.values()),
             tuple(self._stamps.values()),
-            tuple(self.history.values()),
             self.last_number,
         )
 
+    def to_record(self) -> TicketRegistryRecord:
+        """Return the snapshot form."""
+        return TicketRegistryRecord(self.configuration(), tuple(self.history.values()))
+
     @classmethod
     def from_record(
         cls, record: TicketRegistryRecord, history_limit: int = HISTORY_LIMIT
     ) -> "TicketRegistry":
         """Return the registry that ``record`` was made from."""
         registry = cls(history_limit)
-        registry.services = {spec.name: spec for spec in record.services}
-        registry.failure_domains = {spec.name: spec for spec in record.failure_domains}
-        registry.directives = {spec.id: spec for spec in record.directives}
-        registry._stamps = {(stamp.kind, stamp.name): stamp for stamp in record.stamps}
+        configuration = record.configuration
+        registry.services = {spec.name: spec for spec in configuration.services}
+        registry.failure_domains = {spec.name: spec for spec in configuration.failure_domains}
+        registry.directives = {spec.id: spec for spec in configuration.directives}
+        registry._stamps = {(stamp.kind, stamp.name): stamp for stamp in configuration.stamps}
+        registry.last_number = configuration.last_number
         registry.history = {ticket.number: ticket for ticket in record.history}
-        registry.last_number = record.last_number
         return registry
 
     def _find(self, ticket: Ticket, digest: str) -> AcceptedTicket | ObjectStamp | None:
