--- /dev/null
+++ b/cranberrylever/_cli/_arguments.py
@@ -0,0 +1,20 @@
+"""Options and arguments shared by commands."""
+
+from typing import Annotated
+
+import typer
+
+Check = Annotated[
+    bool,
+    typer.Option(
+        "--check", help="Validate the settings and exit.", envvar="CRANBERRYLEVER_CHECK", show_default=False
+    ),
+]
+AsJson = Annotated[
+    bool, typer.Option("--json", help="Print JSON.", envvar="CRANBERRYLEVER_JSON", show_default=False)
+]
+TicketFile = Annotated[str, typer.Argument(help="The ticket, a TOML file.", metavar="FILE")]
+TicketNumber = Annotated[
+    int | None,
+    typer.Argument(help="Number of an accepted ticket (default: the accepted state).", metavar="NUMBER"),
+]
--- a/cranberrylever/_cli/_client.py
+++ b/cranberrylever/_cli/_client.py
@@ -1,14 +1,17 @@
 """HTTP client of the operator API."""
 
 import asyncio
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 import attrs
+import msgspec
 
 from cranberrylever.errors import ControlRefusedError, ControlUnavailableError, UnauthorizedError
 from cranberrylever.settings import OperatorSettings
 
+T = TypeVar("T")
+
 RETRY_PAUSE_S = 0.2
 MAX_REQUEST_S = 5.0
 
@@ -42,6 +45,20 @@
     return asyncio.run(_call(settings, method, path, body))
 
 
+def read_answer(content: Any, kind: type[T]) -> T:
+    """Return a decoded JSON answer as an attrs object.
+
+    Raises:
+        ControlRefusedError: The answer has another form.
+    """
+    try:
+        return msgspec.convert(content, kind)
+    except msgspec.ValidationError as error:
+        raise ControlRefusedError(
+            f"control sent an answer of another form: {error}", "use the version that control runs"
+        ) from error
+
+
 async def _call(settings: OperatorSettings, method: str, path: str, body: str | None) -> Any:
     last_problem = "no attempt was made"
     try:
--- a/cranberrylever/_cli/_programs.py
+++ b/cranberrylever/_cli/_programs.py
@@ -1,15 +1,12 @@
 """The commands that run a program."""
 
-from typing import Annotated
-
 import typer
 
+from cranberrylever._cli._arguments import Check
 from cranberrylever._cli._options import with_settings
 from cranberrylever._cli._run import run_program
 from cranberrylever.settings import ControlSettings, EntrySettings, TargetSettings
 
-Check = Annotated[bool, typer.Option("--check", help="Validate the settings and exit.", show_default=False)]
-
 
 @with_settings(EntrySettings)
 def entry(settings: EntrySettings, check: Check = False) -> None:
--- a/cranberrylever/_cli/_tickets.py
+++ b/cranberrylever/_cli/_tickets.py
@@ -2,18 +2,20 @@
 
 import json
 from pathlib import Path
-from typing import Annotated, Any
+from typing import TYPE_CHECKING, Any
 
 import typer
 
-from cranberrylever._cli._client import call_control
+from cranberrylever._cli._arguments import AsJson, Check, TicketFile, TicketNumber
 from cranberrylever._cli._options import with_settings
+from cranberrylever._cli._tables import format_table
 from cranberrylever.errors import TicketError
 from cranberrylever.settings import OperatorSettings
-from cranberrylever.tickets import Ticket, parse_ticket, ticket_digest
 
-TicketFile = Annotated[str, typer.Argument(help="The ticket, a TOML file.", metavar="FILE")]
-AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.", show_default=False)]
+if TYPE_CHECKING:
+    from cranberrylever.tickets import Ticket
+
+SHORT_DIGEST = 12
 
 ticket_app = typer.Typer(help="Check, submit and read change tickets.", no_args_is_help=True)
 
@@ -21,15 +23,24 @@
 @ticket_app.command("check")
 def check_ticket(file: TicketFile) -> None:
     """Validate a ticket without sending it."""
+    from cranberrylever.tickets import ticket_digest
+
     ticket, _ = _read_ticket(file)
     typer.echo(f"ticket {ticket.number} is valid, digest {ticket_digest(ticket)}")
 
 
 @ticket_app.command("submit")
 @with_settings(OperatorSettings)
-def submit_ticket(settings: OperatorSettings, file: TicketFile, as_json: AsJson = False) -> None:
+def submit_ticket(
+    settings: OperatorSettings, file: TicketFile, as_json: AsJson = False, check: Check = False
+) -> None:
     """Submit a ticket; a repeated submission gets the first answer again."""
+    from cranberrylever._cli._client import call_control
+
     _, text = _read_ticket(file)
+    if check:
+        typer.echo("the settings and the ticket are valid")
+        return
     outcome = call_control(settings, "POST", "/v1/tickets", text)
     if as_json:
         typer.echo(json.dumps(outcome))
@@ -38,15 +49,75 @@
     typer.echo(f"ticket {outcome['number']} {word} at index {outcome['index']}, digest {outcome['digest']}")
 
 
-def _read_ticket(file: str) -> tuple[Ticket, str]:
+@ticket_app.command("show")
+@with_settings(OperatorSettings)
+def show_ticket(settings: OperatorSettings, number: TicketNumber = None, as_json: AsJson = False) -> None:
+    """Print an accepted ticket, or the accepted state of all objects as a ticket."""
+    from cranberrylever._cli._client import call_control
+
+    if number is not None:
+        content = call_control(settings, "GET", f"/v1/tickets/{number}")
+        typer.echo(json.dumps(content) if as_json else content["text"])
+        return
+    content = call_control(settings, "GET", "/v1/configuration")
+    typer.echo(json.dumps(content) if as_json else _format_state(content))
+
+
+@ticket_app.command("list")
+@with_settings(OperatorSettings)
+def list_tickets(settings: OperatorSettings, as_json: AsJson = False) -> None:
+    """List the accepted tickets that control keeps, in order of acceptance."""
+    from cranberrylever._cli._client import call_control
+
+    content = call_control(settings, "GET", "/v1/tickets")
+    if as_json:
+        typer.echo(json.dumps(content))
+        return
+    rows = [(ticket["number"], ticket["index"], ticket["digest"][:SHORT_DIGEST]) for ticket in content]
+    typer.echo(format_table("tickets", ("number", "index", "digest"), rows))
+
+
+@ticket_app.command("diff")
+@with_settings(OperatorSettings)
+def diff_ticket(settings: OperatorSettings, file: TicketFile, as_json: AsJson = False) -> None:
+    """Print what a ticket would change in the accepted state."""
+    from cranberrylever._cli._client import call_control
+    from cranberrylever.tickets import describe_changes
+
+    ticket, _ = _read_ticket(file)
+    configuration = _read_configuration(call_control(settings, "GET", "/v1/configuration"))
+    changes = describe_changes(ticket, configuration)
+    if as_json:
+        typer.echo(json.dumps({"number": ticket.number, "changes": changes}))
+        return
+    typer.echo("\n".join(changes) if changes else f"ticket {ticket.number} changes nothing")
+
+
+def _read_ticket(file: str) -> "tuple[Ticket, str]":
+    """Return the ticket in a file with its text."""
+    from cranberrylever.tickets import parse_ticket
+
     try:
         text = Path(file).read_text(encoding="utf-8")
     except OSError as error:
         raise TicketError(f"{file} can't be read: {error.strerror}", "give the path of a ticket") from error
     except UnicodeDecodeError as error:
         raise TicketError(f"{file} is not UTF-8 text", "save it as UTF-8") from error
-    result: Any = parse_ticket(text)
+    result = parse_ticket(text)
     if result.is_err():
         error = result.unwrap_err()
         raise TicketError(f"{file}: {error.message}", error.remedy)
     return result.unwrap(), text
+
+
+def _read_configuration(content: Any) -> Any:
+    from cranberrylever._cli._client import read_answer
+    from cranberrylever.tickets import Configuration
+
+    return read_answer(content, Configuration)
+
+
+def _format_state(content: Any) -> str:
+    from cranberrylever.tickets import format_configuration
+
+    return format_configuration(_read_configuration(content)).rstrip()
--- a/cranberrylever/cli.py
+++ b/cranberrylever/cli.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from cranberrylever._cli._docs import docs_app
 from cranberrylever._cli._exits import EXIT_HELP, ExitCode
 from cranberrylever._cli._programs import control, dev, entry, target
 from cranberrylever._cli._status import status, version
@@ -40,6 +41,7 @@
 app.command()(status)
 app.command()(version)
 app.add_typer(ticket_app, name="ticket")
+app.add_typer(docs_app, name="docs")
 
 
 def main() -> None:
--- a/cranberrylever/setting_fields.py
+++ b/cranberrylever/setting_fields.py
@@ -46,6 +46,11 @@
         """Whether the setting is a switch."""
         return self.convert is boolean
 
+    @property
+    def is_required(self) -> bool:
+        """Whether the setting has no default."""
+        return self.default is attrs.NOTHING
+
     @property
     def metavar(self) -> str:
         """The placeholder of the value in ``--help``."""
@@ -64,7 +69,7 @@
     @property
     def default_text(self) -> str:
         """The default as one would write it, empty for a required or empty one."""
-        if self.default in (attrs.NOTHING, "", ()):
+        if self.is_required or self.default == "":
             return ""
         return str(self.default).lower() if self.is_boolean else f"{self.default}"
 
@@ -132,7 +137,7 @@
             raw = environment.get(field.environment)
         if raw is not None:
             values[field.path] = _convert(field, raw)
-        elif field.default is attrs.NOTHING:
+        elif field.is_required:
             raise SettingError(f"{field.title} is not set", f"give this value: {field.help.rstrip('.')}")
     settings = _build(kind, (), values)
     validate = getattr(settings, "validate", None)
--- a/cranberrylever/tickets/__init__.py
+++ b/cranberrylever/tickets/__init__.py
@@ -1,6 +1,7 @@
 """Change tickets: schema, validation and acceptance rules."""
 
 from cranberrylever.tickets._digest import canonical_content, ticket_digest
+from cranberrylever.tickets._format import describe_changes, format_configuration, format_ticket
 from cranberrylever.tickets._parse import MAX_TICKET_BYTES, parse_ticket
 from cranberrylever.tickets._registry import (
     HISTORY_LIMIT,
@@ -27,6 +28,9 @@
     "TicketRegistry",
     "TicketRegistryRecord",
     "canonical_content",
+    "describe_changes",
+    "format_configuration",
+    "format_ticket",
     "parse_ticket",
     "ticket_digest",
 ]
--- a/cranberrylever/tickets/_digest.py
+++ b/cranberrylever/tickets/_digest.py
@@ -34,11 +34,18 @@
 
 
 def _without_defaults(spec: Any) -> dict[str, Any]:
-    content = {}
+    return {
+        name: _without_defaults(value) if attrs.has(type(value)) else value
+        for name, value in explicit_fields(spec)
+    }
+
+
+def explicit_fields(spec: Any) -> list[tuple[str, Any]]:
+    """Return name and value of the fields without a default and of those that differ from it."""
+    fields = []
     for field in attrs.fields(type(spec)):
         value = getattr(spec, field.name)
         default = field.default.factory() if isinstance(field.default, attrs.Factory) else field.default
-        if value == default:
-            continue
-        content[field.name] = _without_defaults(value) if attrs.has(type(value)) else value
-    return content
+        if value != default:
+            fields.append((field.name, value))
+    return fields
