--- a/cranberrylever/settings.py
+++ b/cranberrylever/settings.py
@@ -22,6 +22,7 @@
 
 MAX_PEERS = 19
 MAX_DRAIN_DELAY_S = 600.0
+_TOKEN_NOTE = "prefer the variable, because other users can read the flags of a process"
 _LOOPBACK_REMEDY = "set a token of at least one character or listen on a loopback address"
 
 
@@ -91,7 +92,9 @@
         "Form a new cluster on an empty data folder; accepted once per cluster.", boolean, False
     )
     failure_domain: str = _failure_domain()
-    token: str = setting("Bearer token of the operator API; required unless it is on loopback.", token, "")
+    token: str = setting(
+        f"Bearer token of the operator API; required unless it is on loopback; {_TOKEN_NOTE}.", token, ""
+    )
     statsd: str = _statsd()
     log: LogSettings = attrs.field(factory=LogSettings)
 
@@ -194,7 +197,7 @@
     queue_limit: int = setting("Requests queued beyond the slots.", integer(0, 100_000), 64)
     load_lag_s: float = setting("Age of the load reports in s.", number(0.0, 600.0), 0.0)
     starts_cold: bool = setting("Start cold.", boolean, False)
-    token: str = setting("Bearer token for announcements to control.", token, "")
+    token: str = setting(f"Bearer token for announcements to control; {_TOKEN_NOTE}.", token, "")
     record: str = setting("File for the record of executed requests (default: none).", plain_text, "")
     log: LogSettings = attrs.field(factory=LogSettings)
 
@@ -212,5 +215,5 @@
         environment="CONTROL_HTTP",
         is_list=True,
     )
-    token: str = setting("Bearer token of the operator API.", token, "")
+    token: str = setting(f"Bearer token of the operator API; {_TOKEN_NOTE}.", token, "")
     timeout: float = setting("Seconds that the command may take.", number(0.1, 600.0), 10.0)
