--- a/cranberrylever/target/_executor.py
+++ b/cranberrylever/target/_executor.py
@@ -171,6 +171,8 @@
             await self.faults.thawed.wait()
             if self.grant_lost(work):
                 outcome = "fenced"
+            if outcome == "fenced":
+                run.held_until_ms = min(self.holder.expires_at_ms, self.now() * 1000)
             return outcome
         finally:
             self.record.end(run, outcome, self.now() * 1000)
--- a/cranberrylever/target/_record.py
+++ b/cranberrylever/target/_record.py
@@ -14,7 +14,7 @@
     """One execution; times are milliseconds of the loop's clock, which all processes of a machine share.
 
     ``outcome`` is ``running``, ``done``, ``cancelled``, ``deadline`` or ``fenced`` (the grant ended
-    before the work did).
+    before the work did). ``held_until_ms`` is the end of the grant for a fenced run.
     """
 
     target_id: str
@@ -29,6 +29,7 @@
     start_ms: float
     end_ms: float | None = None
     outcome: str = "running"
+    held_until_ms: float | None = None
 
 
 class RunRecord:
