--- a/cranberrylever/_cli/_programs.py
+++ b/cranberrylever/_cli/_programs.py
@@ -38,7 +38,7 @@
         return _report_valid()
     from cranberrylever.target import create_target
 
-    return run_program(create_target(settings), "the target")
+    return run_program(create_target(settings, exit_on_crash=True), "the target")
 
 
 def dev() -> None:
--- a/cranberrylever/settings.py
+++ b/cranberrylever/settings.py
@@ -184,6 +184,11 @@
         is_list=True,
     )
     failure_domain: str = setting("Failure domain (zone) of this instance.", identifier)
+    advertise: str = setting(
+        "Address to announce (default: the listen address).",
+        optional_address,
+        "",
+    )
     slots: int = setting("Requests that run at once.", integer(1, 10_000), 3)
     connections: int = setting("Connections accepted at once.", integer(1, 100_000), 100)
     cold_capacity: int = setting("Requests that may run at once while cold.", integer(0, 10_000), 1)
--- a/cranberrylever/target/_announcer.py
+++ b/cranberrylever/target/_announcer.py
@@ -44,8 +44,10 @@
                 self.changed.clear()
                 acknowledged = await self.announce(session)
                 pause = REPEAT_SECONDS if acknowledged else RETRY_SECONDS
+                # asyncio.wait_for of Python 3.11 drops a cancellation that arrives together with the event.
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self.changed.wait(), pause)
+                    async with asyncio.timeout(pause):
+                        await self.changed.wait()
 
     async def announce(self, session: aiohttp.ClientSession) -> bool:
         """Send one announcement; returns whether it was acknowledged."""
--- a/cranberrylever/target/_program.py
+++ b/cranberrylever/target/_program.py
@@ -181,7 +181,7 @@
         return Announcement(
             target_id=self.settings.target_id,
             service=self.settings.service,
-            address=self.bound_address,
+            address=self.settings.advertise or self.bound_address,
             failure_domain=self.settings.failure_domain,
             incarnation=self.incarnation,
             slots=self.settings.slots,
--- a/tests/target/test_program.py
+++ b/tests/target/test_program.py
@@ -228,3 +228,14 @@
         self.assertEqual(200, result[0])
         self.assertEqual((address, False), (received[0]["address"], received[0]["leaving"]))
         self.assertTrue(received[-1]["leaving"])
+
+    def test_close_ends_while_control_is_unreachable(self):
+        """The announcer once ignored its cancellation when the state changed in the same step."""
+
+        async def main():
+            async with running_target(control=("127.0.0.1:1",)) as (program, _):
+                await asyncio.sleep(0.05)
+                async with asyncio.timeout(3):
+                    await program.close()
+
+        asyncio.run(main())
