Add the control program

Cause: consensus, ownership and the operator API had no process around them, so no request could pass from end to end. Change: control/ runs the Raft driver with the cluster state, serves entries and peers over grpclib and operators over HTTP, renews grants, groups claims into one log entry per commit and writes a line per placement decision; http_server.py is shared by control and the stand-in target. Ruled out: answering status from a follower's state, which may be behind.

--- a/cranberrylever/control/__init__.py
+++ b/cranberrylever/control/__init__.py
@@ -3,5 +3,13 @@
 from cranberrylever.control._announcements import parse_announcement
 from cranberrylever.control._forwarding import LeaderForwarder
 from cranberrylever.control._operator import OperatorService, create_operator_app
+from cranberrylever.control._program import ControlProgram, create_control
 
-__all__ = ["LeaderForwarder", "OperatorService", "create_operator_app", "parse_announcement"]
+__all__ = [
+    "ControlProgram",
+    "LeaderForwarder",
+    "OperatorService",
+    "create_control",
+    "create_operator_app",
+    "parse_announcement",
+]
--- /dev/null
+++ b/cranberrylever/control/_batches.py
@@ -0,0 +1,69 @@
+"""Groups concurrent claim requests into one log entry."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Generic, TypeVar
+
+Item = TypeVar("Item")
+ItemResult = TypeVar("ItemResult")
+
+MAX_BATCH_ITEMS = 512
+
+
+class Batcher(Generic[Item, ItemResult]):
+    """Collects items while an earlier batch is being committed and submits them together.
+
+    Args:
+        submit: Commits a batch and returns one result per item, in order.
+    """
+
+    def __init__(self, submit: Callable[[Sequence[Item]], Awaitable[Sequence[ItemResult]]]) -> None:
+        self.submit = submit
+        self._waiting: list[tuple[Item, asyncio.Future[ItemResult]]] = []
+        self._task: asyncio.Task[None] | None = None
+
+    async def add(self, item: Item) -> ItemResult:
+        """Return the result of ``item`` once its batch is committed.
+
+        Raises:
+            NotLeaderError: This member cannot commit.
+            ProposalLostError: The batch may or may not be committed.
+        """
+        future: asyncio.Future[ItemResult] = asyncio.get_running_loop().create_future()
+        self._waiting.append((item, future))
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+        return await future
+
+    async def close(self) -> None:
+        """Cancel the running batch and every waiting item."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for _, future in self._waiting:
+            future.cancel()
+
+    async def _run(self) -> None:
+        try:
+            while self._waiting:
+                batch = self._waiting[:MAX_BATCH_ITEMS]
+                del self._waiting[:MAX_BATCH_ITEMS]
+                await self._submit(batch)
+        finally:
+            self._task = None
+
+    async def _submit(self, batch: list[tuple[Item, "asyncio.Future[ItemResult]"]]) -> None:
+        try:
+            results = await self.submit([item for item, _ in batch])
+        except asyncio.CancelledError:
+            for _, future in batch:
+                future.cancel()
+            raise
+        except Exception as error:
+            for _, future in batch:
+                if not future.done():
+                    future.set_exception(error)
+            return
+        for (_, future), result in zip(batch, results, strict=True):
+            if not future.done():
+                future.set_result(result)
--- /dev/null
+++ b/cranberrylever/control/_program.py
@@ -0,0 +1,120 @@
+"""The control program: one member of the control group."""
+
+import asyncio
+
+import grpclib.server
+
+from cranberrylever.consensus import ConsensusConfig, RaftDriver, create_driver, open_disk_storage
+from cranberrylever.control._entries import EntryService
+from cranberrylever.control._forwarding import LeaderForwarder
+from cranberrylever.control._grants import GrantSender
+from cranberrylever.control._leader import LeaderLoop
+from cranberrylever.control._machine import ClusterMachine
+from cranberrylever.control._operator import create_operator_app
+from cranberrylever.control._peers import PeerTransport
+from cranberrylever.control._placement import PlacementLog
+from cranberrylever.control._service import ControlService
+from cranberrylever.http_server import HttpServer
+from cranberrylever.logs import Log, install_log
+from cranberrylever.ownership import Coordinator
+from cranberrylever.settings import ControlSettings
+from cranberrylever.state import ClusterState
+from cranberrylever.wire import MsgpackCodec
+
+RPC_CLOSE_TIMEOUT_S = 1.0
+
+
+class ControlProgram:
+    """One control member: replicated state, streams for peers and entries, and the operator API."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self.settings = settings
+        self.address = settings.own_address
+        self.log = Log("control", settings.member_id, settings.log.level)
+        self.state = ClusterState()
+        self.machine = ClusterMachine(self.state)
+        self.coordinator = Coordinator(self.state)
+        self.forwarder = LeaderForwarder({peer.member_id: peer.http for peer in settings.peers})
+        self.driver: RaftDriver | None = None
+
+    async def start(self) -> None:
+        """Open the data folder, join the group and listen.
+
+        Raises:
+            StorageError: The data folder cannot be used.
+            OSError: An address cannot be bound.
+        """
+        install_log(self.settings.log)
+        self._build()
+        await self._listen()
+        await self.transport.start()
+        await self.driver.start()
+        await self.grants.start()
+        self.leader.start()
+        self.log.info("control_started", folder_id=self.driver.folder_id, applied=self.driver.applied_index)
+
+    async def wait_failure(self) -> None:
+        """Wait until this member stops by itself.
+
+        Raises:
+            CranberryleverError: What stopped it.
+        """
+        error = await self.driver.wait_stopped()
+        if error is not None:
+            raise error
+
+    async def close(self) -> None:
+        """Stop leading, then close the listeners and the data folder."""
+        if self.driver is None:
+            return
+        await self.leader.close()
+        await self.grants.close()
+        await self.entries.close()
+        await self.http.close()
+        await self.driver.close()
+        await self._close_rpc()
+        await self.transport.close()
+        await self.forwarder.close()
+
+    def _build(self) -> None:
+        settings = self.settings
+        members = {peer.member_id: peer.rpc for peer in settings.peers}
+        config = ConsensusConfig(settings.cluster_id, settings.member_id, members)
+        storage = open_disk_storage(settings.data_dir, settings.cluster_id, settings.bootstrap)
+        self.transport = PeerTransport(settings.cluster_id, settings.member_id, members)
+        self.driver = create_driver(config, storage, self.transport, self.machine)
+        self.leader = LeaderLoop(self.driver, self.coordinator, self.log, self._after_step)
+        self.entries = EntryService(settings.cluster_id, self.leader, self.coordinator)
+        self.grants = GrantSender(
+            settings.cluster_id, self.coordinator, self.leader.is_serving, settings.token
+        )
+        placement = PlacementLog(self.state, self.leader.is_serving, self.log)
+        self.machine.callbacks.append(placement)
+        self.machine.callbacks.append(lambda index, command, result: self.leader.wake.set())
+        service = ControlService(settings.cluster_id, self.driver, self.leader, self.coordinator)
+        self.http = HttpServer(
+            create_operator_app(service, settings.token, self.forwarder), self.address.http
+        )
+        self.rpc = grpclib.server.Server([self.transport, self.entries], codec=MsgpackCodec())
+
+    async def _listen(self) -> None:
+        host, _, port = self.address.rpc.rpartition(":")
+        await self.rpc.start(host.strip("[]"), int(port))
+        await self.http.start()
+
+    async def _close_rpc(self) -> None:
+        self.rpc.close()
+        try:
+            async with asyncio.timeout(RPC_CLOSE_TIMEOUT_S):
+                await self.rpc.wait_closed()
+        except TimeoutError:
+            self.log.warning("rpc_close_timeout", seconds=RPC_CLOSE_TIMEOUT_S)
+
+    def _after_step(self) -> None:
+        self.grants.reconcile()
+        self.entries.push_view()
+
+
+def create_control(settings: ControlSettings) -> ControlProgram:
+    """Return a control member that is not started yet."""
+    return ControlProgram(settings)
--- a/cranberrylever/limits/_latency.py
+++ b/cranberrylever/limits/_latency.py
@@ -15,8 +15,8 @@
 class TargetLatency:
     """Recent and long-run latency of one target in seconds.
 
-    The recent latency follows a slower answer at once and decays with time towards the long-run mean, so that a
-    target whose slow phase is over is tried again although it gets few requests.
+    The recent latency follows a slower answer at once and decays with time towards the long-run mean, so that
+    a target whose slow phase is over is tried again although it gets few requests.
     """
 
     def __init__(self) -> None:
--- a/cranberrylever/ownership/_coordinator.py
+++ b/cranberrylever/ownership/_coordinator.py
@@ -42,7 +42,7 @@
         self.suspects = SuspectTable(self.timings.suspect_retention)
         self.views = ViewSource(state)
         self.movers: dict[str, ShardMover] = {}
-        self.addresses: dict[tuple[str, str], str] = {}
+        self.hellos: dict[tuple[str, str], EntryHello] = {}
         self.reports: dict[tuple[str, str], EntryReport] = {}
         self.is_started = False
 
@@ -73,9 +73,19 @@
     def record_hello(self, hello: EntryHello) -> None:
         """Note the address of an entry that has opened a stream."""
         key = (hello.entry_id, hello.incarnation)
-        self.addresses[key] = hello.address
+        self.hellos[key] = hello
         self.views.forget(key)
 
+    def address_of(self, entry: tuple[str, str]) -> str:
+        """Return the address of an entry process (id and incarnation), empty when it sent none."""
+        hello = self.hellos.get(entry)
+        return hello.address if hello is not None else ""
+
+    def failure_domain_of(self, entry: tuple[str, str]) -> str:
+        """Return the failure domain of an entry process (id and incarnation), empty when it sent none."""
+        hello = self.hellos.get(entry)
+        return hello.failure_domain if hello is not None else ""
+
     def record_report(self, report: EntryReport, now: float) -> None:
         """Renew an entry's lease and take its figures."""
         key = (report.entry_id, report.incarnation)
@@ -83,7 +93,7 @@
         self.leases.record_poll(
             report.entry_id,
             report.incarnation,
-            self.addresses.get(key, ""),
+            self.address_of(key),
             now,
             report.applied_version,
             report.settled_version,
@@ -189,8 +199,8 @@
     def _forget_ended(self, now: float) -> None:
         live = {(lease.entry_id, lease.incarnation) for lease in self.leases.live(now)}
         self.reports = {key: report for key, report in self.reports.items() if key in live}
-        if len(self.addresses) > 2 * len(live) + 64:
-            self.addresses = {key: address for key, address in self.addresses.items() if key in live}
+        if len(self.hellos) > 2 * len(live) + 64:
+            self.hellos = {key: hello for key, hello in self.hellos.items() if key in live}
         records = self.state.targets.records.values()
         self.grants.forget({(record.target_id, record.incarnation) for record in records}, now)
 
--- a/cranberrylever/ownership/_grants.py
+++ b/cranberrylever/ownership/_grants.py
@@ -95,6 +95,11 @@
         holder = self.holders.get((target_id, incarnation))
         return now >= (holder.expires_by if holder else self.previous_expire_by)
 
+    def remaining(self, target_id: str, incarnation: str, now: float) -> float:
+        """Return the seconds until the last possible expiry, 0 when it has passed or nothing was granted."""
+        holder = self.holders.get((target_id, incarnation))
+        return max(0.0, holder.expires_by - now) if holder is not None else 0.0
+
     def is_due(self, holder: GrantHolder, version: int, interval: float, now: float) -> bool:
         """Tell whether a renewal should be sent now; only one may be outstanding."""
         if holder.outstanding is not None:
--- a/cranberrylever/target/_program.py
+++ b/cranberrylever/target/_program.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cranberrylever.http_server import HttpServer
 from cranberrylever.membership import Announcement
 from cranberrylever.settings import TargetSettings
 from cranberrylever.target._admission import Admission
@@ -17,7 +18,6 @@
 from cranberrylever.target._grants import GrantHolder, GrantReply
 from cranberrylever.target._load import LoadHistory
 from cranberrylever.target._record import Run, RunRecord
-from cranberrylever.target._server import HttpServer
 
 FENCE_CHECK_SECONDS = 0.02
 LEAVE_POLL_SECONDS = 0.05
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -8,9 +8,9 @@
 from starlette.routing import Route
 
 from bench.load import DONE, FAILED, MIXED_UP, NOT_RUN, LoadGenerator, LoadRequest
+from cranberrylever.http_server import HttpServer
 from cranberrylever.settings import TargetSettings
 from cranberrylever.target import create_target
-from cranberrylever.target._server import HttpServer
 
 
 async def answer_other(request):
--- a/tests/target/test_program.py
+++ b/tests/target/test_program.py
@@ -13,9 +13,9 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
+from cranberrylever.http_server import HttpServer
 from cranberrylever.settings import TargetSettings
 from cranberrylever.target import create_target
-from cranberrylever.target._server import HttpServer
 
 
 @contextlib.asynccontextmanager
