--- /dev/null
+++ b/bench/caller.py
@@ -0,0 +1,68 @@
+"""A caller that resends non-idempotent requests until it gets an answer."""
+
+import asyncio
+
+import aiohttp
+import attrs
+
+from bench.checker import Attempt
+from bench.load import DONE, LoadGenerator, LoadRequest, Sample, send
+from bench.scenario import KEYED_SERVICE, POOLED_SERVICE, Layout
+
+MAX_ATTEMPTS = 6
+ATTEMPT_SECONDS = 4.0
+PAUSE_SECONDS = 0.3
+
+
+@attrs.define
+class Caller:
+    """Sends orders at a fixed rate, each until it is answered or given up.
+
+    ``with_keys`` adds an idempotency key to each order. Resends go to the next entry.
+    """
+
+    addresses: list[str]
+    layout: Layout
+    with_keys: bool
+    prefix: str = "o"
+    attempts: list[Attempt] = attrs.field(factory=list)
+    samples: list[Sample] = attrs.field(factory=list)
+    served: int = 0
+
+    async def run(self, rate: float, orders: int) -> None:
+        """Send ``orders`` orders, ``rate`` new ones per second."""
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        tasks = []
+        generator = LoadGenerator(self.addresses, lambda number: LoadRequest("POST", "/"), ATTEMPT_SECONDS)
+        async with generator.session() as session:
+            for number in range(orders):
+                due = begin + number / rate
+                if due > loop.time():
+                    await asyncio.sleep(due - loop.time())
+                tasks.append(asyncio.create_task(self.order(session, number)))
+            await asyncio.gather(*tasks)
+
+    async def order(self, session: aiohttp.ClientSession, number: int) -> None:
+        """Send one order until it is answered."""
+        key = f"{self.prefix}-{number}" if self.with_keys else ""
+        for attempt in range(MAX_ATTEMPTS):
+            request_id = f"{self.prefix}-{number}.{attempt}"
+            address = self.addresses[(number + attempt) % len(self.addresses)]
+            due = asyncio.get_running_loop().time()
+            sample = await send(session, address, number, self.request(number, request_id, key), due)
+            self.attempts.append(Attempt(request_id, key, sample.outcome))
+            self.samples.append(sample)
+            if sample.outcome == DONE:
+                self.served += 1
+                return
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    def request(self, number: int, request_id: str, key: str) -> LoadRequest:
+        """Return one attempt of an order; the body is the same in all attempts."""
+        service = POOLED_SERVICE if self.layout.pooled and number % 3 == 0 else KEYED_SERVICE
+        path = f"/{service}/{self.layout.key(number)}?order={self.prefix}-{number}"
+        headers = {"Cranberrylever-Request-Id": request_id, "Cranberrylever-Deadline-Ms": "3000"}
+        if key:
+            headers["Idempotency-Key"] = key
+        return LoadRequest("POST", path, headers, f"order {number}".encode())
--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,186 @@
+"""Random faults in a cluster of processes: kills, freezes, partitions, lost data folders, withdrawals."""
+
+import asyncio
+import random
+import shutil
+
+import attrs
+
+from bench.checker import read_runs
+from bench.cluster import Cluster, failure_domain_text, service_text
+from bench.scenario import Layout
+from cranberrylever.target import Run
+
+PAUSE_SECONDS = (0.5, 2.5)
+FREEZE_SECONDS = (0.5, 3.0)
+CUT_SECONDS = (0.5, 4.0)
+REJOIN_LIMIT_SECONDS = 30.0
+
+
+@attrs.define
+class FaultInjector:
+    """Injects one fault after another; at most one control member is affected at a time.
+
+    Attributes:
+        killed_ms: Time of the kill by incarnation of the killed target, in milliseconds of the common clock.
+        history: Faults in order, for the report.
+        accepted: Numbers of accepted tickets.
+    """
+
+    cluster: Cluster
+    layout: Layout
+    random: random.Random
+    killed_ms: dict[str, float] = attrs.field(factory=dict)
+    history: list[str] = attrs.field(factory=list)
+    accepted: list[int] = attrs.field(factory=list)
+    stopped: bool = False
+    withdrawn: str = ""
+
+    @property
+    def count(self) -> int:
+        """Number of faults so far."""
+        return len(self.history)
+
+    async def run(self) -> None:
+        """Inject faults until stopped; every fault is repaired before the next."""
+        faults = (
+            self.kill_target,
+            self.kill_target,
+            self.freeze_target,
+            self.cut_target,
+            self.kill_member,
+            self.freeze_member,
+            self.cut_member,
+            self.lose_folder,
+            self.cut_entry,
+            self.move_domain,
+            self.submit_ticket,
+        )
+        while not self.stopped:
+            await asyncio.sleep(self.random.uniform(*PAUSE_SECONDS))
+            if not self.stopped:
+                await self.random.choice(faults)()
+        if self.withdrawn:
+            await self.move_domain()
+
+    def note(self, text: str) -> None:
+        """Add a fault to the history."""
+        self.history.append(f"{asyncio.get_running_loop().time():.3f} {text}")
+
+    async def kill_target(self, target_id: str = "") -> None:
+        """Kill a target and start it again."""
+        target_id = target_id or self.random.choice(sorted(self.cluster.targets))
+        self.note(f"kill {target_id}")
+        await self.end_target(target_id)
+        await asyncio.sleep(self.random.uniform(0, 2.5))
+        await self.cluster.restart_target(target_id)
+
+    async def end_target(self, target_id: str) -> None:
+        """Kill a target and record the time for the runs that this ends."""
+        listen = self.cluster.target_settings[target_id].listen
+        health = await self.cluster.get_json(listen, "/-/health")
+        await self.cluster.targets[target_id].kill()
+        self.killed_ms[health["incarnation"]] = asyncio.get_running_loop().time() * 1000
+
+    async def freeze_target(self, target_id: str = "", seconds: float = 0) -> None:
+        """Stop a target's process and let it continue."""
+        target_id = target_id or self.random.choice(sorted(self.cluster.targets))
+        await self.freeze(self.cluster.targets[target_id], seconds)
+
+    async def freeze_member(self, member_id: str = "", seconds: float = 0) -> None:
+        """Stop a control member's process, by default the leader's, and let it continue."""
+        member_id = member_id or await self.cluster.leader() or "c1"
+        await self.freeze(self.cluster.control[member_id], seconds)
+
+    async def freeze(self, process: object, seconds: float) -> None:
+        """Stop a process for a time."""
+        seconds = seconds or self.random.uniform(*FREEZE_SECONDS)
+        self.note(f"freeze {process.name} for {seconds:.2f} s")
+        process.pause()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            process.resume()
+
+    async def cut_target(self) -> None:
+        """Partition a target from everything."""
+        await self.cut(self.random.choice(sorted(self.cluster.targets)))
+
+    async def cut_member(self) -> None:
+        """Partition a control member from entries and other members."""
+        await self.cut(self.random.choice(sorted(self.cluster.control)))
+
+    async def cut_entry(self) -> None:
+        """Partition an entry from control."""
+        await self.cut(self.random.choice(sorted(self.cluster.entries)))
+
+    async def cut(self, name: str) -> None:
+        """Hold all bytes from and to a process for a time."""
+        seconds = self.random.uniform(*CUT_SECONDS)
+        self.note(f"cut {name} for {seconds:.2f} s")
+        for relay in self.cluster.links(name):
+            relay.cut()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            for relay in self.cluster.links(name):
+                relay.heal()
+
+    async def kill_member(self, member_id: str = "") -> None:
+        """Kill a control member, by default the leader, and start it again."""
+        member_id = member_id or await self.cluster.leader() or "c1"
+        self.note(f"kill {member_id}")
+        await self.cluster.control[member_id].kill()
+        await asyncio.sleep(self.random.uniform(0, 2))
+        await self.cluster.start_member(member_id)
+        await self.wait_until_repaired(member_id)
+
+    async def lose_folder(self, member_id: str = "") -> None:
+        """Kill a control member, remove its data folder and wait until it has rejoined."""
+        member_id = member_id or self.random.choice(sorted(self.cluster.control))
+        self.note(f"lose the folder of {member_id}")
+        await self.cluster.control[member_id].kill()
+        shutil.rmtree(self.cluster.data_dir(member_id))
+        await self.cluster.start_member(member_id)
+        await self.wait_until_repaired(member_id)
+
+    async def wait_until_repaired(self, member_id: str) -> None:
+        """Wait until the leader reports a member as a voter that keeps up; only then may the next be lost."""
+        async with asyncio.timeout(REJOIN_LIMIT_SECONDS):
+            while not await self.is_voter(member_id):
+                await asyncio.sleep(0.05)
+
+    async def is_voter(self, member_id: str) -> bool:
+        """Return whether the leader counts a running member as a voter that keeps up."""
+        leader = await self.cluster.leader()
+        if not leader:
+            return False
+        status = await self.cluster.status(leader)
+        for member in status.get("members", ()):
+            if member["member_id"] == member_id:
+                return member["role"] in ("leader", "voter", "follower") and member.get("caught_up", True)
+        return False
+
+    async def move_domain(self) -> None:
+        """Withdraw a failure domain, or bring the withdrawn one back."""
+        if self.withdrawn:
+            name, self.withdrawn = self.withdrawn, ""
+            await self.accept(failure_domain_text(name, "active"))
+            return
+        self.withdrawn = self.random.choice(self.layout.failure_domains)
+        await self.accept(failure_domain_text(self.withdrawn, "withdrawn"))
+
+    async def submit_ticket(self) -> None:
+        """Change a service that nobody uses."""
+        await self.accept(service_text("spare", "pooled", deadline_ms=1000 + self.count))
+
+    async def accept(self, text: str) -> None:
+        """Submit a ticket and remember that it was accepted."""
+        ticket = await self.cluster.submit(text)
+        self.accepted.append(ticket.number)
+        self.note(f"ticket {ticket.number}")
+
+    def read_runs(self) -> list[Run]:
+        """Return everything that the targets ran."""
+        paths = [self.cluster.record_path(name) for name in self.cluster.target_settings]
+        return read_runs([path for path in paths if path.exists()], self.killed_ms)
--- a/cranberrylever/dev/_cluster.py
+++ b/cranberrylever/dev/_cluster.py
@@ -7,7 +7,7 @@
 
 from cranberrylever.control import ControlProgram, create_control
 from cranberrylever.entry import EntryProgram, create_entry
-from cranberrylever.settings import ControlSettings, EntrySettings, LogSettings, PeerAddress, TargetSettings
+from cranberrylever.settings import ControlSettings, EntrySettings, PeerAddress, TargetSettings
 from cranberrylever.target import TargetProgram, create_target
 
 HOST = "127.0.0.1"
@@ -42,7 +42,7 @@
     """The programs of the demonstration.
 
     Attributes:
-        data_dir: Folder for the files of control and the logs.
+        data_dir: Folder for the files of control.
         token: Bearer token of the operator API, empty for none.
     """
 
@@ -69,10 +69,6 @@
         if self.control is not None:
             await self.control.close()
 
-    def log(self, name: str) -> LogSettings:
-        """Return the log settings of one program."""
-        return LogSettings(destination=f"{self.data_dir}/{name}.log")
-
     def control_settings(self) -> ControlSettings:
         """Return the settings of the control member."""
         return ControlSettings(
@@ -83,7 +79,6 @@
             bootstrap=True,
             failure_domain=FAILURE_DOMAINS[0],
             token=self.token,
-            log=self.log("control-1"),
         )
 
     def entry_settings(self, number: int) -> EntrySettings:
@@ -95,7 +90,6 @@
             control=(self.control_rpc,),
             failure_domain=FAILURE_DOMAINS[number - 1],
             drain_delay=0.0,
-            log=self.log(f"entry-{number}"),
         )
 
     def target_settings(self) -> list[TargetSettings]:
@@ -108,7 +102,6 @@
                 control=(self.control_http,),
                 failure_domain=domain,
                 token=self.token,
-                log=self.log(f"{prefix}-{number}"),
             )
             for prefix, service in (("ledger", KEYED_SERVICE), ("desk", POOLED_SERVICE))
             for number, domain in enumerate(FAILURE_DOMAINS, start=1)
--- a/cranberrylever/dev/_program.py
+++ b/cranberrylever/dev/_program.py
@@ -8,6 +8,8 @@
 
 from cranberrylever.dev._cluster import EXAMPLE_TICKET, KEYED_SERVICE, POOLED_SERVICE, DevCluster
 from cranberrylever.errors import CranberryleverError
+from cranberrylever.logs import install_log, remove_logs
+from cranberrylever.settings import LogSettings
 
 START_LIMIT_SECONDS = 20.0
 RETRY_SECONDS = 0.1
@@ -24,7 +26,11 @@
         token: Bearer token of the operator API; empty for none.
     """
     with tempfile.TemporaryDirectory(prefix="cranberrylever-dev-") as folder:
-        asyncio.run(serve(DevCluster(folder, token)))
+        install_log(LogSettings(destination=f"{folder}/dev.log"))
+        try:
+            asyncio.run(serve(DevCluster(folder, token)))
+        finally:
+            remove_logs()
 
 
 async def serve(cluster: DevCluster, stop: asyncio.Event | None = None) -> None:
@@ -74,7 +80,7 @@
         except aiohttp.ClientError as error:
             answer = str(error)
         await asyncio.sleep(RETRY_SECONDS)
-    raise DevStartError(f"ticket 1 was not accepted: {answer}", f"read the logs in {cluster.data_dir}")
+    raise DevStartError(f"ticket 1 was not accepted: {answer}", f"read {cluster.data_dir}/dev.log")
 
 
 async def show_requests(cluster: DevCluster, session: aiohttp.ClientSession) -> None:
@@ -102,7 +108,7 @@
         except aiohttp.ClientError as error:
             text = str(error)
         await asyncio.sleep(RETRY_SECONDS)
-    raise DevStartError(f"{url} was not served: {text}", f"read the logs in {cluster.data_dir}")
+    raise DevStartError(f"{url} was not served: {text}", f"read {cluster.data_dir}/dev.log")
 
 
 def print_guide(cluster: DevCluster) -> None:
@@ -125,7 +131,7 @@
 let a target turn cold, or be 20 times slower for 5 s:
   curl -s -d '{{"cold": true}}' http://{target.bound_address}/-/fault
   curl -s -d '{{"slow_factor": 20, "for_ms": 5000}}' http://{target.bound_address}/-/fault
-Ctrl-C stops everything; data and logs are in {cluster.data_dir}
+Ctrl-C stops everything; data and the log are in {cluster.data_dir}
 """,
         flush=True,
     )
--- a/cranberrylever/target/_app.py
+++ b/cranberrylever/target/_app.py
@@ -66,6 +66,7 @@
             return answer({"error": str(error), "remedy": "send the fields of a grant"}, 422)
         refusal = self.program.holder.apply(order)
         if refusal is not None:
+            self.program.log.warning("grant_refused", reason=refusal)
             return answer({"error": refusal, "remedy": "read the clock with a newer order"}, 409)
         return answer(self.program.grant_reply())
 
--- a/cranberrylever/target/_program.py
+++ b/cranberrylever/target/_program.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cranberrylever.logs import Log
 from cranberrylever.membership import Announcement
 from cranberrylever.settings import TargetSettings
 from cranberrylever.target._admission import Admission
@@ -55,6 +56,7 @@
         self.settings = settings
         self.exit_on_crash = exit_on_crash
         self.incarnation = uuid.uuid4().hex
+        self.log = Log("target", settings.target_id, settings.log.level)
         self.leaving = False
         self.crashed = asyncio.Event()
         self.faults = Faults()
@@ -91,6 +93,7 @@
     async def start(self) -> None:
         """Listen, then announce."""
         await self.server.start()
+        self.log.info("target_started", address=self.bound_address, incarnation=self.incarnation)
         self.tasks.append(asyncio.create_task(self.watch_grant()))
         if self.settings.control:
             self.tasks.append(asyncio.create_task(self.announcer.run()))
@@ -112,6 +115,7 @@
         self.tasks.clear()
         await self.server.close()
         self.record.close()
+        self.log.info("target_stopped")
 
     async def wait_until_left(self) -> None:
         """Wait until control has taken all shards away, no work is left and no entry sends any more."""
@@ -130,6 +134,7 @@
     def drain(self) -> None:
         """Announce that the target is leaving; it still serves what arrives."""
         self.leaving = True
+        self.log.info("target_leaving")
         self.announcer.changed.set()
 
     def crash(self) -> None:
@@ -145,6 +150,7 @@
     def apply_fault(self, order: FaultOrder) -> None:
         """Switch faults on or off."""
         now = asyncio.get_running_loop().time()
+        self.log.warning("fault_set", fault=attrs.asdict(order))
         if order.slow_factor is not None:
             self.faults.slow(order.slow_factor, order.for_ms, now)
         if order.cold is not None:
