--- a/bench/double_runs.py
+++ b/bench/double_runs.py
@@ -45,7 +45,8 @@
         print(f"  {problem}")
     note = (
         f"{requests} requests, {len(caller.attempts)} attempts, {caller.served} served, "
-        f"{injector.count} faults, seed {seed}, {len(problems) - len(doubles)} other problems; baseline: resends without a key"
+        f"{injector.count} faults, seed {seed}, {len(problems) - len(doubles)} other problems; "
+        "baseline: resends without a key"
     )
     return [at_most("double_runs", len(doubles), "", BOUND, baseline * scale, note)]
 
