--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -114,6 +114,7 @@
         process = ManagedProcess(member_id, arguments("control", settings), self.folder / f"{member_id}.out")
         self.control[member_id] = process
         await process.start()
+        await wait_for_http(process, self.session, f"http://{settings.own_address.http}/healthz")
 
     async def start_entry(self, entry_id: str, failure_domain: str = "a", drain_delay: float = 0.5) -> None:
         """Start one entry and wait until it is ready."""
@@ -210,21 +211,19 @@
             return await answer.json(content_type=None)
 
     async def status(self, member_id: str | None = None) -> dict[str, Any]:
-        """Return the status from one member, or from the first that answers."""
+        """Return the leader's status, asked from one member or from the first that answers."""
         for peer in self.peers:
-            if member_id in (None, peer.member_id) and self.control[peer.member_id].running():
-                with contextlib.suppress(aiohttp.ClientError, TimeoutError, ValueError):
-                    return await self.get_json(peer.http, "/v1/status", timeout=1)
+            if member_id not in (None, peer.member_id) or not self.control[peer.member_id].running():
+                continue
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError, ValueError):
+                content = await self.get_json(peer.http, "/v1/status", timeout=1)
+                if content.get("leader"):
+                    return content
         return {}
 
     async def leader(self) -> str:
         """Return the member id of the leader, empty when none is known."""
-        for peer in self.peers:
-            if self.control[peer.member_id].running():
-                status = await self.status(peer.member_id)
-                if status.get("leader_id") == peer.member_id:
-                    return peer.member_id
-        return ""
+        return (await self.status()).get("leader", "")
 
     async def wait_for_leader(self) -> str:
         """Wait for a leader and return its member id."""
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -15,6 +15,7 @@
 FREEZE_SECONDS = (0.5, 3.0)
 CUT_SECONDS = (0.5, 4.0)
 REJOIN_LIMIT_SECONDS = 30.0
+HEARD_SECONDS = 0.5
 
 
 @attrs.define
@@ -145,20 +146,21 @@
         await self.wait_until_repaired(member_id)
 
     async def wait_until_repaired(self, member_id: str) -> None:
-        """Wait until the leader reports a member as a voter that keeps up; only then may the next be lost."""
+        """Wait until a restarted member is a voter that keeps up; only then may the next be lost."""
+        # The leader needs a message of the new process before its status tells of it.
+        await asyncio.sleep(HEARD_SECONDS)
         async with asyncio.timeout(REJOIN_LIMIT_SECONDS):
             while not await self.is_voter(member_id):
                 await asyncio.sleep(0.05)
 
     async def is_voter(self, member_id: str) -> bool:
-        """Return whether the leader counts a running member as a voter that keeps up."""
-        leader = await self.cluster.leader()
-        if not leader:
-            return False
-        status = await self.cluster.status(leader)
+        """Return whether the leader counts a member as a voter that keeps up."""
+        status = await self.cluster.status()
         for member in status.get("members", ()):
             if member["member_id"] == member_id:
-                return member["role"] in ("leader", "voter", "follower") and member.get("caught_up", True)
+                heard = member["role"] == "leader" or 0 <= member["heard_s"] < HEARD_SECONDS
+                caught_up = member["match_index"] >= status["commit_index"]
+                return member["role"] in ("leader", "voter") and heard and caught_up
         return False
 
     async def move_domain(self) -> None:
--- a/bench/leader_loss.py
+++ b/bench/leader_loss.py
@@ -63,9 +63,10 @@
     leader = await cluster.wait_for_leader()
     await cluster.control[leader].kill()
     killed = now()
-    if len(cluster.peers) == 1:
+    has_replicas = len(cluster.peers) > 1
+    if not has_replicas:
         await cluster.start_member(leader)
     ticket = await cluster.submit(service_text("spare", "pooled"))
-    if len(cluster.peers) > 1:
+    if has_replicas:
         await cluster.start_member(leader)
     return ticket.accepted - killed
