--- a/bench/caller.py
+++ b/bench/caller.py
@@ -28,15 +28,18 @@
     attempts: list[Attempt] = attrs.field(factory=list)
     samples: list[Sample] = attrs.field(factory=list)
     served: int = 0
+    stopped: bool = False
 
     async def run(self, rate: float, orders: int) -> None:
-        """Send ``orders`` orders, ``rate`` new ones per second."""
+        """Send up to ``orders`` orders, ``rate`` new ones per second, and wait for their answers."""
         loop = asyncio.get_running_loop()
         begin = loop.time()
         tasks = []
         generator = LoadGenerator(self.addresses, lambda number: LoadRequest("POST", "/"), ATTEMPT_SECONDS)
         async with generator.session() as session:
             for number in range(orders):
+                if self.stopped:
+                    break
                 due = begin + number / rate
                 if due > loop.time():
                     await asyncio.sleep(due - loop.time())
--- /dev/null
+++ b/bench/trial.py
@@ -0,0 +1,140 @@
+"""A cluster under load and faults, checked from outside."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import attrs
+
+from bench.caller import Caller
+from bench.checker import (
+    find_double_runs,
+    find_false_outcomes,
+    find_old_fences,
+    find_overlaps,
+    longest_outage,
+)
+from bench.cluster import Cluster
+from bench.faults import FaultInjector
+from bench.load import MIXED_UP, LoadGenerator, LoadRequest
+from bench.scenario import KEYED_SERVICE, Layout
+
+WATCH_SECONDS = 0.2
+MAX_ORDERS = 10_000_000
+
+
+@attrs.define
+class ConfigurationWatch:
+    """Reads the configuration while faults happen; an accepted one must never revert.
+
+    ``versions`` holds the highest view version seen at each entry.
+    """
+
+    cluster: Cluster
+    injector: FaultInjector
+    versions: dict[str, int] = attrs.field(factory=dict)
+    highest: int = 0
+    problems: list[str] = attrs.field(factory=list)
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            await self.read_control()
+            for entry_id, address in self.cluster.entry_addresses.items():
+                await self.read_entry(entry_id, address)
+            await asyncio.sleep(WATCH_SECONDS)
+
+    async def read_control(self) -> None:
+        """Check that control's accepted ticket number is not below one accepted before."""
+        self.highest = max([self.highest, *self.injector.accepted])
+        before = self.highest
+        number = (await self.cluster.status()).get("accepted_ticket")
+        if number is None:
+            return
+        if number < before:
+            self.problems.append(f"control reports ticket {number} after {before} was accepted")
+        self.highest = max(self.highest, number)
+
+    async def read_entry(self, entry_id: str, address: str) -> None:
+        """Check that an entry's view version does not go back."""
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, ValueError):
+            version = (await self.cluster.get_json(address, "/readyz", timeout=1)).get("version")
+            if version is None:
+                return
+            before = self.versions.get(entry_id, 0)
+            if version < before:
+                self.problems.append(f"{entry_id} went from view {before} back to {version}")
+            self.versions[entry_id] = max(before, version)
+
+
+@attrs.define
+class Trial:
+    """Orders with resends and reads by a caller, while an injector injects faults."""
+
+    cluster: Cluster
+    layout: Layout
+    injector: FaultInjector
+    caller: Caller | None = None
+    reads: LoadGenerator | None = None
+    watch: ConfigurationWatch | None = None
+    tasks: list["asyncio.Task[object]"] = attrs.field(factory=list)
+    watch_task: "asyncio.Task[None] | None" = None
+
+    def start(self, rate: float) -> None:
+        """Start load: ``rate`` orders and as many reads per second."""
+        entries = self.cluster.entry_list()
+        self.caller = Caller(entries, self.layout, with_keys=True)
+        self.reads = LoadGenerator(entries, self.read_request)
+        self.watch = ConfigurationWatch(self.cluster, self.injector)
+        self.tasks = [
+            asyncio.create_task(self.caller.run(rate, MAX_ORDERS)),
+            asyncio.create_task(self.reads.run_open(rate, MAX_ORDERS / rate)),
+        ]
+        self.watch_task = asyncio.create_task(self.watch.run())
+
+    def read_request(self, number: int) -> LoadRequest:
+        """Return a keyed read."""
+        headers = {"Cranberrylever-Request-Id": f"read-{number}", "Cranberrylever-Deadline-Ms": "3000"}
+        return LoadRequest("GET", f"/{KEYED_SERVICE}/{self.layout.key(number)}?n={number}", headers)
+
+    async def stop(self) -> list[str]:
+        """Stop load and return what broke an invariant."""
+        self.caller.stopped = True
+        self.reads.stopped = True
+        await asyncio.gather(*self.tasks)
+        self.watch_task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.watch_task
+        runs = self.injector.read_runs()
+        mixed_up = [
+            sample for sample in self.reads.result.samples + self.caller.samples if sample.outcome == MIXED_UP
+        ]
+        return [
+            *find_overlaps(runs),
+            *find_old_fences(runs),
+            *find_double_runs(runs),
+            *find_false_outcomes(runs, self.caller.attempts),
+            *self.watch.problems,
+            *(f"wrong or incomplete answer to {sample.path}" for sample in mixed_up),
+            *await self.find_lost_tickets(),
+        ]
+
+    async def find_lost_tickets(self) -> list[str]:
+        """Return accepted tickets that control does not list any more."""
+        leader = await self.cluster.wait_for_leader()
+        peer = next(peer for peer in self.cluster.peers if peer.member_id == leader)
+        kept = {ticket["number"] for ticket in await self.cluster.get_json(peer.http, "/v1/tickets")}
+        return [
+            f"accepted ticket {number} is lost" for number in self.injector.accepted if number not in kept
+        ]
+
+    def summary(self) -> str:
+        """Return time unavailable and shares of requests served in one line."""
+        attempts = len(self.caller.samples)
+        answered = self.caller.served / attempts if attempts else 0.0
+        return (
+            f"{self.injector.count} faults; reads served {self.reads.result.served_share():.4f} of "
+            f"{len(self.reads.result.samples)}, longest time without a served read "
+            f"{longest_outage(self.reads.result.samples):.2f} s; {self.caller.served} orders served in "
+            f"{attempts} attempts ({answered:.4f})"
+        )
