--- a/cranberrylever/_cli/_programs.py
+++ b/cranberrylever/_cli/_programs.py
@@ -1,15 +1,12 @@
 """The commands that run a program."""
 
-from typing import Annotated
-
 import typer
 
+from cranberrylever._cli._arguments import Check
 from cranberrylever._cli._options import with_settings
 from cranberrylever._cli._run import run_program
 from cranberrylever.settings import ControlSettings, EntrySettings, TargetSettings
 
-Check = Annotated[bool, typer.Option("--check", help="Validate the settings and exit.", show_default=False)]
-
 
 @with_settings(EntrySettings)
 def entry(settings: EntrySettings, check: Check = False) -> None:
@@ -38,7 +35,7 @@
         return _report_valid()
     from cranberrylever.target import create_target
 
-    return run_program(create_target(settings), "the target")
+    return run_program(create_target(settings, exit_on_crash=True), "the target")
 
 
 def dev() -> None:
--- a/cranberrylever/settings.py
+++ b/cranberrylever/settings.py
@@ -22,6 +22,7 @@
 
 MAX_PEERS = 19
 MAX_DRAIN_DELAY_S = 600.0
+_TOKEN_NOTE = "prefer the variable, because other users can read the flags of a process"
 _LOOPBACK_REMEDY = "set a token of at least one character or listen on a loopback address"
 
 
@@ -91,7 +92,9 @@
         "Form a new cluster on an empty data folder; accepted once per cluster.", boolean, False
     )
     failure_domain: str = _failure_domain()
-    token: str = setting("Bearer token of the operator API; required unless it is on loopback.", token, "")
+    token: str = setting(
+        f"Bearer token of the operator API; required unless it is on loopback; {_TOKEN_NOTE}.", token, ""
+    )
     statsd: str = _statsd()
     log: LogSettings = attrs.field(factory=LogSettings)
 
@@ -184,6 +187,11 @@
         is_list=True,
     )
     failure_domain: str = setting("Failure domain (zone) of this instance.", identifier)
+    advertise: str = setting(
+        "Address to announce (default: the listen address).",
+        optional_address,
+        "",
+    )
     slots: int = setting("Requests that run at once.", integer(1, 10_000), 3)
     connections: int = setting("Connections accepted at once.", integer(1, 100_000), 100)
     cold_capacity: int = setting("Requests that may run at once while cold.", integer(0, 10_000), 1)
@@ -194,7 +202,7 @@
     queue_limit: int = setting("Requests queued beyond the slots.", integer(0, 100_000), 64)
     load_lag_s: float = setting("Age of the load reports in s.", number(0.0, 600.0), 0.0)
     starts_cold: bool = setting("Start cold.", boolean, False)
-    token: str = setting("Bearer token for announcements to control.", token, "")
+    token: str = setting(f"Bearer token for announcements to control; {_TOKEN_NOTE}.", token, "")
     record: str = setting("File for the record of executed requests (default: none).", plain_text, "")
     log: LogSettings = attrs.field(factory=LogSettings)
 
@@ -212,5 +220,5 @@
         environment="CONTROL_HTTP",
         is_list=True,
     )
-    token: str = setting("Bearer token of the operator API.", token, "")
+    token: str = setting(f"Bearer token of the operator API; {_TOKEN_NOTE}.", token, "")
     timeout: float = setting("Seconds that the command may take.", number(0.1, 600.0), 10.0)
