--- a/cranberrylever/dev/_cluster.py
+++ b/cranberrylever/dev/_cluster.py
@@ -7,7 +7,7 @@
 
 from cranberrylever.control import ControlProgram, create_control
 from cranberrylever.entry import EntryProgram, create_entry
-from cranberrylever.settings import ControlSettings, EntrySettings, PeerAddress, TargetSettings
+from cranberrylever.settings import ControlSettings, EntrySettings, LogSettings, PeerAddress, TargetSettings
 from cranberrylever.target import TargetProgram, create_target
 
 HOST = "127.0.0.1"
@@ -69,6 +69,10 @@
         if self.control is not None:
             await self.control.close()
 
+    def log_settings(self) -> LogSettings:
+        """Return the log settings of all programs; they share one file."""
+        return LogSettings(destination=f"{self.data_dir}/dev.log")
+
     def control_settings(self) -> ControlSettings:
         """Return the settings of the control member."""
         return ControlSettings(
@@ -79,6 +83,7 @@
             bootstrap=True,
             failure_domain=FAILURE_DOMAINS[0],
             token=self.token,
+            log=self.log_settings(),
         )
 
     def entry_settings(self, number: int) -> EntrySettings:
@@ -90,6 +95,7 @@
             control=(self.control_rpc,),
             failure_domain=FAILURE_DOMAINS[number - 1],
             drain_delay=0.0,
+            log=self.log_settings(),
         )
 
     def target_settings(self) -> list[TargetSettings]:
@@ -102,6 +108,7 @@
                 control=(self.control_http,),
                 failure_domain=domain,
                 token=self.token,
+                log=self.log_settings(),
             )
             for prefix, service in (("ledger", KEYED_SERVICE), ("desk", POOLED_SERVICE))
             for number, domain in enumerate(FAILURE_DOMAINS, start=1)
--- a/cranberrylever/dev/_program.py
+++ b/cranberrylever/dev/_program.py
@@ -8,8 +8,6 @@
 
 from cranberrylever.dev._cluster import EXAMPLE_TICKET, KEYED_SERVICE, POOLED_SERVICE, DevCluster
 from cranberrylever.errors import CranberryleverError
-from cranberrylever.logs import install_log, remove_logs
-from cranberrylever.settings import LogSettings
 
 START_LIMIT_SECONDS = 20.0
 RETRY_SECONDS = 0.1
@@ -26,11 +24,7 @@
         token: Bearer token of the operator API; empty for none.
     """
     with tempfile.TemporaryDirectory(prefix="cranberrylever-dev-") as folder:
-        install_log(LogSettings(destination=f"{folder}/dev.log"))
-        try:
-            asyncio.run(serve(DevCluster(folder, token)))
-        finally:
-            remove_logs()
+        asyncio.run(serve(DevCluster(folder, token)))
 
 
 async def serve(cluster: DevCluster, stop: asyncio.Event | None = None) -> None:
--- a/cranberrylever/target/_program.py
+++ b/cranberrylever/target/_program.py
@@ -8,7 +8,7 @@
 import attrs
 
 from cranberrylever.http_server import HttpServer
-from cranberrylever.logs import Log
+from cranberrylever.logs import Log, install_log
 from cranberrylever.membership import Announcement
 from cranberrylever.settings import TargetSettings
 from cranberrylever.target._admission import Admission
@@ -92,6 +92,7 @@
 
     async def start(self) -> None:
         """Listen, then announce."""
+        self.installed_log = install_log(self.settings.log)
         await self.server.start()
         self.log.info("target_started", address=self.bound_address, incarnation=self.incarnation)
         self.tasks.append(asyncio.create_task(self.watch_grant()))
@@ -116,6 +117,7 @@
         await self.server.close()
         self.record.close()
         self.log.info("target_stopped")
+        self.installed_log.close()
 
     async def wait_until_left(self) -> None:
         """Wait until control has taken all shards away, no work is left and no entry sends any more."""
