Pass the fields of a claim's completion by name

Cause: the fields answer and attempt of ClaimCompletion were given in the wrong order. The command was committed and no member could decode it, so every control member stopped at its first completed claim, and again at each start from that log. Change: both claim commands are built with field names. A test runs them through the encoding of the log. Ruled out: a check of types before each proposal; it would cost a decoding per command.

--- a/cranberrylever/control/_entries.py
+++ b/cranberrylever/control/_entries.py
@@ -118,11 +118,21 @@
         await self._send(entry, EntryReply(self.cluster_id, view_answer=answer))
 
     async def _open_claim(self, entry: EntryStream, request: OpenClaim) -> None:
-        opening = ClaimOpening(request.claim_id, request.fingerprint, request.entry_id, request.attempt)
+        opening = ClaimOpening(
+            claim_id=request.claim_id,
+            fingerprint=request.fingerprint,
+            entry_id=request.entry_id,
+            attempt=request.attempt,
+        )
         await self._answer_claim(entry, request.call, self.openings, opening)
 
     async def _complete_claim(self, entry: EntryStream, request: CompleteClaim) -> None:
-        completion = ClaimCompletion(request.claim_id, request.entry_id, request.attempt, request.answer)
+        completion = ClaimCompletion(
+            claim_id=request.claim_id,
+            entry_id=request.entry_id,
+            answer=request.answer,
+            attempt=request.attempt,
+        )
         await self._answer_claim(entry, request.call, self.completions, completion)
 
     async def _answer_claim(self, entry: EntryStream, call: int, batcher: Batcher, item: object) -> None:
--- /dev/null
+++ b/tests/control/test_entries.py
@@ -0,0 +1,47 @@
+"""Requests of entries at a control member."""
+
+import testtools
+
+from cranberrylever.control._entries import EntryService, EntryStream
+from cranberrylever.state import ClusterState, decode_command, encode_command
+from cranberrylever.wire import ClaimAnswer, CompleteClaim, OpenClaim
+from tests.support import run_paused
+
+
+class FakeLeader:
+    """Applies commands as a control member does: encoded and decoded again."""
+
+    def __init__(self):
+        self.state = ClusterState()
+        self.index = 0
+
+    async def propose(self, command):
+        self.index += 1
+        return self.state.apply(self.index, decode_command(encode_command(command)))
+
+
+class FakeStream:
+    def __init__(self):
+        self.sent = []
+
+    async def send_message(self, reply):
+        self.sent.append(reply.claim_result)
+
+
+class EntryServiceTest(testtools.TestCase):
+    def test_claim_survives_the_log(self):
+        """A completion with swapped fields once stopped every member that applied it, at each start."""
+        answer = ClaimAnswer("done", 200, (("a", "b"),), b"body")
+
+        async def main():
+            stream = FakeStream()
+            entry = EntryStream(stream)
+            service = EntryService("c", FakeLeader(), None)
+            await service._open_claim(entry, OpenClaim(1, "claim", "print", "e1", "attempt"))
+            await service._complete_claim(entry, CompleteClaim(2, "claim", "e1", answer, "attempt"))
+            await service._open_claim(entry, OpenClaim(3, "claim", "print", "e2", "other"))
+            return stream.sent
+
+        sent = run_paused(main)
+        self.assertEqual([(1, "won"), (2, "completed"), (3, "answered")], [(r.call, r.state) for r in sent])
+        self.assertEqual(answer, sent[2].answer)
