Check consensus with random schedules of kills, partitions and lost disks

Change: a simulated cluster that asserts one leader per term, equal applied entries, no lost acknowledged payload and no stale confirmed or lease read; elections and pending calls in modules of their own; proposals of an earlier leadership end when the node wins again within one loop pass; a timer that fires within the clock resolution before its deadline acts at once. Ruled out: a Hypothesis state machine, because a seeded schedule on the paused loop gives the same steps and replays by its seed.

--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -3,19 +3,21 @@
 import asyncio
 import random
 
-import attrs
 import eliot
 
 from cranberrylever.consensus._config import ConsensusConfig, MemberStatus
+from cranberrylever.consensus._leadership import Leadership
 from cranberrylever.consensus._log import is_voter
 from cranberrylever.consensus._machine import StateMachine
 from cranberrylever.consensus._messages import MESSAGE_KINDS, EntryKind, Message, Snapshot
 from cranberrylever.consensus._node import RaftNode
+from cranberrylever.consensus._pending import PendingCalls, proposal_lost
 from cranberrylever.consensus._storage import Storage, StorageBatch
 from cranberrylever.consensus._transport import Transport
 from cranberrylever.errors import (
     CodecError,
     CranberryleverError,
+    InvariantError,
     NotLeaderError,
     ProposalLostError,
     StorageError,
@@ -26,22 +28,6 @@
 KEPT_ENTRIES_DIVISOR = 4
 
 
-@attrs.define
-class _Proposal:
-    """A proposal that waits for its entry to be applied."""
-
-    term: int
-    future: asyncio.Future
-
-
-@attrs.define
-class _Barrier:
-    """A read that waits until ``index`` is applied."""
-
-    index: int
-    future: asyncio.Future
-
-
 class RaftDriver:
     """One running member.
 
@@ -71,9 +57,8 @@
         self.leader_since: float | None = None
         self.error: CranberryleverError | None = None
         self.stopped = asyncio.Event()
-        self._proposals: dict[int, _Proposal] = {}
-        self._reads: dict[int, asyncio.Future] = {}
-        self._barriers: list[_Barrier] = []
+        self._leadership: Leadership | None = None
+        self._pending = PendingCalls()
         self._is_saving = False
         self._is_pump_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -104,7 +89,7 @@
 
     def has_lease(self, now: float) -> bool:
         """Return whether no other member can have become leader by ``now`` (loop time in seconds)."""
-        return self.error is None and self.node is not None and self.node.has_lease(now)
+        return self.leader_since is not None and self.node.has_lease(now)
 
     def members(self) -> tuple[MemberStatus, ...]:
         """Return what this member knows of each member of the group."""
@@ -157,7 +142,7 @@
         if self.stopped.is_set():
             return
         if not isinstance(error, CranberryleverError):
-            error = StorageError(f"unexpected {type(error).__name__}: {error}", "report the log lines before")
+            error = InvariantError(f"unexpected {error!r}", "report the log lines before this one")
         self.error = error
         eliot.log_message("consensus:stopped", member=self.config.member_id, error=str(error))
         self._stop(error)
@@ -172,8 +157,7 @@
         self.leader_since = None
         if self.node is not None:
             self.node.step_down(self._now())
-        self._fail_proposals(error)
-        self._fail_reads(error)
+        self._pending.fail_all(error)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -189,8 +173,7 @@
         """
         self._require_running()
         index = self.node.propose(payload)
-        future = asyncio.get_running_loop().create_future()
-        self._proposals[index] = _Proposal(self.node.hard.term, future)
+        future = self._pending.add_proposal(index, self.term)
         self._schedule_pump()
         return await future
 
@@ -203,9 +186,7 @@
             NotLeaderError: This member does not lead.
         """
         self._require_running()
-        read_id = self.node.request_read()
-        future = asyncio.get_running_loop().create_future()
-        self._reads[read_id] = future
+        future = self._pending.add_read(self.node.request_read())
         self._schedule_pump()
         await future
 
@@ -230,7 +211,7 @@
             return
         try:
             self.node.step(frame.sender, frame.folder_id, message, self._now())
-        except CranberryleverError as error:
+        except Exception as error:
             self._fail(error)
             return
         self._schedule_pump()
@@ -241,25 +222,25 @@
             self._is_pump_scheduled = True
             asyncio.get_running_loop().call_soon(self._pump)
 
-    def _on_timer(self) -> None:
+    def _on_timer(self, deadline: float) -> None:
+        """Run the rules at ``deadline``; the loop may call a little early, within its clock resolution."""
         self._timer = None
-        self._pump()
+        self._pump(max(deadline, self._now()))
 
     # Output ------------------------------------------------------------------------------------
 
-    def _pump(self) -> None:
+    def _pump(self, now: float | None = None) -> None:
         """Send, save and apply whatever the rules have ready."""
         self._is_pump_scheduled = False
         if self.stopped.is_set():
             return
         try:
-            self._pump_once()
+            self._pump_once(self._now() if now is None else now)
         except Exception as error:
             self._fail(error)
 
-    def _pump_once(self) -> None:
+    def _pump_once(self, now: float) -> None:
         node = self.node
-        now = self._now()
         if now >= node.deadline():
             node.tick(now)
         if node.refused is not None:
@@ -338,51 +319,28 @@
         if entry.kind == EntryKind.COMMAND:
             result = self.machine.apply(index, entry.payload)
         self.applied_index = index
-        proposal = self._proposals.pop(index, None)
-        if proposal is None or proposal.future.done():
-            return
-        if proposal.term == entry.term:
-            proposal.future.set_result(result)
-        else:
-            proposal.future.set_exception(_lost())
+        self._pending.finish_proposal(index, entry.term, result)
 
     def _finish_reads(self) -> None:
         node = self.node
         for read_id, index in node.confirmed_reads:
-            self._barriers.append(_Barrier(index, self._reads.pop(read_id)))
+            self._pending.confirm_read(read_id, index)
         node.confirmed_reads.clear()
         for read_id in node.failed_reads:
-            future = self._reads.pop(read_id)
-            if not future.done():
-                future.set_exception(NotLeaderError(node.leader_id))
+            self._pending.fail_read(read_id, NotLeaderError(node.leader_id))
         node.failed_reads.clear()
-        for barrier in self._barriers:
-            if barrier.index <= self.applied_index and not barrier.future.done():
-                barrier.future.set_result(None)
-        self._barriers = [barrier for barrier in self._barriers if not barrier.future.done()]
+        self._pending.release_reads(self.applied_index)
 
     def _observe_leadership(self, now: float) -> None:
-        node = self.node
-        if node.leadership is None:
+        """Follow changes of leadership; the node may lose it and win it again between two calls."""
+        leadership = self.node.leadership
+        if leadership is not self._leadership:
+            self._leadership = leadership
             self.leader_since = None
-            self._fail_proposals(_lost())
-        elif self.leader_since is None and self.applied_index >= node.leadership.first_index:
+            self._pending.fail_proposals(proposal_lost(), before_term=self.term if leadership else None)
+        if leadership and self.leader_since is None and self.applied_index >= leadership.first_index:
             self.leader_since = now
 
-    def _fail_proposals(self, error: CranberryleverError) -> None:
-        proposals, self._proposals = self._proposals, {}
-        for proposal in proposals.values():
-            if not proposal.future.done():
-                proposal.future.set_exception(error)
-
-    def _fail_reads(self, error: CranberryleverError) -> None:
-        futures = [*self._reads.values(), *(barrier.future for barrier in self._barriers)]
-        self._reads = {}
-        self._barriers = []
-        for future in futures:
-            if not future.done():
-                future.set_exception(error)
-
     def _set_timer(self, now: float) -> None:
         """Wake at the next deadline; a timer that is early is left, so heartbeats do not replace it."""
         deadline = self.node.deadline()
@@ -390,7 +348,7 @@
             if self._timer.when() <= deadline:
                 return
             self._timer.cancel()
-        self._timer = asyncio.get_running_loop().call_at(max(deadline, now), self._on_timer)
+        self._timer = asyncio.get_running_loop().call_at(max(deadline, now), self._on_timer, deadline)
 
     # Snapshots ---------------------------------------------------------------------------------
 
@@ -414,12 +372,6 @@
         self._is_snapshotting = False
 
 
-def _lost() -> ProposalLostError:
-    return ProposalLostError(
-        "leadership changed while the proposal was pending", "check whether it took effect, then repeat it"
-    )
-
-
 def create_driver(
     config: ConsensusConfig,
     storage: Storage,
--- a/cranberrylever/consensus/_follower.py
+++ b/cranberrylever/consensus/_follower.py
@@ -28,10 +28,10 @@
         if term > self.hard.term or self.role is not Role.FOLLOWER:
             self.become_follower(term, now)
         if not self.hard.voted_for:
-            self._set_hard(voted_for=leader)
+            self.set_hard(voted_for=leader)
         self.leader_id = leader
         self.last_heard = now
-        self.election_at = self._next_election(now)
+        self.election_at = self.next_election(now)
 
     def on_append_request(self, sender: str, request: AppendRequest, now: float) -> None:
         """Take over entries from the leader of the term."""
--- a/cranberrylever/consensus/_leadership.py
+++ b/cranberrylever/consensus/_leadership.py
@@ -1,5 +1,7 @@
 """The leader's part of Raft: replication, lease, read index and readmission."""
 
+import math
+
 import attrs
 
 from cranberrylever.consensus._log import is_voter, membership_entry
@@ -49,6 +51,7 @@
                 progress.founder = folder.founder
             self.progress[member] = progress
         self.round = 0
+        self.confirmed_round = 0
         self.round_sent: dict[int, float] = {0: now}
         self.heartbeat_at = now
         self.reads: list[_Read] = []
@@ -81,7 +84,7 @@
         """Start a heartbeat round when due and step down without a majority."""
         if now < self.heartbeat_at:
             return
-        if now - self._quorum_time() > self.node.config.timings.election_max:
+        if now - self.round_sent[self.confirmed_round] > self.node.config.timings.election_max:
             self.node.step_down(now)
             return
         self.start_round(now)
@@ -115,15 +118,16 @@
             if is_heartbeat:
                 self._send_chunk(member)
             return
-        entries: tuple[LogEntry, ...] = ()
-        can_send = not progress.is_paused and len(progress.in_flight) < MAX_IN_FLIGHT
-        if can_send and progress.next_index <= log.last_index:
+        while (
+            not progress.is_paused
+            and len(progress.in_flight) < MAX_IN_FLIGHT
+            and progress.next_index <= log.last_index
+        ):
             entries = log.slice_from(progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES)
-        if not entries and not is_heartbeat:
-            return
-        self._send_append(member, progress, entries)
-        if entries and progress.mode is Mode.REPLICATE and progress.next_index <= log.last_index:
-            self._send(member, is_heartbeat=False)
+            self._send_append(member, progress, entries)
+            is_heartbeat = False
+        if is_heartbeat:
+            self._send_append(member, progress, ())
 
     def _send_append(self, member: str, progress: Progress, entries: tuple[LogEntry, ...]) -> None:
         previous = progress.next_index - 1
@@ -136,7 +140,7 @@
             entries,
         )
         if progress.mode is Mode.PROBE:
-            progress.is_paused = bool(entries)
+            progress.is_paused = progress.is_paused or bool(entries)
         elif entries:
             progress.next_index += len(entries)
             progress.in_flight.append(entries[-1].index)
@@ -167,8 +171,7 @@
         if progress.folder_id == folder_id:
             progress.founder = founder
             return
-        acknowledged = Progress(self.node.log.last_index + 1, folder_id, founder)
-        self.progress[member] = acknowledged
+        self.progress[member] = Progress(self.node.log.last_index + 1, folder_id, founder)
 
     def on_append_reply(self, member: str, reply: AppendReply, now: float) -> None:
         """Take over a follower's answer."""
@@ -240,8 +243,8 @@
 
     def _quorum_value(self, own: int, values: dict[str, int]) -> int:
         """Return the greatest value that a majority of voters has reached."""
-        reached = sorted((value for member, value in values.items() if self.counts(member)), reverse=True)
-        reached = sorted([own, *reached], reverse=True)
+        counted = (value for member, value in values.items() if self.counts(member))
+        reached = sorted([own, *counted], reverse=True)
         quorum = self.node.config.quorum
         return reached[quorum - 1] if len(reached) >= quorum else 0
 
@@ -251,24 +254,24 @@
         index = self._quorum_value(self.node.persisted_index, matches)
         if index >= self.first_index:
             self.node.advance_commit(index)
+            self._confirm_reads()
 
-    def _quorum_round(self) -> int:
+    def _update_confirmed_round(self) -> None:
+        """Take note of the last round that a majority answered."""
         rounds = {member: progress.acknowledged_round for member, progress in self.progress.items()}
-        return self._quorum_value(self.round, rounds)
-
-    def _quorum_time(self) -> float:
-        """Return the sending time of the last round that a majority answered."""
-        newest = self._quorum_round()
+        newest = self._quorum_value(self.round, rounds)
+        if newest <= self.confirmed_round:
+            return
+        self.confirmed_round = newest
         for number in [number for number in self.round_sent if number < newest]:
             del self.round_sent[number]
-        return self.round_sent.get(newest, min(self.round_sent.values()))
 
     def lease_until(self) -> float:
         """Return when the lease ends, counted from the sending of the round that a majority answered."""
-        if self._quorum_round() == 0:
-            return float("-inf")
+        if self.confirmed_round == 0:
+            return -math.inf
         timings = self.node.config.timings
-        return self._quorum_time() + timings.election_min * (1 - timings.drift_margin)
+        return self.round_sent[self.confirmed_round] + timings.election_min * (1 - timings.drift_margin)
 
     def request_read(self, read_id: int) -> None:
         """Queue a read until a round sent after this call is answered."""
@@ -279,9 +282,10 @@
         return any(read.round == 0 for read in self.reads)
 
     def _confirm_reads(self) -> None:
+        self._update_confirmed_round()
         if not self.reads or not self.has_committed:
             return
-        newest = self._quorum_round()
+        newest = self.confirmed_round
         done = [read for read in self.reads if 0 < read.round <= newest]
         self.reads = [read for read in self.reads if not 0 < read.round <= newest]
         for read in done:
--- a/cranberrylever/consensus/_node.py
+++ b/cranberrylever/consensus/_node.py
@@ -6,9 +6,10 @@
 import attrs
 
 from cranberrylever.consensus._config import ConsensusConfig, Role
+from cranberrylever.consensus._election import ElectionRules
 from cranberrylever.consensus._follower import FollowerRules
 from cranberrylever.consensus._leadership import Leadership
-from cranberrylever.consensus._log import MembershipHistory, RaftLog, is_voter
+from cranberrylever.consensus._log import MembershipHistory, RaftLog
 from cranberrylever.consensus._messages import (
     AppendReply,
     AppendRequest,
@@ -36,7 +37,7 @@
     heard_at: float
 
 
-class RaftNode(FollowerRules):
+class RaftNode(ElectionRules, FollowerRules):
     """One member's Raft state.
 
     Args:
@@ -70,7 +71,7 @@
         self.no_vote_before = (
             -math.inf if is_fresh or config.quorum == 1 else now + config.timings.election_min
         )
-        self.election_at = now if config.quorum == 1 else self._next_election(now)
+        self.election_at = now if config.quorum == 1 else self.next_election(now)
         self.refused: str | None = None
         self.installed: Snapshot | None = None
         self._incoming: list[bytes] = []
@@ -127,7 +128,7 @@
         """
         membership_index, _ = self.memberships.at(self.commit_index)
         if self.hard.commit_index < membership_index <= self.persisted_index:
-            self._set_hard(commit_index=membership_index)
+            self.set_hard(commit_index=membership_index)
         entries = self.log.entries[self._unsaved_index - self.log.base_index - 1 :]
         snapshot, self.installed = self.installed, None
         batch = StorageBatch(
@@ -157,11 +158,12 @@
         check(self.persisted_index <= self.log.last_index, "synced entries are in the log")
         hard = batch.hard_state
         if self.role is Role.CANDIDATE and hard is not None and hard.term == self.hard.term:
-            self._count_vote(self.config.member_id, now)
+            self.count_vote(self.config.member_id, now)
         if self.leadership is not None:
             self.leadership.update_commit()
 
-    def _set_hard(self, **changes) -> None:
+    def set_hard(self, **changes) -> None:
+        """Change the hard state; it is synced with the next batch."""
         hard = attrs.evolve(self.hard, **changes)
         check(hard.term >= self.hard.term, f"term {hard.term} does not fall below {self.hard.term}")
         check(
@@ -235,7 +237,7 @@
         leadership = self.leadership
         return leadership is not None and leadership.has_committed and now < leadership.lease_until()
 
-    # Elections ---------------------------------------------------------------------------------
+    # Time --------------------------------------------------------------------------------------
 
     def deadline(self) -> float:
         """Return when ``tick`` has something to do."""
@@ -246,130 +248,7 @@
         if self.leadership is not None:
             self.leadership.tick(now)
         elif now >= self.election_at:
-            self._start_pre_vote(now)
-
-    def _next_election(self, now: float) -> float:
-        timings = self.config.timings
-        return now + self.rng.uniform(timings.election_min, timings.election_max)
-
-    def may_vote(self) -> bool:
-        """Return whether this member's own folder votes."""
-        _, committed = self.memberships.at(self.commit_index)
-        return all(
-            is_voter(membership, self.config.member_id, self.folder_id, self.founder)
-            for membership in (committed, self.memberships.latest)
-        )
-
-    def _is_known_voter(self, member: str, folder_id: str, founder: bool) -> bool:
-        _, committed = self.memberships.at(self.commit_index)
-        return any(
-            is_voter(membership, member, folder_id, founder)
-            for membership in (committed, self.memberships.latest)
-        )
-
-    def _start_pre_vote(self, now: float) -> None:
-        self.election_at = self._next_election(now)
-        if not self.may_vote():
-            return
-        if self.config.quorum == 1:
-            self._start_election(now)
-            return
-        self.role = Role.PRE_CANDIDATE
-        self.leader_id = None
-        self.votes = {self.config.member_id}
-        request = self._vote_request(self.hard.term + 1, pre_vote=True)
-        for member in self.peers:
-            self.send_after_sync(member, request)
-
-    def _start_election(self, now: float) -> None:
-        self.role = Role.CANDIDATE
-        self.leader_id = None
-        self.votes = set()
-        self.election_at = self._next_election(now)
-        self._set_hard(term=self.hard.term + 1, voted_for=self.config.member_id)
-        request = self._vote_request(self.hard.term, pre_vote=False)
-        for member in self.peers:
-            self.send_after_sync(member, request)
-
-    def _vote_request(self, term: int, pre_vote: bool) -> VoteRequest:
-        return VoteRequest(term, self.log.last_index, self.log.last_term, pre_vote, self.founder)
-
-    def _hears_leader(self, now: float) -> bool:
-        """Return whether a leader lease could still rely on this member's silence."""
-        if now < self.no_vote_before:
-            return True
-        if self.leadership is not None:
-            return now < self.leadership.lease_until()
-        return now - self.last_heard < self.config.timings.election_min
-
-    def _on_vote_request(self, sender: str, folder_id: str, request: VoteRequest, now: float) -> None:
-        if not self._is_known_voter(sender, folder_id, request.founder):
-            return
-        if request.pre_vote:
-            granted = self._can_vote_for(request, now) and request.term > self.hard.term
-            term = request.term if granted else self.hard.term
-            self.send_after_sync(sender, VoteReply(term, granted, True, self.founder))
-            return
-        if request.term >= self.hard.term and self._hears_leader(now):
-            return
-        if request.term > self.hard.term:
-            self.become_follower(request.term, now)
-        granted = (
-            request.term == self.hard.term
-            and self.hard.voted_for in ("", sender)
-            and self._can_vote_for(request, now)
-        )
-        if granted and not self.hard.voted_for:
-            self._set_hard(voted_for=sender)
-            self.election_at = self._next_election(now)
-        self.send_after_sync(sender, VoteReply(self.hard.term, granted, False, self.founder))
-
-    def _can_vote_for(self, request: VoteRequest, now: float) -> bool:
-        own = (self.log.last_term, self.log.last_index)
-        is_complete = (request.last_term, request.last_index) >= own
-        return is_complete and self.may_vote() and not self._hears_leader(now)
-
-    def _on_vote_reply(self, sender: str, folder_id: str, reply: VoteReply, now: float) -> None:
-        if not reply.granted:
-            if reply.term > self.hard.term:
-                self.become_follower(reply.term, now)
-            return
-        if not is_voter(self.memberships.latest, sender, folder_id, reply.founder):
-            return
-        if reply.pre_vote and self.role is Role.PRE_CANDIDATE and reply.term == self.hard.term + 1:
-            self.votes.add(sender)
-            if len(self.votes) >= self.config.quorum:
-                self._start_election(now)
-        elif not reply.pre_vote and self.role is Role.CANDIDATE and reply.term == self.hard.term:
-            self._count_vote(sender, now)
-
-    def _count_vote(self, member: str, now: float) -> None:
-        self.votes.add(member)
-        own = self.config.member_id
-        if own in self.votes and len(self.votes) >= self.config.quorum:
-            self._become_leader(now)
-
-    def _become_leader(self, now: float) -> None:
-        check(self.may_vote(), "a learner does not lead")
-        self.role = Role.LEADER
-        self.leader_id = self.config.member_id
-        self.leadership = Leadership(self, now)
-        self.leadership.start_round(now)
-
-    def become_follower(self, term: int, now: float) -> None:
-        """Follow in ``term``; the leader is not known yet."""
-        self.step_down(now)
-        if term > self.hard.term:
-            self._set_hard(term=term, voted_for="")
-
-    def step_down(self, now: float) -> None:
-        """Leave the role of a leader or candidate."""
-        if self.leadership is not None:
-            self.failed_reads.extend(read.read_id for read in self.leadership.reads)
-            self.leadership = None
-            self.election_at = self._next_election(now)
-        self.role = Role.FOLLOWER
-        self.leader_id = None
+            self.start_pre_vote(now)
 
     # Dispatch ----------------------------------------------------------------------------------
 
@@ -391,9 +270,9 @@
         self.folders[sender] = Folder(folder_id, founder, now)
         match message:
             case VoteRequest():
-                self._on_vote_request(sender, folder_id, message, now)
+                self.on_vote_request(sender, folder_id, message, now)
             case VoteReply():
-                self._on_vote_reply(sender, folder_id, message, now)
+                self.on_vote_reply(sender, folder_id, message, now)
             case AppendRequest():
                 self.on_append_request(sender, message, now)
             case SnapshotChunk():
--- /dev/null
+++ b/tests/consensus/cluster.py
@@ -0,0 +1,178 @@
+"""A group of members on simulated disks and a simulated network, with checks of the safety rules."""
+
+import asyncio
+import random
+
+from cranberrylever.consensus import (
+    ConsensusConfig,
+    MemoryDisk,
+    MemoryNetwork,
+    MemoryStorage,
+    MemoryTransport,
+    StateMachine,
+    create_driver,
+)
+from cranberrylever.errors import CranberryleverError
+
+CLUSTER = "test"
+
+
+class ListMachine(StateMachine):
+    """State machine that keeps the applied payloads in a list."""
+
+    def __init__(self, on_apply=lambda index, payload: None):
+        self.items = []
+        self.payloads = set()
+        self.on_apply = on_apply
+
+    def apply(self, index, payload):
+        self.on_apply(index, payload)
+        self.items.append((index, payload))
+        self.payloads.add(payload)
+        return len(self.items)
+
+    def snapshot(self):
+        return b"\n".join(b"%d %s" % item for item in self.items)
+
+    def restore(self, index, data):
+        lines = [line.split(b" ", 1) for line in data.split(b"\n") if line]
+        self.items = [(int(number), payload) for number, payload in lines]
+        self.payloads = {payload for _, payload in lines}
+
+
+async def wait_for(condition, seconds=10.0):
+    """Wait until ``condition()`` holds, or fail after ``seconds``."""
+    deadline = asyncio.get_running_loop().time() + seconds
+    while not condition():
+        if asyncio.get_running_loop().time() > deadline:
+            raise AssertionError("condition not reached")
+        await asyncio.sleep(0.01)
+
+
+class _ObservedNetwork(MemoryNetwork):
+    """Network that checks the group whenever a frame arrives."""
+
+    observer = None
+
+    def _arrive(self, frame):
+        self.observer()
+        super()._arrive(frame)
+        self.observer()
+
+
+class Cluster:
+    """Members by name; every observation checks the rules that hold across members."""
+
+    def __init__(self, size, seed=1, snapshot_entries=50, **network):
+        self.rng = random.Random(seed)
+        self.network = _ObservedNetwork(random.Random(seed + 1), **network)
+        self.network.observer = self.observe
+        self.names = [f"m{number}" for number in range(size)]
+        self.addresses = {name: f"{name}:1" for name in self.names}
+        self.snapshot_entries = snapshot_entries
+        self.disks = {name: MemoryDisk() for name in self.names}
+        self.drivers = {}
+        self.storages = {}
+        self.leaders = {}
+        self.applied = {}
+        self.acknowledged = set()
+
+    async def start(self, name, bootstrap=False):
+        storage = MemoryStorage(self.disks[name], CLUSTER, bootstrap, sync_time=self.rng.uniform(0, 0.01))
+        config = ConsensusConfig(CLUSTER, name, self.addresses, snapshot_entries=self.snapshot_entries)
+        driver = create_driver(
+            config,
+            storage,
+            MemoryTransport(self.network, name),
+            ListMachine(self.check_applied),
+            random.Random(self.rng.random()),
+        )
+        self.storages[name] = storage
+        self.drivers[name] = driver
+        await driver.start()
+
+    async def start_all(self):
+        for name in self.names:
+            await self.start(name, bootstrap=True)
+
+    async def kill(self, name):
+        """Kill a member; a random part of its unsynced writes is lost."""
+        driver = self.drivers.pop(name)
+        driver.transport.close()
+        self.storages.pop(name).kill(self.rng)
+        await driver.close()
+        assert driver.error is None, driver.error
+
+    async def lose_disk(self, name):
+        if name in self.drivers:
+            await self.kill(name)
+        self.disks[name] = MemoryDisk()
+
+    async def close(self):
+        for name in list(self.drivers):
+            await self.kill(name)
+
+    def leader(self):
+        for driver in self.drivers.values():
+            if driver.has_lease(self.now()):
+                return driver
+        return None
+
+    async def wait_leader(self):
+        await wait_for(lambda: self.leader() is not None)
+        return self.leader()
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def is_repaired(self, name):
+        """Return whether the leader and the member itself count the member as a voter."""
+        leader = self.leader()
+        driver = self.drivers.get(name)
+        if leader is None or driver is None or not driver.node.may_vote():
+            return False
+        return all(
+            status.role in ("voter", "leader") and status.folder_id == driver.folder_id
+            for status in leader.members()
+            if status.member_id == name
+        )
+
+    # Checks ------------------------------------------------------------------------------------
+
+    def check_applied(self, index, payload):
+        """Applied sequences agree: no two members apply different payloads at one index."""
+        known = self.applied.setdefault(index, payload)
+        assert known == payload, f"index {index} applied as {known} and {payload}"
+
+    def observe(self):
+        holders = []
+        for name, driver in self.drivers.items():
+            assert driver.error is None, driver.error
+            if driver.node.leadership is not None:
+                other = self.leaders.setdefault(driver.term, name)
+                assert other == name, f"{other} and {name} both lead term {driver.term}"
+            if driver.has_lease(self.now()):
+                holders.append(driver)
+        assert len(holders) <= 1, "two members hold a lease"
+        if holders:
+            self.check_read(holders[0], self.acknowledged)
+
+    def check_read(self, driver, acknowledged):
+        """A confirmed read contains everything acknowledged before it began."""
+        missing = acknowledged - driver.machine.payloads
+        assert not missing, f"{driver.config.member_id} misses acknowledged {missing}"
+
+    async def propose(self, driver, payload):
+        try:
+            await asyncio.wait_for(driver.propose(payload), 2)
+        except (CranberryleverError, TimeoutError):
+            return
+        self.acknowledged.add(payload)
+
+    async def read(self, driver):
+        before = set(self.acknowledged)
+        try:
+            await asyncio.wait_for(driver.barrier(), 2)
+        except (CranberryleverError, TimeoutError):
+            return
+        self.check_read(driver, before)
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -14,42 +14,14 @@
     MemoryNetwork,
     MemoryStorage,
     MemoryTransport,
-    StateMachine,
     create_driver,
     open_disk_storage,
 )
 from cranberrylever.control._peers import PeerTransport
 from cranberrylever.wire import MsgpackCodec
+from tests.consensus.cluster import CLUSTER, ListMachine, wait_for
 from tests.support import run_paused
 
-CLUSTER = "test"
-
-
-class ListMachine(StateMachine):
-    """State machine that keeps the applied payloads in a list."""
-
-    def __init__(self):
-        self.items = []
-
-    def apply(self, index, payload):
-        self.items.append((index, payload))
-        return len(self.items)
-
-    def snapshot(self):
-        return b"\n".join(b"%d %s" % item for item in self.items)
-
-    def restore(self, index, data):
-        lines = [line.split(b" ", 1) for line in data.split(b"\n") if line]
-        self.items = [(int(number), payload) for number, payload in lines]
-
-
-async def wait_for(condition, seconds=10.0):
-    deadline = asyncio.get_running_loop().time() + seconds
-    while not condition():
-        if asyncio.get_running_loop().time() > deadline:
-            raise AssertionError("condition not reached")
-        await asyncio.sleep(0.01)
-
 
 def leader_of(drivers):
     for driver in drivers:
--- /dev/null
+++ b/tests/consensus/test_random.py
@@ -0,0 +1,118 @@
+"""Random schedules of kills, partitions, lost disks and delays with the safety rules asserted."""
+
+import asyncio
+import itertools
+
+import testtools
+
+from tests.consensus.cluster import Cluster, wait_for
+from tests.support import run_paused
+
+STEPS = 150
+
+
+class Schedule:
+    """Runs random steps on a cluster; it never loses more disks at a time than the group tolerates."""
+
+    def __init__(self, size, seed):
+        self.cluster = Cluster(size, seed, snapshot_entries=30, min_delay=0.0005, max_delay=0.02, loss=0.02)
+        self.rng = self.cluster.rng
+        self.tolerated = (size - 1) // 2
+        self.unrepaired = set()
+        self.payloads = itertools.count()
+        self.tasks = []
+        self.lost_disks = 0
+
+    async def run(self):
+        cluster = self.cluster
+        await cluster.start_all()
+        await cluster.wait_leader()
+        await wait_for(lambda: all(cluster.is_repaired(name) for name in cluster.names))
+        for _ in range(STEPS):
+            await self.step()
+            await asyncio.sleep(self.rng.choice([0.005, 0.05, 0.3]))
+            cluster.observe()
+            self.unrepaired = {name for name in self.unrepaired if not cluster.is_repaired(name)}
+        await self.settle()
+
+    async def step(self):
+        action = self.rng.choices(
+            [self.propose, self.read, self.kill, self.restart, self.partition, self.heal, self.lose_disk],
+            [10, 4, 2, 4, 1, 2, 2],
+        )[0]
+        await action()
+
+    async def propose(self):
+        for driver in list(self.cluster.drivers.values()):
+            if driver.node.leadership is not None:
+                for _ in range(self.rng.randint(1, 12)):
+                    payload = b"%d" % next(self.payloads)
+                    self.tasks.append(asyncio.ensure_future(self.cluster.propose(driver, payload)))
+
+    async def read(self):
+        for driver in list(self.cluster.drivers.values()):
+            if driver.node.leadership is not None:
+                self.tasks.append(asyncio.ensure_future(self.cluster.read(driver)))
+
+    async def kill(self):
+        if self.cluster.drivers:
+            await self.cluster.kill(self.rng.choice(sorted(self.cluster.drivers)))
+
+    async def restart(self):
+        for name in self.cluster.names:
+            if name not in self.cluster.drivers:
+                await self.cluster.start(name)
+
+    async def partition(self):
+        names = self.rng.sample(self.cluster.names, len(self.cluster.names))
+        cut = self.rng.randint(1, len(names) - 1)
+        self.cluster.network.partition(set(names[:cut]), set(names[cut:]))
+
+    async def heal(self):
+        self.cluster.network.heal()
+
+    async def lose_disk(self):
+        name = self.rng.choice(self.cluster.names)
+        if len(self.unrepaired | {name}) <= self.tolerated:
+            self.unrepaired.add(name)
+            self.lost_disks += 1
+            await self.cluster.lose_disk(name)
+
+    async def settle(self):
+        """Restore everything and check that nothing acknowledged is missing anywhere."""
+        cluster = self.cluster
+        await self.heal()
+        await self.restart()
+        await cluster.wait_leader()
+        await wait_for(lambda: all(cluster.is_repaired(name) for name in cluster.names))
+        await asyncio.gather(*self.tasks)
+        leader = await cluster.wait_leader()
+        await cluster.propose(leader, b"last")
+        assert b"last" in cluster.acknowledged
+        await wait_for(lambda: all(d.applied_index >= leader.commit_index for d in cluster.drivers.values()))
+        for driver in cluster.drivers.values():
+            cluster.check_read(driver, cluster.acknowledged)
+            assert driver.machine.items == leader.machine.items
+        await cluster.close()
+
+
+class RandomScheduleTest(testtools.TestCase):
+    def run_schedules(self, size, seeds):
+        lost_disks = 0
+        for seed in seeds:
+            schedule = Schedule(size, seed)
+            try:
+                run_paused(schedule.run)
+            except BaseException as error:
+                error.add_note(f"size {size}, seed {seed}")
+                raise
+            lost_disks += schedule.lost_disks
+        self.assertGreater(lost_disks, len(seeds))
+
+    def test_three_members(self):
+        """Guards against two leaders in a term, lost entries and stale reads among three members."""
+        self.run_schedules(3, range(1, 13))
+
+    def test_five_members(self):
+        """Guards against the same with two losses at a time among five members."""
+        self.run_schedules(5, range(101, 107))
