Test the data folder against kills, damage and full disks

Cause: the segment format and the order of steps were untested. Change: a kill before every file operation of a random write sequence, with part of the unsynced bytes lost; torn tails at every byte; a flipped bit at every byte before the tail; missing files; identity, lock and full disk; a differential test against the memory twin. Ruled out: requiring that a truncation is all or nothing; the removed entries were never committed and any prefix of them may stay. Conclusion: no synced entry is lost and no damage before the tail is taken for a torn tail in these runs.

--- /dev/null
+++ b/tests/consensus/test_disk.py
@@ -0,0 +1,347 @@
+"""Tests of the data folder: torn tails, damage, kills between two steps, and its identity."""
+
+import asyncio
+import errno
+import os
+import random
+import shutil
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from cranberrylever.consensus import DiskStorage, FileOperations, MemoryDisk, open_disk_storage
+from cranberrylever.consensus._messages import HardState, LogEntry, Membership, Snapshot
+from cranberrylever.consensus._storage import StorageBatch, usable_entries
+from cranberrylever.errors import ClusterMismatchError, LogDamagedError, SettingError, StorageError
+
+CLUSTER = "test"
+
+
+class KilledError(Exception):
+    """The simulated kill of the process."""
+
+
+class KillingFiles(FileOperations):
+    """Fails before the operation with the given number; unsynced bytes are then lost in part."""
+
+    def __init__(self, kill_at, rng):
+        self.count = 0
+        self.kill_at = kill_at
+        self.rng = rng
+        self.unsynced = {}
+
+    def _step(self):
+        self.count += 1
+        if self.count >= self.kill_at:
+            raise KilledError
+
+    def write(self, descriptor, data):
+        path = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        self.unsynced.setdefault(path, os.fstat(descriptor).st_size)
+        if self.count + 1 == self.kill_at:
+            super().write(descriptor, data[: self.rng.randint(0, len(data))])
+        self._step()
+        super().write(descriptor, data)
+
+    def sync_data(self, descriptor):
+        self._step()
+        super().sync_data(descriptor)
+        self.unsynced.pop(Path(os.readlink(f"/proc/self/fd/{descriptor}")), None)
+
+    def sync(self, descriptor):
+        self._step()
+        super().sync(descriptor)
+        self.unsynced.pop(Path(os.readlink(f"/proc/self/fd/{descriptor}")), None)
+
+    def truncate(self, descriptor, size):
+        self._step()
+        super().truncate(descriptor, size)
+
+    def rename(self, source, target):
+        self._step()
+        super().rename(source, target)
+
+    def remove(self, path):
+        self._step()
+        super().remove(path)
+
+    def lose_unsynced(self):
+        for path, synced in self.unsynced.items():
+            if path.exists() and path.stat().st_size > synced:
+                os.truncate(path, self.rng.randint(synced, path.stat().st_size))
+
+
+def batch(hard=None, truncate=None, entries=(), snapshot=None):
+    return StorageBatch(hard, truncate, tuple(entries), snapshot, ())
+
+
+def random_batches(rng, count):
+    """Return batches as a member writes them, with truncations, new terms and installed snapshots."""
+    batches = []
+    first, last, term, base = 1, 0, 1, 0
+    for _ in range(count):
+        hard = truncate = snapshot = None
+        if rng.random() < 0.3:
+            term += 1
+            hard = HardState(term, "m1", base)
+        if rng.random() < 0.1:
+            base = last + rng.randint(1, 5)
+            snapshot = Snapshot(base, term, Membership({"m1": "f"}), b"state %d" % base)
+            first, last = base + 1, base
+        elif last >= first and rng.random() < 0.2:
+            truncate = rng.randint(first, last)
+            last = truncate - 1
+            term += 1
+            hard = HardState(term, "m2", base)
+        entries = [
+            LogEntry(last + 1 + number, term, 0, rng.randbytes(rng.randint(0, 40)))
+            for number in range(rng.randint(1, 6))
+        ]
+        last += len(entries)
+        batches.append(batch(hard, truncate, entries, snapshot))
+    return batches
+
+
+def contents(hard, snapshot, entries, base_index, base_term):
+    """Return what matters of a stored state, independent of how much was compacted."""
+    entries, _ = usable_entries(snapshot, entries, base_index, base_term)
+    after = snapshot.index if snapshot else 0
+    return hard, snapshot, tuple(entry for entry in entries if entry.index > after)
+
+
+def twin_contents(disk):
+    return contents(disk.hard_state, disk.snapshot, disk.entries, disk.base_index, disk.base_term)
+
+
+def allowed_contents(twin, outstanding):
+    """Return the states that a kill during ``outstanding`` may leave.
+
+    Entries that are being removed were never committed, so any number of them may be left.
+    """
+    allowed = [twin_contents(twin)]
+    if outstanding is None:
+        return allowed
+    removed = ()
+    if outstanding.truncate_from is not None:
+        removed = tuple(twin.entries[outstanding.truncate_from - twin.base_index - 1 :])
+    for step in twin.steps(outstanding):
+        step()
+        hard, snapshot, entries = twin_contents(twin)
+        allowed.append((hard, snapshot, entries))
+        if removed and twin.base_index + len(twin.entries) == removed[0].index - 1:
+            allowed += [(hard, snapshot, entries + removed[:count]) for count in range(len(removed))]
+    return allowed
+
+
+class FolderCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+
+    def open(self, **options):
+        return DiskStorage(self.folder / "data", CLUSTER, segment_bytes=300, **options)
+
+    def with_storage(self, action, **options):
+        async def main():
+            storage = self.open(**options)
+            try:
+                return await action(storage)
+            finally:
+                await storage.close()
+
+        return asyncio.run(main())
+
+    def write(self, *batches):
+        async def action(storage):
+            for item in batches:
+                await storage.save(item)
+
+        self.with_storage(action)
+
+    def load(self):
+        async def action(storage):
+            return storage.load()
+
+        return self.with_storage(action)
+
+    def segments(self):
+        return sorted((self.folder / "data" / "log").glob("*.log"))
+
+
+class KillTest(FolderCase):
+    def test_kill_between_steps(self):
+        """Guards against a step order in which a kill loses synced data or leaves a mixed state."""
+        batches = random_batches(random.Random(5), 14)
+        kill_at = 0
+        is_complete = False
+        while not is_complete:
+            kill_at += 1
+            shutil.rmtree(self.folder / "data", ignore_errors=True)
+            self.with_storage(self._nothing)
+            is_complete = self._run_until_kill(batches, kill_at)
+        self.assertGreater(kill_at, 100)
+
+    async def _nothing(self, storage):
+        return None
+
+    def _run_until_kill(self, batches, kill_at):
+        """Run with a kill before operation ``kill_at``; return whether all batches were written."""
+        files = KillingFiles(kill_at, random.Random(kill_at))
+        twin = MemoryDisk()
+        outstanding = None
+
+        async def action(storage):
+            nonlocal outstanding
+            for item in batches:
+                outstanding = item
+                await storage.save(item)
+                for step in twin.steps(item):
+                    step()
+                outstanding = None
+
+        try:
+            self.with_storage(action, files=files)
+        except KilledError:
+            files.lose_unsynced()
+        state = self.load()
+        first = state.entries[0].index if state.entries else 0
+        found = contents(state.hard_state, state.snapshot, state.entries, first - 1, state.base_term)
+        self.assertTrue(found in allowed_contents(twin, outstanding), f"kill before operation {kill_at}")
+        return files.count < kill_at
+
+    def test_twin_agrees(self):
+        """Guards against a memory twin that behaves unlike the folder it stands for."""
+        for seed in range(20):
+            shutil.rmtree(self.folder / "data", ignore_errors=True)
+            twin = MemoryDisk()
+            batches = random_batches(random.Random(seed), 30)
+            self.write(*batches)
+            for item in batches:
+                for step in twin.steps(item):
+                    step()
+            state = self.load()
+            first = state.entries[0].index if state.entries else 0
+            found = contents(state.hard_state, state.snapshot, state.entries, first - 1, state.base_term)
+            self.assertEqual(twin_contents(twin), found, f"seed {seed}")
+
+
+class DamageTest(FolderCase):
+    def entries(self, first, last):
+        return [LogEntry(index, 1, 0, b"payload %d" % index) for index in range(first, last + 1)]
+
+    def test_torn_tail_is_cut(self):
+        """Guards against a member that refuses to start, or keeps half a record, after a kill in a write."""
+        self.write(batch(entries=self.entries(1, 2)))
+        synced = self.segments()[-1].stat().st_size
+        self.write(batch(entries=self.entries(3, 4)))
+        whole = self.segments()[-1].read_bytes()
+        third = synced + (len(whole) - synced) // 2
+        for size in range(synced, len(whole)):
+            self.segments()[-1].write_bytes(whole[:size])
+            expected = [1, 2, 3] if size >= third else [1, 2]
+            self.assertEqual(expected, [entry.index for entry in self.load().entries])
+            self.assertEqual(whole[: third if size >= third else synced], self.segments()[-1].read_bytes())
+
+    def test_lost_page_in_unsynced_write_is_cut(self):
+        """Guards against a member that treats a write whose first page was lost as damage."""
+        self.write(batch(entries=self.entries(1, 2)))
+        synced = self.segments()[-1].stat().st_size
+        self.write(batch(entries=self.entries(3, 4)))
+        data = bytearray(self.segments()[-1].read_bytes())
+        data[synced + 10] ^= 0xFF
+        self.segments()[-1].write_bytes(data)
+        self.assertEqual([1, 2], [entry.index for entry in self.load().entries])
+
+    def test_damage_before_tail_is_refused(self):
+        """Guards against dropping acknowledged entries after a damaged record as if they were a torn tail."""
+        self.write(batch(entries=self.entries(1, 2)))
+        synced = self.segments()[-1].stat().st_size
+        self.write(batch(entries=self.entries(3, 3)))
+        whole = self.segments()[-1].read_bytes()
+        for position in range(synced):
+            data = bytearray(whole)
+            data[position] ^= 0x01
+            self.segments()[-1].write_bytes(data)
+            error = self.assertRaises(LogDamagedError, self.load)
+            self.assertIn(str(self.segments()[-1]), str(error))
+            self.assertIn("data folder", error.remedy)
+
+    def test_sealed_segment_is_never_cut(self):
+        """Guards against cutting an older file in whose place entries were acknowledged."""
+        for index in range(1, 20):
+            self.write(batch(entries=self.entries(index, index)))
+        self.assertGreater(len(self.segments()), 2)
+        sealed = self.segments()[0]
+        sealed.write_bytes(sealed.read_bytes()[:-1])
+        error = self.assertRaises(LogDamagedError, self.load)
+        self.assertIn(str(sealed), str(error))
+
+    def test_missing_files_are_refused(self):
+        """Guards against a member that votes with its old folder id after its log was lost."""
+        self.write(batch(HardState(3, "m1"), entries=self.entries(1, 20)))
+        self.write(batch(entries=self.entries(21, 21)))
+        data = self.folder / "data"
+        for path in [*self.segments(), data / "log" / "manifest", data / "hard-state", data / "folder"]:
+            hidden = path.rename(self.folder / "hidden")
+            error = self.assertRaises(LogDamagedError, self.load)
+            self.assertIn(str(path), str(error))
+            hidden.rename(path)
+        shutil.rmtree(data / "log")
+        self.assertRaises(LogDamagedError, self.load)
+
+
+class IdentityTest(FolderCase):
+    def test_bootstrap_is_accepted_once(self):
+        """Guards against a restart that founds a second group."""
+        self.with_storage(self._identity, bootstrap=True)
+        error = self.assertRaises(SettingError, self.open, bootstrap=True)
+        self.assertIn("--bootstrap", str(error))
+
+    async def _identity(self, storage):
+        return storage.load().folder_id, storage.load().founder
+
+    def test_identity_is_kept(self):
+        """Guards against a member that counts as lost after each restart."""
+        first = self.with_storage(self._identity)
+        self.assertEqual(first, self.with_storage(self._identity))
+        self.assertFalse(first[1])
+
+    def test_other_cluster_is_refused(self):
+        """Guards against a member that answers with the data of another system."""
+        self.with_storage(self._identity)
+        self.assertRaises(ClusterMismatchError, open_disk_storage, self.folder / "data", "other")
+
+    def test_second_process_is_refused(self):
+        """Guards against two processes that write one log."""
+
+        async def action(storage):
+            self.assertRaises(StorageError, self.open)
+
+        self.with_storage(action)
+
+    def test_full_disk_stops_writing(self):
+        """Guards against a storage that goes on after a write of unknown extent."""
+
+        async def action(storage):
+            entry = LogEntry(1, 1, 0, b"x")
+            for _ in range(2):
+                try:
+                    await storage.save(batch(entries=[entry]))
+                except StorageError as error:
+                    self.assertTrue(error.remedy)
+                else:
+                    self.fail("the batch was reported as saved")
+
+        self.with_storage(self._identity)
+        full = OSError(errno.ENOSPC, "No space left on device")
+        self.with_storage(action, files=_FullDisk(full))
+
+
+class _FullDisk(FileOperations):
+    def __init__(self, error):
+        self.error = error
+
+    def write(self, descriptor, data):
+        raise self.error
