--- /dev/null
+++ b/tests/consensus/test_node.py
@@ -0,0 +1,288 @@
+"""Tests of single Raft rules with messages and time passed in."""
+
+import random
+
+import testtools
+
+from cranberrylever.consensus import ConsensusConfig, Role
+from cranberrylever.consensus._log import membership_entry
+from cranberrylever.consensus._messages import (
+    AppendReply,
+    AppendRequest,
+    EntryKind,
+    HardState,
+    LogEntry,
+    Membership,
+    VoteReply,
+    VoteRequest,
+)
+from cranberrylever.consensus._node import RaftNode
+from cranberrylever.consensus._storage import StoredState
+from cranberrylever.errors import InvariantError, NotLeaderError
+
+MEMBERS = {"a": "a:1", "b": "b:1", "c": "c:1"}
+FOLDERS = {"a": "fa", "b": "fb", "c": "fc"}
+
+
+def make_node(folder_id="fa", member_id="a", entries=None, hard=None, now=0.0, founder=False):
+    """Return a member restarted on a log that holds the membership, committed."""
+    if entries is None:
+        entries = [membership_entry(1, 1, Membership(FOLDERS))]
+    hard = hard or HardState(1, "b", 1 if entries else 0)
+    stored = StoredState(folder_id, founder, hard, None, entries, 0)
+    return RaftNode(ConsensusConfig("c", member_id, MEMBERS), stored, now, random.Random(1))
+
+
+def sync(node, now):
+    """Sync what is outstanding and return the messages that waited for it."""
+    messages = []
+    while (batch := node.take_batch()) is not None:
+        messages += batch.messages
+        node.batch_synced(batch, now)
+    return [message for _, message in messages]
+
+
+def elect(node, now=1.0):
+    """Let ``node`` win an election with the vote of ``b`` and return the time."""
+    node.tick(now)
+    sync(node, now)
+    node.step("b", "fb", VoteReply(node.hard.term + 1, True, True), now)
+    sync(node, now)
+    node.step("b", "fb", VoteReply(node.hard.term, True), now)
+    sync(node, now)
+    return now
+
+
+def acknowledge(node, now, member="b", folder="fb", round_number=None, match=None):
+    match = node.log.last_index if match is None else match
+    number = node.leadership.round if round_number is None else round_number
+    reply = AppendReply(node.hard.term, True, match, match, 0, 0, number)
+    node.step(member, folder, reply, now)
+
+
+class VoteTest(testtools.TestCase):
+    def ask(self, node, now, sender="b", folder="fb", term=5, last=(9, 4)):
+        node.step(sender, folder, VoteRequest(term, *last), now)
+        return [m.granted for m in sync(node, now) if isinstance(m, VoteReply)]
+
+    def test_no_vote_after_restart(self):
+        """Guards against a restarted member that forgot a leader whose lease relies on it."""
+        node = make_node(now=10.0)
+        self.assertEqual([], self.ask(node, 10.24))
+        node.step("b", "fb", VoteRequest(5, 9, 4, pre_vote=True), 10.24)
+        self.assertEqual([False], [message.granted for message in sync(node, 10.24)])
+        self.assertEqual([True], self.ask(node, 10.26))
+
+    def test_no_vote_while_leader_is_heard(self):
+        """Guards against a second leader within the lease of the first."""
+        node = make_node()
+        node.step("c", "fc", AppendRequest(2, 1, 1, 1, 1), 1.0)
+        sync(node, 1.0)
+        self.assertEqual([], self.ask(node, 1.24))
+        self.assertEqual(2, node.hard.term)
+        self.assertEqual([True], self.ask(node, 1.26))
+
+    def test_heartbeat_binds_the_vote(self):
+        """Guards against a second vote in a term by a readmitted member that forgot its first one."""
+        node = make_node()
+        node.step("c", "fc", AppendRequest(5, 1, 1, 1, 1), 1.0)
+        sync(node, 1.0)
+        self.assertEqual([False], self.ask(node, 2.0, term=5))
+
+    def test_one_vote_per_term(self):
+        """Guards against two leaders in one term."""
+        node = make_node()
+        self.assertEqual([True], self.ask(node, 1.0))
+        self.assertEqual([False], self.ask(node, 1.0, sender="c", folder="fc"))
+        self.assertEqual([True], self.ask(node, 1.0))
+
+    def test_shorter_log_gets_no_vote(self):
+        """Guards against a leader that lacks committed entries."""
+        entries = [membership_entry(1, 1, Membership(FOLDERS)), LogEntry(2, 3, EntryKind.COMMAND)]
+        node = make_node(entries=entries, hard=HardState(3, "", 1))
+        self.assertEqual([False], self.ask(node, 1.0, last=(1, 3)))
+        self.assertEqual([False], self.ask(node, 1.0, last=(9, 2)))
+
+    def test_unknown_folder_gets_no_vote(self):
+        """Guards against a candidate that lost its disk."""
+        node = make_node()
+        self.assertEqual([], self.ask(node, 1.0, folder="other"))
+        self.assertEqual(1, node.hard.term)
+
+    def test_learner_does_not_vote(self):
+        """Guards against a vote of a member that lost its disk and forgot its earlier vote."""
+        for entries in ([], None):
+            node = make_node(folder_id="new", entries=entries, hard=HardState())
+            self.assertNotIn(True, self.ask(node, 1.0))
+            node.tick(2.0)
+            sync(node, 2.0)
+            self.assertIs(Role.FOLLOWER, node.role)
+
+    def test_readmission_counts_when_committed(self):
+        """Guards against a vote under an appended readmission that may still be replaced."""
+        folders = {**FOLDERS, "a": "new"}
+        entries = [membership_entry(1, 1, Membership(FOLDERS))]
+        node = make_node(folder_id="new", entries=entries)
+        entry = membership_entry(2, 2, Membership(folders, ("fa",)))
+        node.step("b", "fb", AppendRequest(2, 1, 1, 1, 1, (entry,)), 1.0)
+        sync(node, 1.0)
+        self.assertFalse(node.may_vote())
+        node.step("b", "fb", AppendRequest(2, 2, 2, 2, 2), 1.0)
+        self.assertTrue(node.may_vote())
+        sync(node, 1.0)
+        self.assertEqual(2, node.hard.commit_index)
+        self.assertEqual([True], self.ask(node, 2.0, term=3))
+
+    def test_vote_of_unknown_folder_is_not_counted(self):
+        """Guards against a majority that includes a lost disk."""
+        node = make_node()
+        node.tick(1.0)
+        sync(node, 1.0)
+        node.step("b", "other", VoteReply(2, True, True), 1.0)
+        self.assertIs(Role.PRE_CANDIDATE, node.role)
+        node.step("c", "fc", VoteReply(2, True, True), 1.0)
+        self.assertIs(Role.CANDIDATE, node.role)
+
+
+class SyncTest(testtools.TestCase):
+    def test_vote_waits_for_sync(self):
+        """Guards against a vote that a kill makes the member forget."""
+        node = make_node()
+        node.step("b", "fb", VoteRequest(5, 9, 4), 1.0)
+        self.assertEqual([], node.take_messages(1.0))
+        batch = node.take_batch()
+        self.assertEqual("b", batch.hard_state.voted_for)
+        self.assertEqual(1, len(batch.messages))
+
+    def test_own_vote_waits_for_sync(self):
+        """Guards against a leader whose own vote is not on its disk."""
+        node = make_node()
+        node.tick(1.0)
+        sync(node, 1.0)
+        node.step("b", "fb", VoteReply(2, True, True), 1.0)
+        batch = node.take_batch()
+        node.step("b", "fb", VoteReply(2, True), 1.0)
+        self.assertIs(Role.CANDIDATE, node.role)
+        node.batch_synced(batch, 1.0)
+        self.assertIs(Role.LEADER, node.role)
+
+    def test_acknowledgement_waits_for_sync(self):
+        """Guards against an acknowledged entry that a kill loses."""
+        node = make_node()
+        entry = LogEntry(2, 2, EntryKind.COMMAND, b"x")
+        node.step("b", "fb", AppendRequest(2, 1, 1, 1, 1, (entry,)), 1.0)
+        self.assertEqual([], node.take_messages(1.0))
+        batch = node.take_batch()
+        self.assertEqual((entry,), batch.entries)
+        self.assertTrue(batch.messages[0][1].success)
+        self.assertEqual(1, node.persisted_index)
+
+    def test_truncation_during_sync(self):
+        """Guards against counting entries as synced that were replaced while the sync ran."""
+        node = make_node()
+        old = tuple(LogEntry(index, 2, EntryKind.COMMAND, b"old") for index in (2, 3, 4))
+        node.step("b", "fb", AppendRequest(2, 1, 1, 1, 1, old), 1.0)
+        batch = node.take_batch()
+        new = LogEntry(3, 3, EntryKind.COMMAND, b"new")
+        node.step("c", "fc", AppendRequest(3, 2, 2, 1, 1, (new,)), 1.5)
+        node.batch_synced(batch, 1.5)
+        self.assertEqual(2, node.persisted_index)
+        following = node.take_batch()
+        self.assertEqual((3, (new,)), (following.truncate_from, following.entries))
+
+    def test_leader_counts_only_synced_entries(self):
+        """Guards against a commit that relies on the leader's unsynced copy."""
+        node = make_node()
+        now = elect(node)
+        index = node.propose(b"x")
+        acknowledge(node, now)
+        self.assertLess(node.commit_index, index)
+        sync(node, now)
+        self.assertEqual(index, node.commit_index)
+
+
+class LeaderTest(testtools.TestCase):
+    def test_lease_counts_from_sending(self):
+        """Guards against a lease that a late answer prolongs."""
+        node = make_node()
+        sent = elect(node)
+        acknowledge(node, sent + 0.2)
+        self.assertTrue(node.has_lease(sent + 0.22))
+        self.assertFalse(node.has_lease(sent + 0.226))
+
+    def test_lost_disk_does_not_count(self):
+        """Guards against commits, leases and reads that rely on a member with a lost disk."""
+        node = make_node()
+        now = elect(node)
+        read = node.request_read()
+        node.take_messages(now)
+        acknowledge(node, now, folder="other")
+        acknowledge(node, now, member="c", folder="other")
+        self.assertFalse(node.leadership.has_committed)
+        self.assertFalse(node.has_lease(now))
+        self.assertEqual([], node.confirmed_reads)
+        acknowledge(node, now)
+        self.assertEqual([(read, node.leadership.first_index)], node.confirmed_reads)
+
+    def test_read_needs_a_later_round(self):
+        """Guards against a read that an answer to an earlier heartbeat confirms."""
+        node = make_node()
+        now = elect(node)
+        acknowledge(node, now)
+        node.request_read()
+        acknowledge(node, now)
+        self.assertEqual([], node.confirmed_reads)
+        node.take_messages(now)
+        acknowledge(node, now)
+        self.assertEqual(1, len(node.confirmed_reads))
+
+    def test_entry_of_earlier_term_is_not_counted(self):
+        """Guards against committing an earlier term's entry by its copies alone."""
+        entries = [membership_entry(1, 1, Membership(FOLDERS)), LogEntry(2, 1, EntryKind.COMMAND)]
+        node = make_node(entries=entries)
+        now = elect(node)
+        acknowledge(node, now, match=2)
+        self.assertEqual(1, node.commit_index)
+        acknowledge(node, now, match=3)
+        self.assertEqual(3, node.commit_index)
+
+    def test_readmission_is_committed_by_the_others(self):
+        """Guards against a readmission that the readmitted member's own copy commits."""
+        node = make_node()
+        now = elect(node)
+        acknowledge(node, now)
+        acknowledge(node, now, member="c", folder="new")
+        self.assertEqual("new", node.memberships.latest.folders["c"])
+        self.assertEqual(("fc",), node.memberships.latest.retired)
+        sync(node, now)
+        acknowledge(node, now, member="c", folder="new")
+        self.assertLess(node.commit_index, node.memberships.latest_index)
+        acknowledge(node, now)
+        self.assertEqual(node.memberships.latest_index, node.commit_index)
+
+    def test_leader_without_majority_steps_down(self):
+        """Guards against a partitioned leader that accepts proposals for ever."""
+        node = make_node()
+        now = elect(node)
+        for step in range(1, 13):
+            node.tick(now + 0.05 * step)
+        self.assertIs(Role.FOLLOWER, node.role)
+        self.assertRaises(NotLeaderError, node.propose, b"x")
+
+    def test_two_leaders_in_a_term_are_detected(self):
+        """Guards against going on after the election rule was broken."""
+        node = make_node()
+        now = elect(node)
+        request = AppendRequest(node.hard.term, 1, 1, 1, 1)
+        self.assertRaises(InvariantError, node.step, "c", "fc", request, now)
+
+    def test_pipelined_appends(self):
+        """Guards against one round trip for each batch of proposals."""
+        node = make_node()
+        now = elect(node)
+        acknowledge(node, now)
+        node.take_messages(now)
+        for _ in range(5):
+            node.propose(b"x")
+            sent = [m for receiver, m in node.take_messages(now) if receiver == "b" and m.entries]
+            self.assertEqual(1, len(sent))
