Keep the coordinator's memory while a term lasts

Cause: read-through of the control program. A lease that lapses and returns within one term started the coordinator anew, which repeated grant sequences that targets refuse; a cancelled renewal stayed outstanding and held back later ones for 2 s, longer than a grant; an entry dropped a view of the same version with a new list of entries. Change: the coordinator starts once per term; a cancelled renewal is recorded as failed; a view of the same version replaces the one in force. Ruled out: a sequence that survives restarts of the coordinator, since the term already orders leaders. Conclusion: three causes of lost grants and stale entry lists are gone.

--- a/cranberrylever/control/_grants.py
+++ b/cranberrylever/control/_grants.py
@@ -68,10 +68,16 @@
     async def _send(self, target_id: str, renewal: GrantRenewal) -> None:
         loop = asyncio.get_running_loop()
         ack = None
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError, ValueError, cattrs.BaseValidationError):
-            ack = await self._post(renewal)
+        try:
+            with contextlib.suppress(
+                aiohttp.ClientError, TimeoutError, ValueError, cattrs.BaseValidationError
+            ):
+                ack = await self._post(renewal)
+        finally:
+            # A cancelled renewal counts as failed too; an outstanding one would hold back all later ones.
+            if ack is None:
+                self.coordinator.record_grant_failure(target_id, renewal, loop.time())
         if ack is None:
-            self.coordinator.record_grant_failure(target_id, renewal, loop.time())
             await asyncio.sleep(POLL_S)
         else:
             self.coordinator.record_grant_ack(target_id, renewal, ack, loop.time())
--- a/cranberrylever/control/_leader.py
+++ b/cranberrylever/control/_leader.py
@@ -72,8 +72,6 @@
             now = loop.time()
             if self._leads(now):
                 self._step(now)
-            else:
-                self.term = 0
             self.after_step()
             try:
                 async with asyncio.timeout(STEP_INTERVAL_S):
@@ -82,6 +80,8 @@
                 continue
 
     def _step(self, now: float) -> None:
+        # A lease that lapses and returns within one term keeps the coordinator's memory: a new start would
+        # repeat grant sequences that targets refuse, and would wait out grants that are known.
         if self.term != self.driver.term:
             self.term = self.driver.term
             self.claim_marks = [(now, self.driver.applied_index)]
--- a/cranberrylever/entry/_views.py
+++ b/cranberrylever/entry/_views.py
@@ -46,7 +46,8 @@
     def offer(self, answer: ViewAnswer, poll_sent: float) -> bool:
         """Take an answer of the control leader to the poll sent at ``poll_sent``.
 
-        An answer with an older version extends nothing: it may come from before the view in force.
+        An answer with an older version extends nothing: it may come from before the view in force. A view of
+        the same version replaces the one in force, because its list of entries is not part of the version.
 
         Returns:
             Whether a new view came into force.
@@ -54,9 +55,9 @@
         if answer.version < self.version:
             return False
         changed = False
-        if answer.version > self.version or self.table is None:
-            if answer.view is None:
-                return False
+        if answer.view is None and (answer.version > self.version or self.table is None):
+            return False
+        if answer.view is not None:
             check(
                 answer.view.version == answer.version, f"view {answer.view.version} sent as {answer.version}"
             )
--- a/tests/entry/test_views.py
+++ b/tests/entry/test_views.py
@@ -8,7 +8,7 @@
 
 from cranberrylever.entry._views import ViewStore
 from cranberrylever.errors import NotRunError
-from cranberrylever.routing import View
+from cranberrylever.routing import EntryAddress, View
 from cranberrylever.wire import EntryReply, ViewAnswer
 from tests.entry.fakes import TEST_TUNING, FakeControl, World, answer, keyed_view, run, wait_until
 
@@ -39,6 +39,14 @@
         store.offer(ViewAnswer(1, 3), poll_sent=4.0)
         self.assertTrue(store.is_valid(6.1))
 
+    def test_new_entry_list_within_a_version_is_taken(self):
+        """Guards against a permit holder that stays unknown until the next change of the view."""
+        store = ViewStore(1.2)
+        store.offer(ViewAnswer(1, 3, View(3, 0)), poll_sent=0.0)
+        entries = (EntryAddress("e2", "127.0.0.1:2"),)
+        store.offer(ViewAnswer(2, 3, View(3, 0, entries=entries)), poll_sent=0.2)
+        self.assertEqual(entries, store.table.view.entries)
+
     def test_no_view_is_never_valid(self):
         """Guards against routing before the first view."""
         store = ViewStore(1.2)
