--- a/cranberrylever/control/_grants.py
+++ b/cranberrylever/control/_grants.py
@@ -9,14 +9,13 @@
 
 from cranberrylever.ownership import Coordinator, GrantAck, GrantRenewal
 
-POLL_S = 0.02
 REQUEST_TIMEOUT_S = 1.0
 
 _converter = cattrs.preconf.orjson.make_converter()
 
 
 class GrantSender:
-    """Runs one renewal loop per target of the cluster state.
+    """Sends the renewals that the coordinator asks for.
 
     Args:
         cluster_id: Cluster named in each grant.
@@ -31,7 +30,7 @@
         self.coordinator = coordinator
         self.is_serving = is_serving
         self.headers = {"Authorization": f"Bearer {token}"} if token else {}
-        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
         self.session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -41,29 +40,24 @@
         self.session = aiohttp.ClientSession(timeout=timeout, headers=self.headers, connector=connector)
 
     async def close(self) -> None:
-        """Stop all renewal loops."""
-        for task in self.tasks.values():
+        """Cancel the renewals that wait for an answer."""
+        for task in list(self.tasks):
             task.cancel()
-        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         if self.session is not None:
             await self.session.close()
 
-    def reconcile(self) -> None:
-        """Start loops for new targets and stop those of forgotten ones."""
-        wanted = set(self.coordinator.state.targets.records) if self.is_serving() else set()
-        for target_id in wanted - self.tasks.keys():
-            self.tasks[target_id] = asyncio.create_task(self._renew(target_id))
-        for target_id in self.tasks.keys() - wanted:
-            self.tasks.pop(target_id).cancel()
-
-    async def _renew(self, target_id: str) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            renewal = self.coordinator.next_renewal(target_id, loop.time()) if self.is_serving() else None
-            if renewal is None:
-                await asyncio.sleep(POLL_S)
-                continue
-            await self._send(target_id, renewal)
+    def send_due(self) -> None:
+        """Send every renewal that is due; called at each step of the leader."""
+        if not self.is_serving():
+            return
+        now = asyncio.get_running_loop().time()
+        for target_id in list(self.coordinator.state.targets.records):
+            renewal = self.coordinator.next_renewal(target_id, now)
+            if renewal is not None:
+                task = asyncio.create_task(self._send(target_id, renewal))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
 
     async def _send(self, target_id: str, renewal: GrantRenewal) -> None:
         loop = asyncio.get_running_loop()
@@ -77,9 +71,7 @@
             # A cancelled renewal counts as failed too; an outstanding one would hold back all later ones.
             if ack is None:
                 self.coordinator.record_grant_failure(target_id, renewal, loop.time())
-        if ack is None:
-            await asyncio.sleep(POLL_S)
-        else:
+        if ack is not None:
             self.coordinator.record_grant_ack(target_id, renewal, ack, loop.time())
 
     async def _post(self, renewal: GrantRenewal) -> GrantAck | None:
--- a/cranberrylever/control/_program.py
+++ b/cranberrylever/control/_program.py
@@ -111,7 +111,7 @@
             self.log.warning("rpc_close_timeout", seconds=RPC_CLOSE_TIMEOUT_S)
 
     def _after_step(self) -> None:
-        self.grants.reconcile()
+        self.grants.send_due()
         self.entries.push_view()
 
 
--- a/cranberrylever/ownership/_coordinator.py
+++ b/cranberrylever/ownership/_coordinator.py
@@ -128,12 +128,13 @@
         interval = self.timings.lost_probe_interval if is_lost else self.timings.grant_interval
         if not self.grants.is_due(holder, record.grant_version, interval, now):
             return None
+        is_acknowledged = self.grants.is_acknowledged(holder, record.grant_version)
         return self.grants.renew(
             target_id,
             record.incarnation,
             record.announcement.address,
             record.grant_version,
-            self.state.owned_shards(record),
+            None if is_acknowledged else self.state.owned_shards(record),
             self.state.tickets.last_number,
             now,
         )
--- a/cranberrylever/ownership/_grants.py
+++ b/cranberrylever/ownership/_grants.py
@@ -108,26 +108,30 @@
             return True
         return now - holder.last_sent_at >= interval
 
+    def is_acknowledged(self, holder: GrantHolder, version: int) -> bool:
+        """Tell whether the holder's last acknowledgement names this version of its shards."""
+        return holder.ack is not None and holder.ack.version == version
+
     def renew(
         self,
         target_id: str,
         incarnation: str,
         address: str,
         version: int,
-        shards: tuple[ShardRef, ...],
+        shards: tuple[ShardRef, ...] | None,
         tickets_version: int,
         now: float,
     ) -> GrantRenewal:
         """Return the next renewal for a target and record it as possibly granted.
 
         It is based on the last acknowledgement; without a recent one it only reads the target's clock.
+        ``shards`` is ``None`` when ``is_acknowledged`` holds for this version.
         """
         holder = self.holder(target_id, incarnation, now)
         if holder.outstanding is not None:
             self._set_unanswered(holder, holder.outstanding)
         self.sequence += 1
         expires_at_ms, expires_by = self._expiry(holder, now)
-        is_acknowledged = holder.ack is not None and holder.ack.version == version
         renewal = GrantRenewal(
             target_id=target_id,
             incarnation=incarnation,
@@ -136,7 +140,7 @@
             sequence=self.sequence,
             expires_at_ms=expires_at_ms,
             version=version,
-            shards=None if is_acknowledged else shards,
+            shards=shards,
             tickets_version=tickets_version,
             sent_at=now,
             expires_by=expires_by,
--- a/tests/control/test_leader.py
+++ b/tests/control/test_leader.py
@@ -79,10 +79,9 @@
             sender = GrantSender("c", rules, lambda: True)
             never = loop.create_future()
             sender._post = lambda renewal: never
-            sender.reconcile()
+            sender.send_due()
             await asyncio.sleep(0.05)
-            sender.is_serving = lambda: False
-            sender.reconcile()
+            await sender.close()
             await asyncio.sleep(0.3)
             return rules.next_renewal("t1", loop.time())
 
