Measure consensus, pause members in the schedules, detect silent peers

Cause: throughput and loop stall were not known; a dead connection kept its frames until TCP gave up; the schedules had no frozen process. Ruled out: the keep-alive of the HTTP/2 library, whose settings are private names.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the bounds in docs/design.md."""
--- /dev/null
+++ b/bench/consensus.py
@@ -0,0 +1,207 @@
+"""Proposals per second, commit time and loop stall of three members in one process."""
+
+import argparse
+import asyncio
+import contextlib
+import os
+import random
+import socket
+import statistics
+import tempfile
+import time
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import attrs
+import grpclib.server
+
+from cranberrylever.consensus import (
+    ConsensusConfig,
+    FileOperations,
+    MemoryNetwork,
+    MemoryTransport,
+    RaftDriver,
+    StateMachine,
+    create_driver,
+)
+from cranberrylever.consensus import DiskStorage as Storage
+from cranberrylever.control._peers import PeerTransport
+from cranberrylever.wire import MsgpackCodec
+
+CLUSTER = "bench"
+MEMBERS = 3
+PAYLOAD_BYTES = 200
+STALL_PERIOD_SECONDS = 0.001
+
+
+class _CountingMachine(StateMachine):
+    """State machine that only counts."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def apply(self, index: int, payload: bytes) -> object:
+        self.count += 1
+        return self.count
+
+    def snapshot(self) -> bytes:
+        return b"%d" % self.count
+
+    def restore(self, index: int, data: bytes) -> None:
+        self.count = int(data)
+
+
+class _TimedFiles(FileOperations):
+    """File operations that record the duration of each data sync."""
+
+    def __init__(self) -> None:
+        self.seconds: list[float] = []
+
+    def sync_data(self, descriptor: int) -> None:
+        started = time.perf_counter()
+        super().sync_data(descriptor)
+        self.seconds.append(time.perf_counter() - started)
+
+
+@attrs.define
+class _Group:
+    """The running members."""
+
+    drivers: list[RaftDriver]
+    files: list[_TimedFiles]
+
+    @property
+    def leader(self) -> RaftDriver:
+        return next(driver for driver in self.drivers if driver.leader_since is not None)
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@contextlib.asynccontextmanager
+async def _group(folder: Path, over_sockets: bool) -> AsyncIterator[_Group]:
+    """Run three members on folders below ``folder``."""
+    ports = _free_ports(MEMBERS)
+    members = {f"m{number}": f"127.0.0.1:{port}" for number, port in enumerate(ports)}
+    network = MemoryNetwork()
+    drivers, files, closers = [], [], []
+    for name, address in members.items():
+        timed = _TimedFiles()
+        storage = Storage(folder / name, CLUSTER, bootstrap=True, files=timed)
+        transport = MemoryTransport(network, name)
+        if over_sockets:
+            transport = PeerTransport(CLUSTER, name, members)
+            server = grpclib.server.Server([transport], codec=MsgpackCodec())
+            await server.start("127.0.0.1", int(address.rpartition(":")[2]))
+            await transport.start()
+            closers.append((transport, server))
+        config = ConsensusConfig(CLUSTER, name, members)
+        driver = create_driver(config, storage, transport, _CountingMachine(), random.Random(name))
+        await driver.start()
+        drivers.append(driver)
+        files.append(timed)
+    while not any(driver.leader_since is not None for driver in drivers):
+        await asyncio.sleep(0.01)
+    try:
+        yield _Group(drivers, files)
+    finally:
+        for transport, server in closers:
+            await transport.close()
+            server.close()
+            await server.wait_closed()
+        for driver in drivers:
+            await driver.close()
+
+
+async def _propose_for(leader: RaftDriver, callers: int, seconds: float) -> list[float]:
+    """Run ``callers`` proposers one after the other each, and return the commit times in seconds."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    times: list[float] = []
+    payload = os.urandom(PAYLOAD_BYTES)
+
+    async def call() -> None:
+        while loop.time() < end:
+            started = loop.time()
+            await leader.propose(payload)
+            times.append(loop.time() - started)
+
+    await asyncio.gather(*(call() for _ in range(callers)))
+    return times
+
+
+async def _stalls(results: list[float]) -> None:
+    """Record by how much a timer of the loop is late, until cancelled."""
+    loop = asyncio.get_running_loop()
+    while True:
+        started = loop.time()
+        await asyncio.sleep(STALL_PERIOD_SECONDS)
+        results.append(loop.time() - started - STALL_PERIOD_SECONDS)
+
+
+def _quantile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+async def _measure(name: str, over_sockets: bool, callers: int, seconds: float) -> None:
+    with tempfile.TemporaryDirectory(dir=".") as folder:
+        async with _group(Path(folder), over_sockets) as group:
+            await _propose_for(group.leader, callers, 0.5)
+            for files in group.files:
+                files.seconds.clear()
+            stalls: list[float] = []
+            watch = asyncio.ensure_future(_stalls(stalls))
+            cpu = time.process_time()
+            times = await _propose_for(group.leader, callers, seconds)
+            cpu = time.process_time() - cpu
+            watch.cancel()
+            syncs = [value for files in group.files for value in files.seconds]
+            barrier = await _time(group.leader.barrier, 50)
+            await group.leader.propose(b"after")
+    prefix = f"consensus.{name}.{callers}_callers"
+    _print(prefix, "proposals", len(times) / seconds, "1/s")
+    _print(prefix, "commit_p50", statistics.median(times) * 1e3, "ms")
+    _print(prefix, "commit_p99", _quantile(times, 0.99) * 1e3, "ms")
+    _print(prefix, "fdatasync_p50", statistics.median(syncs) * 1e3, "ms")
+    _print(prefix, "fdatasync_p99", _quantile(syncs, 0.99) * 1e3, "ms")
+    _print(prefix, "proposals_per_sync", len(times) * MEMBERS / len(syncs), "1")
+    _print(prefix, "loop_stall_p99", _quantile(stalls, 0.99) * 1e3, "ms")
+    _print(prefix, "loop_stall_max", max(stalls) * 1e3, "ms")
+    _print(prefix, "barrier_p50", statistics.median(barrier) * 1e3, "ms")
+    _print(prefix, "cpu", cpu / seconds, "cores")
+
+
+async def _time(call: Callable, count: int) -> list[float]:
+    loop = asyncio.get_running_loop()
+    times = []
+    for _ in range(count):
+        started = loop.time()
+        await call()
+        times.append(loop.time() - started)
+    return times
+
+
+def _print(prefix: str, name: str, value: float, unit: str) -> None:
+    print(f"{prefix}.{name} {value:.3f} {unit}", flush=True)
+
+
+def main() -> None:
+    """Print the figures, one a line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=3.0, help="duration of each run")
+    seconds = parser.parse_args().seconds
+    for name, over_sockets in (("memory_transport", False), ("grpclib", True)):
+        for callers in (1, 16, 256):
+            asyncio.run(_measure(name, over_sockets, callers, seconds))
+
+
+if __name__ == "__main__":
+    main()
--- a/cranberrylever/consensus/_disk.py
+++ b/cranberrylever/consensus/_disk.py
@@ -23,6 +23,7 @@
     usable_entries,
 )
 from cranberrylever.errors import ClusterMismatchError, CodecError, StorageError
+from cranberrylever.invariants import check
 from cranberrylever.wire import decode, encode
 
 _FOLDER_FILE = "folder"
@@ -89,7 +90,7 @@
         self._log_thread = concurrent.futures.ThreadPoolExecutor(1, "consensus-log")
         self._snapshot_thread = concurrent.futures.ThreadPoolExecutor(1, "consensus-snapshot")
         try:
-            self._state = self._open(cluster_id, bootstrap)
+            self._state: StoredState | None = self._open(cluster_id, bootstrap)
         except OSError as error:
             self._release()
             raise self._storage_error(error) from error
@@ -98,8 +99,10 @@
             raise
 
     def load(self) -> StoredState:
-        """Return the stored state."""
-        return self._state
+        """Return the stored state and forget it, so that compacted entries do not stay in memory."""
+        state, self._state = self._state, None
+        check(state is not None, "the state of a folder is loaded once")
+        return state
 
     async def save(self, batch: StorageBatch) -> None:
         """Write and sync ``batch``."""
@@ -209,7 +212,10 @@
         self.files.sync_folder(self.path.parent)
 
     def _read_snapshot(self) -> Snapshot | None:
-        paths = sorted((self.path / _SNAPSHOT_FOLDER).glob("*" + _SNAPSHOT_SUFFIX))
+        folder = self.path / _SNAPSHOT_FOLDER
+        for unfinished in folder.glob("*.tmp"):
+            self.files.remove(unfinished)
+        paths = sorted(folder.glob("*" + _SNAPSHOT_SUFFIX))
         return _unseal(paths[-1], Snapshot) if paths else None
 
     # Writing -----------------------------------------------------------------------------------
--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -24,7 +24,7 @@
 )
 from cranberrylever.wire import PeerFrame, decode, encode
 
-MAX_APPLY_BATCH = 512
+MAX_APPLY_BATCH = 128
 KEPT_ENTRIES_DIVISOR = 4
 
 
@@ -58,6 +58,7 @@
         self.error: CranberryleverError | None = None
         self.stopped = asyncio.Event()
         self._leadership: Leadership | None = None
+        self._standing: tuple[str | None, int, bool] = (None, 0, False)
         self._pending = PendingCalls()
         self._is_saving = False
         self._is_pump_scheduled = False
@@ -92,7 +93,9 @@
         return self.leader_since is not None and self.node.has_lease(now)
 
     def members(self) -> tuple[MemberStatus, ...]:
-        """Return what this member knows of each member of the group."""
+        """Return what this member knows of each member of the group; nothing before the start."""
+        if self.node is None:
+            return ()
         return tuple(self._member_status(member) for member in self.config.members)
 
     def _member_status(self, member: str) -> MemberStatus:
@@ -338,9 +341,25 @@
             self._leadership = leadership
             self.leader_since = None
             self._pending.fail_proposals(proposal_lost(), before_term=self.term if leadership else None)
+        self._log_changes()
         if leadership and self.leader_since is None and self.applied_index >= leadership.first_index:
             self.leader_since = now
 
+    def _log_changes(self) -> None:
+        """Log a new leader, a new term or a change of this member's vote."""
+        standing = (self.leader_id, self.term, self.node.may_vote())
+        if standing == self._standing:
+            return
+        self._standing = standing
+        leader, term, is_voter_now = standing
+        eliot.log_message(
+            "consensus:standing",
+            member=self.config.member_id,
+            leader=leader,
+            term=term,
+            voter=is_voter_now,
+        )
+
     def _set_timer(self, now: float) -> None:
         """Wake at the next deadline; a timer that is early is left, so heartbeats do not replace it."""
         deadline = self.node.deadline()
--- a/cranberrylever/consensus/_segments.py
+++ b/cranberrylever/consensus/_segments.py
@@ -14,7 +14,7 @@
 
 from cranberrylever.consensus._files import FileOperations
 from cranberrylever.consensus._messages import LogEntry
-from cranberrylever.errors import LogDamagedError
+from cranberrylever.errors import CodecError, LogDamagedError
 from cranberrylever.wire import decode, encode
 
 SEGMENT_BYTES = 8 * 1024 * 1024
@@ -271,8 +271,8 @@
             raise damaged(path, "the file is missing")
         try:
             manifest = decode(path.read_bytes(), _Manifest)
-        except Exception as error:
-            raise damaged(path, str(error)) from error
+        except CodecError as error:
+            raise damaged(path, error.message) from error
         if manifest.crc != manifest.checksum():
             raise damaged(path, "it fails its check")
         return manifest
--- a/cranberrylever/control/_peers.py
+++ b/cranberrylever/control/_peers.py
@@ -18,12 +18,16 @@
 MAX_BACKOFF_SECONDS = 1.0
 SEND_TIMEOUT_SECONDS = 1.0
 CONNECT_TIMEOUT_SECONDS = 1.0
+ECHO_INTERVAL_SECONDS = 0.2
+ECHO_TIMEOUT_SECONDS = 1.0
+ECHO_KIND = "Echo"
 
 
 class PeerLink:
     """One long-lived outgoing stream to a peer.
 
     Args:
+        member_id: Member id of the peer.
         address: ``host:port`` of the peer.
     """
 
@@ -34,6 +38,8 @@
         self.port = int(port)
         self.queue: collections.deque[PeerFrame] = collections.deque()
         self.dropped = 0
+        self.connections = 0
+        self._unanswered_since: float | None = None
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -56,41 +62,67 @@
         self._wake.set()
 
     async def _run(self) -> None:
+        """Connect again after each break, with a growing random pause."""
+        loop = asyncio.get_running_loop()
         backoff = MIN_BACKOFF_SECONDS
         while True:
-            started = asyncio.get_running_loop().time()
+            started = loop.time()
             try:
                 await self._serve()
-            except (
+            except* (
                 OSError,
-                TimeoutError,
                 grpclib.exceptions.GRPCError,
                 grpclib.exceptions.StreamTerminatedError,
-            ) as error:
-                eliot.log_message("peers:disconnected", peer=self.member_id, error=repr(error))
-            if asyncio.get_running_loop().time() - started > MAX_BACKOFF_SECONDS:
+            ) as group:
+                reason = repr(group.exceptions[0])
+                eliot.log_message("peers:disconnected", peer=self.member_id, reason=reason)
+            if loop.time() - started > MAX_BACKOFF_SECONDS:
                 backoff = MIN_BACKOFF_SECONDS
-            self.queue.clear()
             await asyncio.sleep(backoff * random.uniform(0.5, 1.0))
+            self.queue.clear()
             backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
 
     async def _serve(self) -> None:
         """Connect and send queued frames until the stream breaks."""
         channel = grpclib.client.Channel(self.host, self.port, codec=MsgpackCodec())
+        self._unanswered_since = None
         try:
             async with PeerStub(channel).exchange.open() as stream:
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                     await stream.send_request()
-                while True:
-                    while self.queue:
-                        frame = self.queue.popleft()
-                        async with asyncio.timeout(SEND_TIMEOUT_SECONDS):
-                            await stream.send_message(frame)
-                    self._wake.clear()
-                    await self._wake.wait()
+                self.connections += 1
+                async with asyncio.TaskGroup() as tasks:
+                    tasks.create_task(self._receive_echoes(stream))
+                    tasks.create_task(self._send_frames(stream))
         finally:
             channel.close()
 
+    async def _send_frames(self, stream: "grpclib.client.Stream[PeerFrame, PeerFrame]") -> None:
+        while True:
+            while self.queue:
+                self._check_echo()
+                async with asyncio.timeout(SEND_TIMEOUT_SECONDS):
+                    await stream.send_message(self.queue.popleft())
+            self._wake.clear()
+            await self._wake.wait()
+
+    def _check_echo(self) -> None:
+        """Break a stream whose peer does not answer.
+
+        The sockets of a machine that vanished, or that a partition cut off, would otherwise take
+        frames for many seconds and keep a healed connection waiting for TCP's own retries.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+        elif now - self._unanswered_since > ECHO_TIMEOUT_SECONDS:
+            raise TimeoutError(f"no echo for {ECHO_TIMEOUT_SECONDS} s")
+
+    async def _receive_echoes(self, stream: "grpclib.client.Stream[PeerFrame, PeerFrame]") -> None:
+        async for _ in stream:
+            self._unanswered_since = None
+        raise ConnectionError("the peer closed the stream")
+
 
 class PeerTransport(Transport, PeerBase):
     """Transport between control members; it is also the grpclib handler of the incoming streams.
@@ -128,7 +160,9 @@
         self.callback = callback
 
     async def exchange(self, stream: "grpclib.server.Stream[PeerFrame, PeerFrame]") -> None:
-        """Receive the frames of one peer until its stream closes."""
+        """Receive the frames of one peer until its stream closes, with an echo now and then."""
+        loop = asyncio.get_running_loop()
+        echo_at = loop.time()
         async for frame in stream:
             if frame.cluster_id != self.cluster_id or frame.receiver != self.member_id:
                 raise grpclib.exceptions.GRPCError(
@@ -137,3 +171,9 @@
                 )
             if self.callback is not None:
                 self.callback(frame)
+            if loop.time() >= echo_at:
+                echo_at = loop.time() + ECHO_INTERVAL_SECONDS
+                await stream.send_message(self._echo(frame.sender))
+
+    def _echo(self, receiver: str) -> PeerFrame:
+        return PeerFrame(self.cluster_id, self.member_id, receiver, "", ECHO_KIND, b"")
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -103,6 +103,25 @@
         await driver.close()
         assert driver.error is None, driver.error
 
+    def pause(self, name):
+        """Stop a member's process for a while; what arrives stays in its sockets."""
+        driver = self.drivers[name]
+        held = []
+        driver.transport.set_receiver(held.append)
+        driver._pump = lambda *args: None
+
+        def resume():
+            if self.drivers.get(name) is driver:
+                del driver._pump
+                driver.transport.set_receiver(driver._on_frame)
+                driver._is_pump_scheduled = False
+                driver._timer = None
+                for frame in held:
+                    driver._on_frame(frame)
+                driver._pump()
+
+        return resume
+
     async def lose_disk(self, name):
         if name in self.drivers:
             await self.kill(name)
--- a/tests/consensus/test_disk.py
+++ b/tests/consensus/test_disk.py
@@ -291,8 +291,36 @@
         shutil.rmtree(data / "log")
         self.assertRaises(LogDamagedError, self.load)
 
+    def test_missing_or_damaged_snapshot_is_refused(self):
+        """Guards against a member that starts from an empty state under a compacted log."""
+        self.write(batch(snapshot=Snapshot(9, 1, Membership({"m1": "f"}), b"state")))
+        path = next((self.folder / "data" / "snapshots").glob("*.snapshot"))
+        whole = path.read_bytes()
+        path.write_bytes(whole[:-1])
+        self.assertIn(str(path), str(self.assertRaises(LogDamagedError, self.load)))
+        path.unlink()
+        self.assertIn("snapshot", str(self.assertRaises(LogDamagedError, self.load)))
+
 
 class IdentityTest(FolderCase):
+    def test_kill_during_creation(self):
+        """Guards against a folder that a kill during its first start makes unusable."""
+        kill_at = 0
+        is_complete = False
+        while not is_complete:
+            kill_at += 1
+            shutil.rmtree(self.folder / "data", ignore_errors=True)
+            files = KillingFiles(kill_at, random.Random(kill_at))
+            try:
+                self.with_storage(self._identity, files=files, bootstrap=True)
+                is_complete = True
+            except KilledError:
+                files.lose_unsynced()
+            exists = (self.folder / "data" / "folder").exists()
+            folder_id, founder = self.with_storage(self._identity, bootstrap=not exists)
+            self.assertTrue(founder)
+        self.assertGreater(kill_at, 10)
+
     def test_bootstrap_is_accepted_once(self):
         """Guards against a restart that founds a second group."""
         self.with_storage(self._identity, bootstrap=True)
@@ -300,7 +328,8 @@
         self.assertIn("--bootstrap", str(error))
 
     async def _identity(self, storage):
-        return storage.load().folder_id, storage.load().founder
+        state = storage.load()
+        return state.folder_id, state.founder
 
     def test_identity_is_kept(self):
         """Guards against a member that counts as lost after each restart."""
--- a/tests/consensus/test_random.py
+++ b/tests/consensus/test_random.py
@@ -21,6 +21,7 @@
         self.unrepaired = set()
         self.payloads = itertools.count()
         self.tasks = []
+        self.paused = set()
         self.lost_disks = 0
 
     async def run(self):
@@ -37,8 +38,18 @@
 
     async def step(self):
         action = self.rng.choices(
-            [self.propose, self.read, self.kill, self.restart, self.partition, self.heal, self.lose_disk],
-            [10, 4, 2, 4, 1, 2, 2],
+            [
+                self.propose,
+                self.read,
+                self.kill,
+                self.restart,
+                self.partition,
+                self.block,
+                self.heal,
+                self.lose_disk,
+                self.pause,
+            ],
+            [10, 4, 2, 4, 1, 1, 2, 2, 2],
         )[0]
         await action()
 
@@ -68,6 +79,23 @@
         cut = self.rng.randint(1, len(names) - 1)
         self.cluster.network.partition(set(names[:cut]), set(names[cut:]))
 
+    async def block(self):
+        self.cluster.network.block(*self.rng.sample(self.cluster.names, 2))
+
+    async def pause(self):
+        """Freeze a member for a time around the election timeout, then then let it go on."""
+        names = [name for name in sorted(self.cluster.drivers) if name not in self.paused]
+        if names:
+            name = self.rng.choice(names)
+            self.paused.add(name)
+            resume = self.cluster.pause(name)
+            self.tasks.append(asyncio.ensure_future(self.resume_later(name, resume)))
+
+    async def resume_later(self, name, resume):
+        await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+        self.paused.discard(name)
+        resume()
+
     async def heal(self):
         self.cluster.network.heal()
 
