--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the bounds in docs/design.md."""
+"""Load tool, process helpers and one module per figure."""
--- /dev/null
+++ b/cranberrylever/entry/_app.py
@@ -0,0 +1,141 @@
+"""ASGI application of an entry."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from cranberrylever.errors import NotRunError, UnknownOutcomeError
+
+from . import _headers
+from ._answers import AnswerWriter, RefusalError, TruncatedAnswerError
+from ._claimed import ClaimedRunner
+from ._dispatcher import Dispatcher
+from ._exchange import Exchange
+from ._guard import CALLER_GONE, RequestGuard
+from ._reader import RequestReader
+from ._tuning import EntryTuning
+from ._views import ViewStore
+
+Receive = Callable[[], Awaitable[dict]]
+Send = Callable[[dict], Awaitable[None]]
+
+_HEALTH_PATHS = frozenset({"/healthz", "/readyz"})
+
+
+class EntryApp:
+    """Answers callers: reads a request, has it run and streams the answer back.
+
+    Args:
+        views: The view in force.
+        reader: Reads requests.
+        dispatcher: Runs requests.
+        claimed: Runs requests with an idempotency key.
+        tuning: Limits.
+    """
+
+    def __init__(
+        self,
+        views: ViewStore,
+        reader: RequestReader,
+        dispatcher: Dispatcher,
+        claimed: ClaimedRunner,
+        tuning: EntryTuning,
+    ) -> None:
+        self.views = views
+        self.reader = reader
+        self.dispatcher = dispatcher
+        self.claimed = claimed
+        self.tuning = tuning
+        self.draining = False
+        self.requests = 0
+        self.health = Starlette(
+            routes=[Route("/healthz", self._healthz), Route("/readyz", self._readyz)],
+        )
+
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        if scope["path"] in _HEALTH_PATHS:
+            await self.health(scope, receive, send)
+            return
+        self.requests += 1
+        try:
+            await self._serve(scope, receive, AnswerWriter(send, self.draining))
+        finally:
+            self.requests -= 1
+
+    async def _healthz(self, request: object) -> JSONResponse:
+        return JSONResponse({"status": "ok"})
+
+    async def _readyz(self, request: object) -> JSONResponse:
+        if self.draining:
+            return JSONResponse({"error": "this entry is stopping", "remedy": "use another entry"}, 503)
+        if not self.views.is_valid(asyncio.get_running_loop().time()):
+            return JSONResponse({"error": "no valid routing view", "remedy": "check control"}, 503)
+        return JSONResponse({"status": "ready", "version": self.views.version})
+
+    async def _serve(self, scope: dict, receive: Receive, writer: AnswerWriter) -> None:
+        try:
+            if self.requests > self.tuning.max_requests:
+                raise RefusalError(503, "too many requests at this entry", "use another entry")
+            exchange = await self.reader.read(scope, receive, asyncio.get_running_loop().time())
+            if exchange is None:
+                return
+            key = ""
+            if not exchange.idempotent and not exchange.is_forwarded:
+                key = self.reader.idempotency_key(scope["headers"])
+        except RefusalError as error:
+            await writer.refuse(error.status, _headers.NOT_RUN, error)
+            return
+        except NotRunError as error:
+            await writer.refuse(503, _headers.NOT_RUN, error)
+            return
+        await self._run_guarded(exchange, key, receive, writer)
+
+    async def _run_guarded(
+        self, exchange: Exchange, key: str, receive: Receive, writer: AnswerWriter
+    ) -> None:
+        self.reader.buffered_bytes += len(exchange.body)
+        guard = RequestGuard(receive, exchange.deadline, self.tuning.disconnect_check_delay)
+        try:
+            await self._run(exchange, key, writer)
+        except asyncio.CancelledError:
+            if not guard.absorb():
+                raise
+            # An answer that has begun stays incomplete, which breaks the caller's connection.
+            if guard.reason != CALLER_GONE and not exchange.answer_started:
+                error = NotRunError("the deadline passed", "use a later deadline")
+                await writer.refuse(504 if exchange.may_have_run else 503, exchange.outcome, error)
+        finally:
+            guard.close()
+            self.reader.buffered_bytes -= len(exchange.body)
+
+    async def _run(self, exchange: Exchange, key: str, writer: AnswerWriter) -> None:
+        try:
+            if key:
+                await self.claimed.run(exchange, key, writer)
+            else:
+                await self._run_plain(exchange, writer)
+        except RefusalError as error:
+            await writer.refuse(error.status, exchange.outcome, error)
+        except NotRunError as error:
+            await writer.refuse(503, exchange.outcome, error)
+        except UnknownOutcomeError as error:
+            await writer.refuse(502, _headers.UNKNOWN, error)
+        except TruncatedAnswerError:
+            return
+
+    async def _run_plain(self, exchange: Exchange, writer: AnswerWriter) -> None:
+        attempt, response = await self.dispatcher.run(exchange)
+        try:
+            await writer.stream(exchange, response)
+        except TruncatedAnswerError:
+            self.dispatcher.note_truncated(attempt)
+            raise
+        finally:
+            response.close()
+            self.dispatcher.finish(attempt)
--- a/cranberrylever/errors.py
+++ b/cranberrylever/errors.py
@@ -63,6 +63,14 @@
     """A ticket number is not higher than the last one of an object that it touches."""
 
 
+class AnnouncementError(CranberryleverError):
+    """A target's announcement is malformed."""
+
+
+class RequestTooLargeError(CranberryleverError):
+    """The body of a request to the operator API exceeds its limit."""
+
+
 class NotRunError(CranberryleverError):
     """A request was refused before any byte of it left for a target."""
 
@@ -73,3 +81,15 @@
 
 class UnauthorizedError(CranberryleverError):
     """The bearer token is missing or wrong."""
+
+
+class StartError(CranberryleverError):
+    """A program could not start."""
+
+
+class ControlUnavailableError(CranberryleverError):
+    """No control member answered in time."""
+
+
+class ControlRefusedError(CranberryleverError):
+    """Control refused an operator's request."""
