Salt the record checks of each log segment; slow disks and small limits in the schedules

Change: the CRC of a record starts from a random salt in the segment's header; sync times up to 0.2 s, 400-byte chunks and short pipelines in the random schedules. Ruled out: escaping payloads, which costs a pass over every byte written. Conclusion: a caller's body cannot stop a member.

--- a/cranberrylever/consensus/_segments.py
+++ b/cranberrylever/consensus/_segments.py
@@ -2,10 +2,12 @@
 
 Every record carries the file offset up to which the segment was synced before the record was written. A
 damaged record followed by a valid record that was written after its sync is damage to acknowledged data;
-otherwise it belongs to the last, unsynced write and is a torn tail.
+otherwise it belongs to the last, unsynced write and is a torn tail. The CRC starts from a random salt of
+the segment, so that bytes inside a payload cannot pass for a record.
 """
 
 import os
+import secrets
 import struct
 import zlib
 from pathlib import Path
@@ -18,6 +20,7 @@
 from cranberrylever.wire import decode, encode
 
 SEGMENT_BYTES = 8 * 1024 * 1024
+SALT_BITS = 32
 
 _MANIFEST = "manifest"
 _RECORD_MAGIC = b"CLR1"
@@ -25,7 +28,7 @@
 _RECORD_PREFIX = struct.Struct("<4sI")
 _RECORD_BYTES = _RECORD_PREFIX.size + _RECORD.size
 _SEGMENT_MAGIC = b"CLSEG001"
-_SEGMENT = struct.Struct("<QQ")
+_SEGMENT = struct.Struct("<QQI")
 _SEGMENT_PREFIX = struct.Struct("<8sI")
 _SEGMENT_BYTES = _SEGMENT_PREFIX.size + _SEGMENT.size
 
@@ -49,6 +52,7 @@
     number: int
     first_index: int
     previous_term: int
+    salt: int
     size: int
     offsets: list[int] = attrs.field(factory=list)
     terms: list[int] = attrs.field(factory=list)
@@ -82,12 +86,12 @@
     )
 
 
-def _encode_record(entry: LogEntry, synced_size: int) -> bytes:
+def _encode_record(entry: LogEntry, salt: int, synced_size: int) -> bytes:
     body = _RECORD.pack(len(entry.payload), entry.index, entry.term, entry.kind, synced_size) + entry.payload
-    return _RECORD_PREFIX.pack(_RECORD_MAGIC, zlib.crc32(body)) + body
+    return _RECORD_PREFIX.pack(_RECORD_MAGIC, zlib.crc32(body, salt)) + body
 
 
-def _decode_record(data: bytes, offset: int) -> tuple[LogEntry, int, int] | None:
+def _decode_record(data: bytes, offset: int, salt: int) -> tuple[LogEntry, int, int] | None:
     """Return the entry at ``offset``, the offset after it and its synced size, or ``None``."""
     if offset + _RECORD_BYTES > len(data):
         return None
@@ -95,7 +99,7 @@
     start = offset + _RECORD_PREFIX.size
     length, index, term, kind, synced_size = _RECORD.unpack_from(data, start)
     end = start + _RECORD.size + length
-    if magic != _RECORD_MAGIC or end > len(data) or zlib.crc32(data[start:end]) != crc:
+    if magic != _RECORD_MAGIC or end > len(data) or zlib.crc32(data[start:end], salt) != crc:
         return None
     return LogEntry(index, term, kind, data[start + _RECORD.size : end]), end, synced_size
 
@@ -164,7 +168,7 @@
         segment = self.segments[-1]
         parts = []
         for entry in entries:
-            record = _encode_record(entry, self.synced_size)
+            record = _encode_record(entry, segment.salt, self.synced_size)
             segment.add(entry, len(record))
             parts.append(record)
         self.files.write(self.descriptor, b"".join(parts))
@@ -226,7 +230,8 @@
 
     def _add_segment(self, number: int, first_index: int, previous_term: int) -> None:
         """Create a synced, empty segment; it counts once the manifest names it."""
-        body = _SEGMENT.pack(first_index, previous_term)
+        salt = secrets.randbits(SALT_BITS)
+        body = _SEGMENT.pack(first_index, previous_term, salt)
         header = _SEGMENT_PREFIX.pack(_SEGMENT_MAGIC, zlib.crc32(body)) + body
         self.close()
         path = self._segment_path(number)
@@ -234,7 +239,7 @@
         self.files.write(self.descriptor, header)
         self.files.sync(self.descriptor)
         self.files.sync_folder(self.path)
-        self.segments.append(_Segment(number, first_index, previous_term, len(header)))
+        self.segments.append(_Segment(number, first_index, previous_term, salt, len(header)))
         self.synced_size = len(header)
 
     def _open_segment(self, number: int, entries: list[LogEntry], is_newest: bool) -> None:
@@ -247,9 +252,9 @@
             raise damaged(path, f"it starts at index {segment.first_index} and leaves a gap")
         while segment.size < len(data):
             offset = segment.size
-            record = _decode_record(data, offset)
+            record = _decode_record(data, offset, segment.salt)
             if record is None or record[0].index != segment.last_index + 1:
-                if not is_newest or _has_record_synced_after(data, offset):
+                if not is_newest or _has_record_synced_after(data, offset, segment.salt):
                     raise damaged(path, f"the record at byte {offset} fails its check")
                 break
             entries.append(record[0])
@@ -261,8 +266,7 @@
             magic, crc = _SEGMENT_PREFIX.unpack_from(data, 0)
             body = data[_SEGMENT_PREFIX.size : _SEGMENT_BYTES]
             if magic == _SEGMENT_MAGIC and zlib.crc32(body) == crc:
-                first_index, previous_term = _SEGMENT.unpack(body)
-                return _Segment(number, first_index, previous_term, _SEGMENT_BYTES)
+                return _Segment(number, *_SEGMENT.unpack(body), _SEGMENT_BYTES)
         raise damaged(path, "its header fails its check")
 
     def _read_manifest(self) -> _Manifest:
@@ -297,11 +301,11 @@
         return self.path / f"{number:016d}.log"
 
 
-def _has_record_synced_after(data: bytes, offset: int) -> bool:
+def _has_record_synced_after(data: bytes, offset: int, salt: int) -> bool:
     """Return whether a valid record after ``offset`` was written when ``offset`` had been synced."""
     position = data.find(_RECORD_MAGIC, offset + 1)
     while position >= 0:
-        record = _decode_record(data, position)
+        record = _decode_record(data, position, salt)
         if record is not None and record[2] > offset:
             return True
         position = data.find(_RECORD_MAGIC, position + 1)
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -63,13 +63,14 @@
 class Cluster:
     """Members by name; every observation checks the rules that hold across members."""
 
-    def __init__(self, size, seed=1, snapshot_entries=50, **network):
+    def __init__(self, size, seed=1, snapshot_entries=50, sync_times=(0.01,), **network):
         self.rng = random.Random(seed)
         self.network = _ObservedNetwork(random.Random(seed + 1), **network)
         self.network.observer = self.observe
         self.names = [f"m{number}" for number in range(size)]
         self.addresses = {name: f"{name}:1" for name in self.names}
         self.snapshot_entries = snapshot_entries
+        self.sync_times = sync_times
         self.disks = {name: MemoryDisk() for name in self.names}
         self.drivers = {}
         self.storages = {}
@@ -78,7 +79,8 @@
         self.acknowledged = set()
 
     async def start(self, name, bootstrap=False):
-        storage = MemoryStorage(self.disks[name], CLUSTER, bootstrap, sync_time=self.rng.uniform(0, 0.01))
+        sync_time = self.rng.uniform(0, self.rng.choice(self.sync_times))
+        storage = MemoryStorage(self.disks[name], CLUSTER, bootstrap, sync_time)
         config = ConsensusConfig(CLUSTER, name, self.addresses, snapshot_entries=self.snapshot_entries)
         driver = create_driver(
             config,
--- a/tests/consensus/test_disk.py
+++ b/tests/consensus/test_disk.py
@@ -12,6 +12,7 @@
 
 from cranberrylever.consensus import DiskStorage, FileOperations, MemoryDisk, open_disk_storage
 from cranberrylever.consensus._messages import HardState, LogEntry, Membership, Snapshot
+from cranberrylever.consensus._segments import _encode_record
 from cranberrylever.consensus._storage import StorageBatch, usable_entries
 from cranberrylever.errors import ClusterMismatchError, LogDamagedError, SettingError, StorageError
 
@@ -254,6 +255,14 @@
         self.segments()[-1].write_bytes(data)
         self.assertEqual([1, 2], [entry.index for entry in self.load().entries])
 
+    def test_record_inside_a_payload_is_no_record(self):
+        """Guards against a stored caller's body that turns a torn tail into damage."""
+        self.write(batch(entries=self.entries(1, 1)))
+        nested = _encode_record(LogEntry(9, 9, 0, b""), salt=0, synced_size=10**6)
+        self.write(batch(entries=[LogEntry(2, 1, 0, nested * 2)]))
+        self.segments()[-1].write_bytes(self.segments()[-1].read_bytes()[:-1])
+        self.assertEqual([1], [entry.index for entry in self.load().entries])
+
     def test_damage_before_tail_is_refused(self):
         """Guards against dropping acknowledged entries after a damaged record as if they were a torn tail."""
         self.write(batch(entries=self.entries(1, 2)))
--- a/tests/consensus/test_random.py
+++ b/tests/consensus/test_random.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from cranberrylever.consensus import _leadership as leadership
 from tests.consensus.cluster import Cluster, wait_for
 from tests.support import run_paused
 
@@ -15,7 +16,15 @@
     """Runs random steps on a cluster; it never loses more disks at a time than the group tolerates."""
 
     def __init__(self, size, seed):
-        self.cluster = Cluster(size, seed, snapshot_entries=30, min_delay=0.0005, max_delay=0.02, loss=0.02)
+        self.cluster = Cluster(
+            size,
+            seed,
+            snapshot_entries=30,
+            sync_times=(0.002, 0.01, 0.2),
+            min_delay=0.0005,
+            max_delay=0.02,
+            loss=0.02,
+        )
         self.rng = self.cluster.rng
         self.tolerated = (size - 1) // 2
         self.unrepaired = set()
@@ -125,6 +134,13 @@
 
 
 class RandomScheduleTest(testtools.TestCase):
+    def setUp(self):
+        """Use small limits, so that short runs have chunked snapshots and full pipelines."""
+        super().setUp()
+        self.patch(leadership, "SNAPSHOT_CHUNK_BYTES", 400)
+        self.patch(leadership, "MAX_APPEND_ENTRIES", 4)
+        self.patch(leadership, "MAX_IN_FLIGHT", 3)
+
     def run_schedules(self, size, seeds):
         lost_disks = 0
         for seed in seeds:
