Elect a member that was readmitted after a voter fell behind

The only member with the complete log had been readmitted in an entry that the lagging voter did not hold, so the voter ignored it and no leader was ever elected. Change: a vote request carries the index of the committed membership under which the candidate votes. A voter whose own membership is older takes the candidate for a voter; the check of the log still applies. Ruled out: voting for any unknown folder, which would let a replaced folder lead lagging members.

--- a/cranberrylever/consensus/_election.py
+++ b/cranberrylever/consensus/_election.py
@@ -23,10 +23,17 @@
             for membership in (committed, self.memberships.latest)
         )
 
-    def _is_known_voter(self, member: str, folder_id: str, founder: bool) -> bool:
+    def _is_known_voter(self, member: str, folder_id: str, request: VoteRequest) -> bool:
+        """Return whether the candidate's folder votes.
+
+        A candidate may have been readmitted by an entry that this member does not hold yet. Refusing it
+        would leave a group without a leader when the candidate's log is the only complete one.
+        """
+        if request.membership_index > self.memberships.latest_index:
+            return True
         _, committed = self.memberships.at(self.commit_index)
         return any(
-            is_voter(membership, member, folder_id, founder)
+            is_voter(membership, member, folder_id, request.founder)
             for membership in (committed, self.memberships.latest)
         )
 
@@ -56,7 +63,10 @@
             self.send_after_sync(member, request)
 
     def _vote_request(self, term: int, pre_vote: bool) -> VoteRequest:
-        return VoteRequest(term, self.log.last_index, self.log.last_term, pre_vote, self.founder)
+        membership_index, _ = self.memberships.at(self.commit_index)
+        return VoteRequest(
+            term, self.log.last_index, self.log.last_term, pre_vote, self.founder, membership_index
+        )
 
     def _hears_leader(self, now: float) -> bool:
         """Return whether a leader lease could still rely on this member's silence."""
@@ -68,7 +78,7 @@
 
     def on_vote_request(self, sender: str, folder_id: str, request: VoteRequest, now: float) -> None:
         """Answer a request; one that arrives while a leader is heard is not answered."""
-        if not self._is_known_voter(sender, folder_id, request.founder):
+        if not self._is_known_voter(sender, folder_id, request):
             return
         if request.pre_vote:
             granted = self._can_vote_for(request, now) and request.term > self.hard.term
--- a/cranberrylever/consensus/_messages.py
+++ b/cranberrylever/consensus/_messages.py
@@ -63,13 +63,23 @@
 
 @attrs.frozen
 class VoteRequest:
-    """Request for a vote, or with ``pre_vote`` the question whether a vote would be given."""
+    """Request for a vote, or with ``pre_vote`` the question whether a vote would be given.
+
+    Args:
+        term: Term of the candidacy.
+        last_index: Index of the candidate's last entry.
+        last_term: Term of that entry.
+        pre_vote: Whether the vote is not given yet.
+        founder: Whether the candidate's folder was created with bootstrap.
+        membership_index: Index of the committed membership under which the candidate votes, or 0.
+    """
 
     term: int
     last_index: int
     last_term: int
     pre_vote: bool = False
     founder: bool = False
+    membership_index: int = 0
 
 
 @attrs.frozen
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -109,6 +109,15 @@
         self.assertEqual([], self.ask(node, 1.0, folder="other"))
         self.assertEqual(1, node.hard.term)
 
+    def test_candidate_readmitted_later_gets_a_vote(self):
+        """Guards against five members that elect nobody because one missed the readmission of another."""
+        for membership_index, expected in ((1, []), (2, [True])):
+            node = make_node()
+            request = VoteRequest(5, 9, 4, membership_index=membership_index)
+            node.step("b", "new", request, 1.0)
+            granted = [message.granted for message in sync(node, 1.0)]
+            self.assertEqual(expected, granted)
+
     def test_learner_does_not_vote(self):
         """Guards against a vote of a member that lost its disk and forgot its earlier vote."""
         for entries in ([], None):
