Report a stopped member's proposals as lost

Ruled out: NotLeaderError for pending proposals, which would claim that nothing was proposed. Conclusion: the errors of propose and barrier are the documented ones in every case.

--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -7,11 +7,11 @@
 
 from cranberrylever.consensus._config import ConsensusConfig, MemberStatus
 from cranberrylever.consensus._leadership import Leadership
-from cranberrylever.consensus._log import is_voter
 from cranberrylever.consensus._machine import StateMachine
 from cranberrylever.consensus._messages import MESSAGE_KINDS, EntryKind, Message, Snapshot
 from cranberrylever.consensus._node import RaftNode
 from cranberrylever.consensus._pending import PendingCalls, proposal_lost
+from cranberrylever.consensus._status import member_status
 from cranberrylever.consensus._storage import Storage, StorageBatch
 from cranberrylever.consensus._transport import Transport
 from cranberrylever.errors import (
@@ -96,25 +96,8 @@
         """Return what this member knows of each member of the group; nothing before the start."""
         if self.node is None:
             return ()
-        return tuple(self._member_status(member) for member in self.config.members)
-
-    def _member_status(self, member: str) -> MemberStatus:
-        node = self.node
         now = self._now()
-        if member == self.config.member_id:
-            role = "voter" if node.may_vote() else "learner"
-            folder_id, match_index, heard_at = node.folder_id, node.persisted_index, now
-        else:
-            folder = node.folders.get(member)
-            folder_id = folder.folder_id if folder else ""
-            founder = folder.founder if folder else False
-            _, membership = node.memberships.at(node.commit_index)
-            role = "voter" if is_voter(membership, member, folder_id, founder) else "learner"
-            heard_at = folder.heard_at if folder else None
-            match_index = node.leadership.progress[member].match_index if node.leadership else 0
-        if member == node.leader_id:
-            role = "leader"
-        return MemberStatus(member, role, folder_id, match_index, heard_at)
+        return tuple(member_status(self.node, member, now) for member in self.config.members)
 
     # Life cycle --------------------------------------------------------------------------------
 
@@ -148,9 +131,9 @@
             error = InvariantError(f"unexpected {error!r}", "report the log lines before this one")
         self.error = error
         eliot.log_message("consensus:stopped", member=self.config.member_id, error=str(error))
-        self._stop(error)
+        self._stop(ProposalLostError(f"this member stopped: {error.message}", error.remedy))
 
-    def _stop(self, error: CranberryleverError) -> None:
+    def _stop(self, error: ProposalLostError) -> None:
         if self.stopped.is_set():
             return
         self.stopped.set()
@@ -194,8 +177,6 @@
         await future
 
     def _require_running(self) -> None:
-        if self.error is not None:
-            raise self.error
         if self.node is None or self.stopped.is_set():
             raise NotLeaderError()
 
