Run random schedules on real folders with kills inside a write

Cause: the schedules used the memory twin only, so the segment files were never restarted by a whole group. Change: a disk storage on simulated time that a kill stops between two steps of an outstanding write and that loses a part of the unsynced bytes. Ruled out: real syncs in these runs, which add wall time and no state.

--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import shutil
 
 from cranberrylever.consensus import (
     ConsensusConfig,
@@ -13,6 +14,7 @@
     create_driver,
 )
 from cranberrylever.errors import CranberryleverError
+from tests.consensus.killing import SimulatedDiskStorage
 
 CLUSTER = "test"
 
@@ -63,7 +65,7 @@
 class Cluster:
     """Members by name; every observation checks the rules that hold across members."""
 
-    def __init__(self, size, seed=1, snapshot_entries=50, sync_times=(0.01,), **network):
+    def __init__(self, size, seed=1, snapshot_entries=50, sync_times=(0.01,), folder=None, **network):
         self.rng = random.Random(seed)
         self.network = _ObservedNetwork(random.Random(seed + 1), **network)
         self.network.observer = self.observe
@@ -71,6 +73,7 @@
         self.addresses = {name: f"{name}:1" for name in self.names}
         self.snapshot_entries = snapshot_entries
         self.sync_times = sync_times
+        self.folder = folder
         self.disks = {name: MemoryDisk() for name in self.names}
         self.drivers = {}
         self.storages = {}
@@ -80,7 +83,10 @@
 
     async def start(self, name, bootstrap=False):
         sync_time = self.rng.uniform(0, self.rng.choice(self.sync_times))
-        storage = MemoryStorage(self.disks[name], CLUSTER, bootstrap, sync_time)
+        if self.folder is None:
+            storage = MemoryStorage(self.disks[name], CLUSTER, bootstrap, sync_time)
+        else:
+            storage = SimulatedDiskStorage(self.folder / name, CLUSTER, bootstrap, sync_time, self.rng)
         config = ConsensusConfig(CLUSTER, name, self.addresses, snapshot_entries=self.snapshot_entries)
         driver = create_driver(
             config,
@@ -128,6 +134,8 @@
         if name in self.drivers:
             await self.kill(name)
         self.disks[name] = MemoryDisk()
+        if self.folder is not None:
+            shutil.rmtree(self.folder / name, ignore_errors=True)
 
     async def close(self):
         for name in list(self.drivers):
--- a/tests/consensus/test_disk.py
+++ b/tests/consensus/test_disk.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import errno
-import os
 import random
 import shutil
 import tempfile
@@ -15,64 +14,11 @@
 from cranberrylever.consensus._segments import _encode_record
 from cranberrylever.consensus._storage import StorageBatch, usable_entries
 from cranberrylever.errors import ClusterMismatchError, LogDamagedError, SettingError, StorageError
+from tests.consensus.killing import KilledError, KillingFiles
 
 CLUSTER = "test"
 
 
-class KilledError(Exception):
-    """The simulated kill of the process."""
-
-
-class KillingFiles(FileOperations):
-    """Fails before the operation with the given number; unsynced bytes are then lost in part."""
-
-    def __init__(self, kill_at, rng):
-        self.count = 0
-        self.kill_at = kill_at
-        self.rng = rng
-        self.unsynced = {}
-
-    def _step(self):
-        self.count += 1
-        if self.count >= self.kill_at:
-            raise KilledError
-
-    def write(self, descriptor, data):
-        path = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
-        self.unsynced.setdefault(path, os.fstat(descriptor).st_size)
-        if self.count + 1 == self.kill_at:
-            super().write(descriptor, data[: self.rng.randint(0, len(data))])
-        self._step()
-        super().write(descriptor, data)
-
-    def sync_data(self, descriptor):
-        self._step()
-        super().sync_data(descriptor)
-        self.unsynced.pop(Path(os.readlink(f"/proc/self/fd/{descriptor}")), None)
-
-    def sync(self, descriptor):
-        self._step()
-        super().sync(descriptor)
-        self.unsynced.pop(Path(os.readlink(f"/proc/self/fd/{descriptor}")), None)
-
-    def truncate(self, descriptor, size):
-        self._step()
-        super().truncate(descriptor, size)
-
-    def rename(self, source, target):
-        self._step()
-        super().rename(source, target)
-
-    def remove(self, path):
-        self._step()
-        super().remove(path)
-
-    def lose_unsynced(self):
-        for path, synced in self.unsynced.items():
-            if path.exists() and path.stat().st_size > synced:
-                os.truncate(path, self.rng.randint(synced, path.stat().st_size))
-
-
 def batch(hard=None, truncate=None, entries=(), snapshot=None):
     return StorageBatch(hard, truncate, tuple(entries), snapshot, ())
 
--- a/tests/consensus/test_random.py
+++ b/tests/consensus/test_random.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+import tempfile
+from pathlib import Path
 
 import testtools
 
@@ -15,12 +17,13 @@
 class Schedule:
     """Runs random steps on a cluster; it never loses more disks at a time than the group tolerates."""
 
-    def __init__(self, size, seed):
+    def __init__(self, size, seed, folder=None):
         self.cluster = Cluster(
             size,
             seed,
             snapshot_entries=30,
             sync_times=(0.002, 0.01, 0.2),
+            folder=folder,
             min_delay=0.0005,
             max_delay=0.02,
             loss=0.02,
@@ -141,22 +144,27 @@
         self.patch(leadership, "MAX_APPEND_ENTRIES", 4)
         self.patch(leadership, "MAX_IN_FLIGHT", 3)
 
-    def run_schedules(self, size, seeds):
+    def run_schedules(self, size, seeds, on_disk=False):
         lost_disks = 0
         for seed in seeds:
-            schedule = Schedule(size, seed)
-            try:
-                run_paused(schedule.run)
-            except BaseException as error:
-                error.add_note(f"size {size}, seed {seed}")
-                raise
-            lost_disks += schedule.lost_disks
+            with tempfile.TemporaryDirectory() as folder:
+                schedule = Schedule(size, seed, Path(folder) if on_disk else None)
+                try:
+                    run_paused(schedule.run)
+                except BaseException as error:
+                    error.add_note(f"size {size}, seed {seed}")
+                    raise
+                lost_disks += schedule.lost_disks
         self.assertGreater(lost_disks, len(seeds))
 
     def test_three_members(self):
         """Guards against two leaders in a term, lost entries and stale reads among three members."""
         self.run_schedules(3, range(1, 10))
 
+    def test_three_members_on_folders(self):
+        """Guards against the same with real folders that are killed between two steps of a write."""
+        self.run_schedules(3, range(201, 207), on_disk=True)
+
     def test_five_members(self):
         """Guards against the same with two losses at a time among five members."""
         self.run_schedules(5, range(101, 105))
