Write consensus log lines through the program log

Cause: consensus and the peer links used eliot directly, so their lines lacked the fields of the other lines. Change: both use logs.Log. Ruled out: passing the control program's log through create_driver, which would change the interface for the name alone. Conclusion: lines of all parts have the same fields.

--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -3,8 +3,6 @@
 import asyncio
 import random
 
-import eliot
-
 from cranberrylever.consensus._config import ConsensusConfig, MemberStatus
 from cranberrylever.consensus._leadership import Leadership
 from cranberrylever.consensus._machine import StateMachine
@@ -22,6 +20,7 @@
     ProposalLostError,
     StorageError,
 )
+from cranberrylever.logs import Log
 from cranberrylever.wire import PeerFrame, decode, encode
 
 MAX_APPLY_BATCH = 128
@@ -52,6 +51,7 @@
         self.transport = transport
         self.machine = machine
         self.rng = rng
+        self.log = Log("consensus", config.member_id)
         self.node: RaftNode | None = None
         self.applied_index = 0
         self.leader_since: float | None = None
@@ -130,7 +130,7 @@
         if not isinstance(error, CranberryleverError):
             error = InvariantError(f"unexpected {error!r}", "report the log lines before this one")
         self.error = error
-        eliot.log_message("consensus:stopped", member=self.config.member_id, error=str(error))
+        self.log.write("error", "member_stopped", error=str(error))
         self._stop(ProposalLostError(f"this member stopped: {error.message}", error.remedy))
 
     def _stop(self, error: ProposalLostError) -> None:
@@ -191,7 +191,7 @@
         try:
             message = decode(frame.body, kind)
         except CodecError as error:
-            eliot.log_message("consensus:bad_frame", sender=frame.sender, error=str(error))
+            self.log.warning("frame_refused", sender=frame.sender, error=str(error))
             return
         try:
             self.node.step(frame.sender, frame.folder_id, message, self._now())
@@ -332,14 +332,8 @@
         if standing == self._standing:
             return
         self._standing = standing
-        leader, term, is_voter_now = standing
-        eliot.log_message(
-            "consensus:standing",
-            member=self.config.member_id,
-            leader=leader,
-            term=term,
-            voter=is_voter_now,
-        )
+        leader, term, votes = standing
+        self.log.info("standing_changed", leader=leader, term=term, votes=votes)
 
     def _set_timer(self, now: float) -> None:
         """Wake at the next deadline; a timer that is early is left, so heartbeats do not replace it."""
--- a/cranberrylever/control/_peers.py
+++ b/cranberrylever/control/_peers.py
@@ -4,13 +4,13 @@
 import collections
 import random
 
-import eliot
 import grpclib.client
 import grpclib.const
 import grpclib.exceptions
 import grpclib.server
 
 from cranberrylever.consensus import Receiver, Transport
+from cranberrylever.logs import Log
 from cranberrylever.wire import MsgpackCodec, PeerBase, PeerFrame, PeerStub
 
 MAX_QUEUED_FRAMES = 1024
@@ -30,10 +30,12 @@
     Args:
         member_id: Member id of the peer.
         address: ``host:port`` of the peer.
+        log: Log of this member.
     """
 
-    def __init__(self, member_id: str, address: str) -> None:
+    def __init__(self, member_id: str, address: str, log: Log) -> None:
         self.member_id = member_id
+        self.log = log
         host, _, port = address.rpartition(":")
         self.host = host.strip("[]")
         self.port = int(port)
@@ -88,7 +90,7 @@
         """Log why the stream broke, once for a series of attempts that fail alike."""
         if reason != self._reason:
             self._reason = reason
-            eliot.log_message("peers:disconnected", peer=self.member_id, reason=reason)
+            self.log.warning("peer_disconnected", peer=self.member_id, reason=reason)
 
     async def _serve(self) -> None:
         """Connect and send queued frames until the stream breaks."""
@@ -145,7 +147,10 @@
         self.cluster_id = cluster_id
         self.member_id = member_id
         self.callback: Receiver | None = None
-        self.links = {peer: PeerLink(peer, address) for peer, address in members.items() if peer != member_id}
+        log = Log("consensus", member_id)
+        self.links = {
+            peer: PeerLink(peer, address, log) for peer, address in members.items() if peer != member_id
+        }
 
     async def start(self) -> None:
         """Connect to all peers."""
