--- a/cranberrylever/ownership/_coordinator.py
+++ b/cranberrylever/ownership/_coordinator.py
@@ -128,13 +128,12 @@
         interval = self.timings.lost_probe_interval if is_lost else self.timings.grant_interval
         if not self.grants.is_due(holder, record.grant_version, interval, now):
             return None
-        is_acknowledged = self.grants.is_acknowledged(holder, record.grant_version)
         return self.grants.renew(
             target_id,
             record.incarnation,
             record.announcement.address,
             record.grant_version,
-            None if is_acknowledged else self.state.owned_shards(record),
+            lambda: self.state.owned_shards(record),
             self.state.tickets.last_number,
             now,
         )
--- a/cranberrylever/ownership/_grants.py
+++ b/cranberrylever/ownership/_grants.py
@@ -1,6 +1,7 @@
 """Grants to targets: renewals, acknowledgements and the last possible expiry."""
 
 import math
+from collections.abc import Callable
 
 import attrs
 
@@ -108,30 +109,35 @@
             return True
         return now - holder.last_sent_at >= interval
 
-    def is_acknowledged(self, holder: GrantHolder, version: int) -> bool:
-        """Tell whether the holder's last acknowledgement names this version of its shards."""
-        return holder.ack is not None and holder.ack.version == version
-
     def renew(
         self,
         target_id: str,
         incarnation: str,
         address: str,
         version: int,
-        shards: tuple[ShardRef, ...] | None,
+        owned_shards: Callable[[], tuple[ShardRef, ...]],
         tickets_version: int,
         now: float,
     ) -> GrantRenewal:
         """Return the next renewal for a target and record it as possibly granted.
 
         It is based on the last acknowledgement; without a recent one it only reads the target's clock.
-        ``shards`` is ``None`` when ``is_acknowledged`` holds for this version.
+
+        Args:
+            target_id: The target.
+            incarnation: Its present incarnation.
+            address: Where it listens.
+            version: Version of its set of shards.
+            owned_shards: Returns that set; called only when the target has not acknowledged ``version``.
+            tickets_version: Number of the last accepted ticket.
+            now: Loop time in seconds.
         """
         holder = self.holder(target_id, incarnation, now)
         if holder.outstanding is not None:
             self._set_unanswered(holder, holder.outstanding)
         self.sequence += 1
         expires_at_ms, expires_by = self._expiry(holder, now)
+        is_acknowledged = holder.ack is not None and holder.ack.version == version
         renewal = GrantRenewal(
             target_id=target_id,
             incarnation=incarnation,
@@ -140,7 +146,7 @@
             sequence=self.sequence,
             expires_at_ms=expires_at_ms,
             version=version,
-            shards=shards,
+            shards=None if is_acknowledged else owned_shards(),
             tickets_version=tickets_version,
             sent_at=now,
             expires_by=expires_by,
