--- /dev/null
+++ b/bench/straggler.py
@@ -0,0 +1,353 @@
+"""Tail latency of idempotent pooled requests while one in six targets is slow, over round robin.
+
+Runs on a loop with paused time: the real chooser, limits, retries and hedging of several entries work against
+simulated targets, so the figure does not depend on the load of the machine.
+"""
+
+import argparse
+import asyncio
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+import looptime
+
+from bench.figure import Figure, percentile
+from cranberrylever.entry import EntryTuning
+from cranberrylever.entry._admission import Admission
+from cranberrylever.entry._client import TargetRefusedError
+from cranberrylever.entry._crashes import CrashWatch
+from cranberrylever.entry._dispatcher import Dispatcher
+from cranberrylever.entry._exchange import Attempt, Exchange
+from cranberrylever.entry._inflight import InFlight
+from cranberrylever.entry._reports import RequestCounts
+from cranberrylever.entry._targets import TargetStates
+from cranberrylever.entry._views import ViewStore
+from cranberrylever.errors import NotRunError, UnknownOutcomeError
+from cranberrylever.logs import Log
+from cranberrylever.metrics import NullMetrics
+from cranberrylever.routing import (
+    Chooser,
+    LastReport,
+    LeastWait,
+    RoundRobin,
+    ServiceView,
+    TargetView,
+    TwoChoices,
+    View,
+)
+from cranberrylever.wire import ViewAnswer
+
+BOUND = 0.35
+TARGETS = 6
+SLOTS = 3
+CONNECTIONS = 100
+QUEUE_LIMIT = 64
+ENTRIES = 8
+SERVICE_SECONDS = 0.002
+SLOW_FACTOR = 20.0
+SLOW_SECONDS = 0.2
+REPORT_INTERVAL = 0.2
+REPORT_DELAY = 2.0
+UTILISATION = 0.5
+DEADLINE_SECONDS = 10.0
+WARM_UP_SECONDS = 1.0
+RULES = ("least_wait", "two_choices", "last_report", "round_robin")
+
+
+class SimulatedTarget:
+    """Target with slots and a queue, whose work advances slowly in some windows of time.
+
+    Args:
+        view: The target in the routing view.
+        is_slow: Tells whether the target is slow in a window.
+    """
+
+    def __init__(self, view: TargetView, is_slow: Callable[[int], bool]) -> None:
+        self.view = view
+        self.is_slow = is_slow
+        self.running = 0
+        self.queue: deque[asyncio.Future[None]] = deque()
+
+    @property
+    def load(self) -> int:
+        """Requests that run or wait."""
+        return self.running + len(self.queue)
+
+    async def serve(self, work: float, queue_limit: float) -> None:
+        """Run one request of ``work`` seconds; cancellation ends it.
+
+        Raises:
+            TargetRefusedError: The queue is full.
+        """
+        if self.running >= SLOTS:
+            if len(self.queue) >= queue_limit:
+                raise TargetRefusedError(503, False, "")
+            await self._wait_for_slot()
+        else:
+            self.running += 1
+        try:
+            now = asyncio.get_running_loop().time()
+            await asyncio.sleep(self._end(now, work) - now)
+        finally:
+            self._free_slot()
+
+    async def _wait_for_slot(self) -> None:
+        turn = asyncio.get_running_loop().create_future()
+        self.queue.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._free_slot()
+            else:
+                self.queue.remove(turn)
+            raise
+
+    def _free_slot(self) -> None:
+        if self.queue:
+            self.queue.popleft().set_result(None)
+        else:
+            self.running -= 1
+
+    def _end(self, now: float, work: float) -> float:
+        """Return when ``work`` that starts now ends."""
+        window = int(now / SLOW_SECONDS)
+        while True:
+            rate = 1 / SLOW_FACTOR if self.is_slow(window) else 1.0
+            window_end = (window + 1) * SLOW_SECONDS
+            if now + work / rate <= window_end:
+                return now + work / rate
+            work -= max(0.0, window_end - now) * rate
+            now = max(now, window_end)
+            window += 1
+
+
+@attrs.define
+class SimulatedResponse:
+    """Answer of a simulated target."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class SimulatedClient:
+    """Takes the place of the HTTP client of an entry."""
+
+    def __init__(self, targets: dict[str, SimulatedTarget], source: random.Random) -> None:
+        self.targets = targets
+        self.random = source
+
+    async def send(self, attempt: Attempt, now: float) -> SimulatedResponse:
+        """Run an attempt at its simulated target."""
+        attempt.sent = True
+        await self.targets[attempt.target_id].serve(self.random.expovariate(1 / SERVICE_SECONDS), QUEUE_LIMIT)
+        return SimulatedResponse()
+
+
+class SimulatedEntry:
+    """The request path of one entry without its HTTP sides."""
+
+    def __init__(
+        self, number: int, view: View, targets: dict[str, SimulatedTarget], rule: str, seed: int
+    ) -> None:
+        source = random.Random(f"{seed}/{number}")
+        tuning = EntryTuning(view_lifetime=1e9)
+        log = Log("entry", f"e{number}", "error")
+        views = ViewStore(tuning.view_lifetime)
+        views.offer(ViewAnswer(1, view.version, view), 0.0)
+        states = TargetStates(tuning.cold_mark_lifetime)
+        states.apply_view(views.table)
+        in_flight = InFlight()
+        self.admission = Admission(f"e{number}", views, states, in_flight, RequestCounts(), log)
+        self.reports = {target_id: deque() for target_id in targets}
+        self.chooser = self._chooser(rule, states, targets, source)
+        self.admission.chooser = self.chooser
+        crashes = CrashWatch(in_flight, lambda: None, 0.0, log)
+        client = SimulatedClient(targets, source)
+        self.dispatcher = Dispatcher(
+            views, self.admission, states, crashes, client, tuning, NullMetrics(), lambda: None
+        )
+
+    def _chooser(
+        self, rule: str, states: TargetStates, targets: dict[str, SimulatedTarget], source: random.Random
+    ) -> Chooser:
+        def estimate(target: TargetView, now: float) -> float:
+            return states.states[target.target_id].estimated_wait(now)
+
+        self.reported = dict.fromkeys(targets, 0.0)
+        choosers = {
+            "two_choices": lambda: TwoChoices(estimate, source),
+            "least_wait": lambda: LeastWait(estimate, source),
+            "last_report": lambda: LastReport(lambda target: self.reported[target.target_id], 1.0, source),
+            "round_robin": RoundRobin,
+        }
+        return choosers[rule]()
+
+    def receive_report(self, target_id: str, load: float) -> None:
+        """Take a load report that is late."""
+        self.reported[target_id] = load
+        if isinstance(self.chooser, LastReport):
+            self.chooser.record_report(target_id)
+
+
+@attrs.define
+class Run:
+    """Latencies in seconds and counts of one rule."""
+
+    latencies: list[float] = attrs.field(factory=list)
+    failed: int = 0
+
+
+def create_targets(view: View, seed: int) -> dict[str, SimulatedTarget]:
+    """Return simulated targets of which one is slow in each window."""
+    source = random.Random(seed)
+    slow = [source.randrange(TARGETS) for _ in range(100_000)]
+    return {
+        target.target_id: SimulatedTarget(target, lambda window, number=number: slow[window] == number)
+        for number, target in enumerate(view.targets)
+    }
+
+
+def create_view() -> View:
+    """Return a view with one pooled service."""
+    targets = tuple(
+        TargetView(f"t{number}", "desk", f"t{number}:1", "d1", "i1", "warm", SLOTS, CONNECTIONS, 1)
+        for number in range(TARGETS)
+    )
+    return View(1, 1, (ServiceView("desk", "pooled"),), targets)
+
+
+async def send_reports(targets: dict[str, SimulatedTarget], entries: list[SimulatedEntry]) -> None:
+    """Deliver the load of each target to all entries with the delay of reports."""
+    loop = asyncio.get_running_loop()
+    while True:
+        for target_id, target in targets.items():
+            for entry in entries:
+                loop.call_later(REPORT_DELAY, entry.receive_report, target_id, target.load / ENTRIES)
+        await asyncio.sleep(REPORT_INTERVAL)
+
+
+async def drive(seconds: float, seed: int, serve: Callable[[int], asyncio.Future]) -> Run:
+    """Send requests with exponential gaps; ``serve(number)`` runs one."""
+    source = random.Random(seed + 1)
+    loop = asyncio.get_running_loop()
+    rate = TARGETS * SLOTS / SERVICE_SECONDS * UTILISATION
+    result = Run()
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def one(number: int) -> None:
+        started = loop.time()
+        try:
+            await serve(number)
+        except (NotRunError, UnknownOutcomeError, TimeoutError):
+            result.failed += 1
+            return
+        if started >= WARM_UP_SECONDS:
+            result.latencies.append(loop.time() - started)
+
+    due = loop.time()
+    for number in itertools.count():
+        due += source.expovariate(rate)
+        if due > seconds:
+            break
+        await asyncio.sleep(due - loop.time())
+        task = asyncio.create_task(one(number))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    await asyncio.gather(*tasks)
+    return result
+
+
+async def run_rule(rule: str, seconds: float, seed: int) -> Run:
+    """Measure the request path of an entry with one rule of choice."""
+    view = create_view()
+    targets = create_targets(view, seed)
+    entries = [SimulatedEntry(number, view, targets, rule, seed) for number in range(ENTRIES)]
+    reports = asyncio.create_task(send_reports(targets, entries))
+    service = view.services[0]
+
+    async def serve(number: int) -> None:
+        entry = entries[number % ENTRIES]
+        deadline = asyncio.get_running_loop().time() + DEADLINE_SECONDS
+        exchange = Exchange(service, "GET", f"/desk/{number}", [], b"", deadline, True, str(number))
+        async with asyncio.timeout_at(deadline):
+            attempt, _ = await entry.dispatcher.run(exchange)
+        entry.dispatcher.finish(attempt)
+
+    result = await drive(seconds, seed, serve)
+    reports.cancel()
+    return result
+
+
+async def run_baseline(seconds: float, seed: int) -> Run:
+    """Measure plain round robin: each entry sends to each target in turn, without limits or hedging."""
+    view = create_view()
+    targets = list(create_targets(view, seed).values())
+    source = random.Random(seed + 2)
+    positions = [source.randrange(TARGETS) for _ in range(ENTRIES)]
+
+    async def serve(number: int) -> None:
+        entry = number % ENTRIES
+        positions[entry] = (positions[entry] + 1) % TARGETS
+        await targets[positions[entry]].serve(source.expovariate(1 / SERVICE_SECONDS), float("inf"))
+
+    return await drive(seconds, seed, serve)
+
+
+def run_paused(main: Callable[[], object]) -> Run:
+    """Run a coroutine function on a loop of its own with paused time."""
+    loop = looptime.new_event_loop(start=0)
+    try:
+        return loop.run_until_complete(main())
+    finally:
+        loop.close()
+
+
+def measure(seconds: int, seed: int, rules: tuple[str, ...] = RULES) -> list[Figure]:
+    """Return the p99 of each rule over that of plain round robin."""
+    base = percentile(run_paused(lambda: run_baseline(seconds, seed)).latencies, 0.99) * 1000
+    result = []
+    for rule in rules:
+        outcome = run_paused(lambda rule=rule: run_rule(rule, seconds, seed))
+        value = percentile(outcome.latencies, 0.99) * 1000
+        median = percentile(outcome.latencies, 0.5) * 1000
+        note = (
+            f"{len(outcome.latencies)} requests, {outcome.failed} failed, median {median:.2f} ms, seed {seed}"
+        )
+        if rule == rules[0]:
+            figure = Figure(
+                "straggler_p99",
+                value,
+                "ms",
+                base,
+                f"ratio <= {BOUND}",
+                value / base <= BOUND,
+                f"{rule}, {note}",
+            )
+        else:
+            figure = Figure(f"straggler_p99_{rule}", value, "ms", base, note=note)
+        result.append(figure)
+    return result
+
+
+async def run(seconds: int = 4) -> list[Figure]:
+    """Measure ``seconds`` seconds of simulated load for each rule."""
+    return await asyncio.to_thread(measure, seconds, 1)
+
+
+def main() -> None:
+    """Print the figures of one seed."""
+    parser = argparse.ArgumentParser(prog="python -m bench.straggler", description=__doc__)
+    parser.add_argument("--seconds", type=int, default=4)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rules", nargs="+", choices=RULES, default=RULES)
+    options = parser.parse_args()
+    for figure in measure(options.seconds, options.seed, tuple(options.rules)):
+        print(figure.line())
+
+
+if __name__ == "__main__":
+    main()
--- a/cranberrylever/entry/_admission.py
+++ b/cranberrylever/entry/_admission.py
@@ -6,7 +6,7 @@
 from cranberrylever.errors import NotRunError
 from cranberrylever.limits import estimated_wait
 from cranberrylever.logs import Log
-from cranberrylever.routing import RoutingTable, ServiceView, TargetView, TwoChoices
+from cranberrylever.routing import LeastWait, RoutingTable, ServiceView, TargetView
 
 from ._exchange import Attempt, Exchange
 from ._inflight import InFlight
@@ -56,7 +56,7 @@
         self.counts = counts
         self.log = log
         self.queues: dict[str, WaitQueue] = {}
-        self.chooser = TwoChoices(
+        self.chooser = LeastWait(
             lambda target, now: self.targets.states[target.target_id].estimated_wait(now)
         )
 
--- a/cranberrylever/entry/_client.py
+++ b/cranberrylever/entry/_client.py
@@ -11,11 +11,13 @@
 from cranberrylever.errors import NotRunError, UnknownOutcomeError
 
 from . import _headers
-from ._exchange import Attempt
+from ._exchange import Attempt, Exchange
 from ._tuning import EntryTuning
 
 HOP_MARGIN_MS = 20
 
+_METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+
 _current_attempt: contextvars.ContextVar[Attempt] = contextvars.ContextVar("current_attempt")
 
 
@@ -57,10 +59,17 @@
         """Send the request unless its attempt became invalid while it waited for a connection."""
         attempt = _current_attempt.get()
         self.check_before_send(attempt)
+        if conn.transport is None:
+            raise aiohttp.ServerDisconnectedError
         attempt.transport = conn.transport
         attempt.sent = True
         attempt.exchange.open_dispatches += 1
-        return await super().send(conn)
+        response = await super().send(conn)
+        if attempt.exchange.body:
+            # aiohttp would start a task for the body. It is in memory and within its limit, so the transport
+            # takes all of it.
+            attempt.transport.write(attempt.exchange.body)
+        return response
 
 
 _NO_AUTO_HEADERS = CIMultiDict({"Content-Type": "", "Accept": "", "User-Agent": ""})
@@ -112,7 +121,6 @@
                 exchange.method,
                 url,
                 headers=self._headers(attempt, now),
-                data=exchange.body or None,
                 allow_redirects=False,
             )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -138,6 +146,7 @@
             remaining_ms = max(1, remaining_ms - HOP_MARGIN_MS)
         headers = [
             *exchange.headers,
+            *self._length_header(exchange),
             (_headers.DEADLINE_MS, str(remaining_ms)),
             (_headers.REQUEST_ID, exchange.request_id),
         ]
@@ -149,3 +158,8 @@
             headers.append((_headers.SHARD, str(attempt.shard)))
             headers.append((_headers.FENCE, str(attempt.fence)))
         return headers
+
+    def _length_header(self, exchange: Exchange) -> list[tuple[str, str]]:
+        if exchange.body or exchange.method not in _METHODS_WITHOUT_BODY:
+            return [("Content-Length", str(len(exchange.body)))]
+        return []
--- a/cranberrylever/entry/_guard.py
+++ b/cranberrylever/entry/_guard.py
@@ -23,14 +23,13 @@
         self.reason = ""
         self.loop = asyncio.get_running_loop()
         self.task = asyncio.current_task()
+        self.deadline = deadline
         self.watcher: asyncio.Task[None] | None = None
-        self.deadline_handle = self.loop.call_at(deadline, self._cancel, DEADLINE)
-        self.check_handle = self.loop.call_later(check_delay, self._start_watch)
+        self.timer = self.loop.call_at(min(deadline, self.loop.time() + check_delay), self._start_watch)
 
     def close(self) -> None:
         """Stop watching."""
-        self.deadline_handle.cancel()
-        self.check_handle.cancel()
+        self.timer.cancel()
         if self.watcher is not None:
             self.watcher.cancel()
 
@@ -47,6 +46,11 @@
             self.task.cancel()
 
     def _start_watch(self) -> None:
+        # One timer serves both purposes, because most requests end before it fires.
+        if self.loop.time() >= self.deadline:
+            self._cancel(DEADLINE)
+            return
+        self.timer = self.loop.call_at(self.deadline, self._cancel, DEADLINE)
         self.watcher = self.loop.create_task(self._watch())
 
     async def _watch(self) -> None:
--- a/cranberrylever/entry/_server.py
+++ b/cranberrylever/entry/_server.py
@@ -16,6 +16,40 @@
 _CLOSE_POLL_INTERVAL = 0.02
 
 
+class CoalescingTransport:
+    """Transport that joins what is written in one step of the loop into one system call.
+
+    uvicorn writes the head of an answer and its body separately. All else goes to the wrapped transport.
+    """
+
+    def __init__(self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop) -> None:
+        self.transport = transport
+        self.loop = loop
+        self.pending: list[bytes] = []
+        self.pause_reading = transport.pause_reading
+        self.resume_reading = transport.resume_reading
+        self.is_closing = transport.is_closing
+        self.get_extra_info = transport.get_extra_info
+
+    def write(self, data: bytes) -> None:
+        """Write ``data`` at the end of this step."""
+        if not self.pending:
+            self.loop.call_soon(self.flush)
+        self.pending.append(data)
+
+    def flush(self) -> None:
+        """Write what is pending."""
+        if self.pending:
+            data = b"".join(self.pending)
+            self.pending = []
+            self.transport.write(data)
+
+    def close(self) -> None:
+        """Write what is pending and close."""
+        self.flush()
+        self.transport.close()
+
+
 class EntryProtocol(HttpToolsProtocol):
     """Connection of a caller with limits on connections and on header bytes."""
 
@@ -24,7 +58,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection unless there are too many."""
-        super().connection_made(transport)
+        super().connection_made(CoalescingTransport(transport, self.loop))
         self.received_bytes = 0
         self.in_headers = True
         self.refused = False
--- a/cranberrylever/logs.py
+++ b/cranberrylever/logs.py
@@ -3,6 +3,7 @@
 import os
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 
 import eliot
@@ -31,13 +32,19 @@
     Args:
         write: Blocking function that writes bytes.
         max_lines: Number of lines kept.
+
+    Attributes:
+        dropped: Lines dropped because the reader was too slow.
+        lost: Lines that could not be written.
     """
 
     def __init__(self, write: Callable[[bytes], None], max_lines: int = MAX_BUFFERED_LINES) -> None:
         self.write = write
         self.max_lines = max_lines
         self.dropped = 0
-        self.pending: list[dict] = []
+        self.pending: deque[dict] = deque()
+        self.lost = 0
+        self._dropped_reported = 0
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="log-writer", daemon=True)
         self._thread.start()
@@ -60,20 +67,25 @@
         self._flush()
 
     def _flush(self) -> None:
-        batch = self.pending
-        if not batch and not self.dropped:
-            return
-        self.pending = []
-        dropped, self.dropped = self.dropped, 0
-        lines = [_encoder.encode(message) for message in batch]
-        if dropped:
-            notice = {"message_type": "log_lines_dropped", "count": dropped, "timestamp": time.time()}
+        # Only this thread removes lines and only the loop adds them, so neither needs a lock.
+        lines = [_encoder.encode(self.pending.popleft()) for _ in range(len(self.pending))]
+        dropped = self.dropped
+        if dropped > self._dropped_reported:
+            notice = {
+                "message_type": "log_lines_dropped",
+                "count": dropped - self._dropped_reported,
+                "timestamp": time.time(),
+            }
             lines.append(_encoder.encode(notice))
+        if not lines:
+            return
         lines.append(b"")
         try:
             self.write(b"\n".join(lines))
-        except (OSError, ValueError):
-            self.dropped += len(batch) + dropped
+        except OSError:
+            self.lost += len(lines) - 1
+            return
+        self._dropped_reported = dropped
 
 
 def _file_writer(descriptor: int) -> Callable[[bytes], None]:
