--- a/cranberrylever/settings.py
+++ b/cranberrylever/settings.py
@@ -82,9 +82,8 @@
     cluster_id: str = _cluster_id()
     member_id: str = setting("Id of this member, one of the peers.", identifier)
     peers: tuple[PeerAddress, ...] = setting(
-        "A control member, this one included, as id=rpc_address/http_address; may be given several times.",
+        "A control member (this one included) as id=rpc_address/http_address; may be given several times.",
         peer_address,
-        flag="--peer",
         is_list=True,
     )
     data_dir: str = setting("Data folder of this member.", required_text)
@@ -113,7 +112,7 @@
             "member_id",
             self.member_id,
             "is not the id of a peer",
-            f"add --peer {self.member_id}=rpc_address/http_address",
+            f"add --peers {self.member_id}=rpc_address/http_address",
         )
 
     def validate(self) -> None:
