Test the command line, settings, signals and start errors

Cause: a wrong setting or a lost answer must give one line and a documented exit code. Status codes from 500 are treated as no answer, so that the next member is tried; answers are decoded into typed classes before anything is printed.

--- a/cranberrylever/_cli/_client.py
+++ b/cranberrylever/_cli/_client.py
@@ -70,7 +70,7 @@
                     except (aiohttp.ClientError, TimeoutError, ValueError) as error:
                         last_problem = f"{address}: {_describe(error)}"
                         continue
-                    if answer.status != 503:
+                    if answer.status < 500:
                         return _content(answer, address)
                     last_problem = f"{address}: {_error_text(answer)}"
                 await asyncio.sleep(RETRY_PAUSE_S)
--- a/cranberrylever/_cli/_tickets.py
+++ b/cranberrylever/_cli/_tickets.py
@@ -10,6 +10,7 @@
 from cranberrylever._cli._options import with_settings
 from cranberrylever._cli._tables import format_table
 from cranberrylever.errors import TicketError
+from cranberrylever.operator_api import TicketSummary
 from cranberrylever.settings import OperatorSettings
 
 if TYPE_CHECKING:
@@ -35,29 +36,33 @@
     settings: OperatorSettings, file: TicketFile, as_json: AsJson = False, check: Check = False
 ) -> None:
     """Submit a ticket; a repeated submission gets the first answer again."""
-    from cranberrylever._cli._client import call_control
+    from cranberrylever._cli._client import call_control, read_answer
+    from cranberrylever.tickets import TicketOutcome
 
     _, text = _read_ticket(file)
     if check:
         typer.echo("the settings and the ticket are valid")
         return
-    outcome = call_control(settings, "POST", "/v1/tickets", text)
+    content = call_control(settings, "POST", "/v1/tickets", text)
+    outcome = read_answer(content, TicketOutcome)
     if as_json:
-        typer.echo(json.dumps(outcome))
+        typer.echo(json.dumps(content))
         return
-    word = "had been accepted before" if outcome["repeated"] else "accepted"
-    typer.echo(f"ticket {outcome['number']} {word} at index {outcome['index']}, digest {outcome['digest']}")
+    word = "had been accepted before" if outcome.repeated else "accepted"
+    typer.echo(f"ticket {outcome.number} {word} at index {outcome.index}, digest {outcome.digest}")
 
 
 @ticket_app.command("show")
 @with_settings(OperatorSettings)
 def show_ticket(settings: OperatorSettings, number: TicketNumber = None, as_json: AsJson = False) -> None:
     """Print an accepted ticket, or the accepted state of all objects as a ticket."""
-    from cranberrylever._cli._client import call_control
+    from cranberrylever._cli._client import call_control, read_answer
+    from cranberrylever.tickets import AcceptedTicket
 
     if number is not None:
         content = call_control(settings, "GET", f"/v1/tickets/{number}")
-        typer.echo(json.dumps(content) if as_json else content["text"])
+        ticket = read_answer(content, AcceptedTicket)
+        typer.echo(json.dumps(content) if as_json else ticket.text, nl=as_json)
         return
     content = call_control(settings, "GET", "/v1/configuration")
     typer.echo(json.dumps(content) if as_json else _format_state(content))
@@ -67,13 +72,14 @@
 @with_settings(OperatorSettings)
 def list_tickets(settings: OperatorSettings, as_json: AsJson = False) -> None:
     """List the accepted tickets that control keeps, in order of acceptance."""
-    from cranberrylever._cli._client import call_control
+    from cranberrylever._cli._client import call_control, read_answer
 
     content = call_control(settings, "GET", "/v1/tickets")
+    tickets = read_answer(content, tuple[TicketSummary, ...])
     if as_json:
         typer.echo(json.dumps(content))
         return
-    rows = [(ticket["number"], ticket["index"], ticket["digest"][:SHORT_DIGEST]) for ticket in content]
+    rows = [(ticket.number, ticket.index, ticket.digest[:SHORT_DIGEST]) for ticket in tickets]
     typer.echo(format_table("tickets", ("number", "index", "digest"), rows))
 
 
--- a/cranberrylever/cli.py
+++ b/cranberrylever/cli.py
@@ -44,10 +44,14 @@
 app.add_typer(docs_app, name="docs")
 
 
-def main() -> None:
-    """Run the command line; an error prints one line and sets the exit code."""
+def main(arguments: list[str] | None = None) -> None:
+    """Run the command line; an error prints one line and sets the exit code.
+
+    Args:
+        arguments: The arguments after the program's name (default: those of the process).
+    """
     try:
-        app(prog_name="cranberrylever")
+        app(arguments, prog_name="cranberrylever")
     except CranberryleverError as error:
         print(f"error: {' '.join(str(error).split())}", file=sys.stderr)
         sys.exit(_EXIT_CODES.get(type(error), ExitCode.FAILED))
--- /dev/null
+++ b/tests/cli/test_run.py
@@ -0,0 +1,108 @@
+"""Tests of running a program until a signal."""
+
+import errno
+import signal
+import socket
+import subprocess
+import sys
+
+import testtools
+
+from cranberrylever._cli._run import run_program
+from cranberrylever.errors import StartError, StorageError
+from tests.cli.support import run_cli
+
+# A program whose close takes as long as its argument says, in seconds.
+SCRIPT = """
+import asyncio, sys
+from cranberrylever._cli._run import run_program
+
+class Program:
+    async def start(self):
+        print("started", flush=True)
+    async def close(self):
+        print("closing", flush=True)
+        await asyncio.sleep(float(sys.argv[1]))
+        print("closed", flush=True)
+
+run_program(Program(), "the program")
+"""
+
+
+class FakeProgram:
+    """Fails on start, or later."""
+
+    def __init__(self, start_error=None, failure=None):
+        self.start_error = start_error
+        self.failure = failure
+        self.closed = False
+
+    async def start(self):
+        if self.start_error is not None:
+            raise self.start_error
+
+    async def wait_failure(self):
+        raise self.failure
+
+    async def close(self):
+        self.closed = True
+
+
+class SignalTest(testtools.TestCase):
+    def start(self, close_seconds):
+        process = subprocess.Popen(
+            [sys.executable, "-c", SCRIPT, str(close_seconds)], stdout=subprocess.PIPE, text=True
+        )
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        self.assertEqual("started\n", process.stdout.readline())
+        return process
+
+    def test_signal_closes_the_program(self):
+        """Guards against a planned stop that interrupts requests."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            process = self.start(0.05)
+            process.send_signal(number)
+            self.assertEqual("closing\nclosed\n", process.stdout.read())
+            self.assertEqual(0, process.wait())
+
+    def test_second_signal_ends_the_process(self):
+        """Guards against a process that can't be stopped while it waits for a request."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            process = self.start(60)
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual("closing\n", process.stdout.readline())
+            process.send_signal(number)
+            self.assertEqual("", process.stdout.read())
+            self.assertEqual(-number, process.wait())
+
+
+class FailureTest(testtools.TestCase):
+    def test_start_errors_name_the_remedy(self):
+        """Guards against a traceback for a port in use or a folder without permission."""
+        for number, expected in (
+            (errno.EADDRINUSE, "choose another port"),
+            (errno.EADDRNOTAVAIL, "an address of this instance"),
+            (errno.EACCES, "a folder that this user can write"),
+            (errno.EIO, "correct the setting concerned"),
+        ):
+            program = FakeProgram(start_error=OSError(number, "reason"))
+            error = self.assertRaises(StartError, run_program, program, "the entry")
+            self.assertIn(expected, str(error))
+            self.assertIn("the entry can't", str(error))
+
+    def test_failed_program_is_closed_and_its_error_reported(self):
+        """Guards against a control member that goes on without its disk."""
+        program = FakeProgram(failure=StorageError("the disk is full", "free space"))
+        error = self.assertRaises(StorageError, run_program, program, "the control member")
+        self.assertIn("free space", str(error))
+        self.assertTrue(program.closed)
+
+    def test_port_in_use_gives_one_line(self):
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            listen = f"127.0.0.1:{taken.getsockname()[1]}"
+            flags = ["--target-id", "t", "--service", "ledger", "--failure-domain", "a", "--listen", listen]
+            result = run_cli("target", *flags, "--control", "127.0.0.1:1")
+        self.assertEqual((1, 1), (result.code, result.err.count("\n")), result.err)
+        self.assertIn("choose another port", result.err)
