--- a/cranberrylever/claims/_table.py
+++ b/cranberrylever/claims/_table.py
@@ -1,6 +1,7 @@
 """The table of execution claims, part of the replicated state."""
 
-from collections.abc import Iterable, Iterator
+from collections import OrderedDict
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -91,9 +92,11 @@
         self.evicted = 0
         self.dropped_answers = 0
         self.size_bytes = 0
+        # OrderedDict finds its first item in constant time after many removals at the front; dict does not.
         self._open: dict[str, Claim] = {}
-        self._finished: dict[str, Claim] = {}
-        self._with_answer: dict[str, None] = {}
+        self._finished: OrderedDict[str, Claim] = OrderedDict()
+        self._with_answer: OrderedDict[str, None] = OrderedDict()
+        self._by_opening: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._open) + len(self._finished)
@@ -133,10 +136,14 @@
         Returns:
             The number of claims forgotten.
         """
-        old = [claim for claim in self._all() if claim.opened_index <= opened_before]
-        for claim in old:
-            self._remove(claim)
-        return len(old)
+        count = 0
+        while self._by_opening:
+            claim_id, opened_index = next(iter(self._by_opening.items()))
+            if opened_index > opened_before:
+                break
+            self._forget(claim_id)
+            count += 1
+        return count
 
     def to_record(self) -> ClaimTableRecord:
         """Return the snapshot form."""
@@ -152,8 +159,11 @@
         table = cls(max_claims, max_bytes)
         table.evicted = record.evicted
         table.dropped_answers = record.dropped_answers
-        for claim in (*record.open_claims, *record.finished_claims):
+        claims = (*record.open_claims, *record.finished_claims)
+        for claim in claims:
             table._insert(claim)
+        for claim in sorted(claims, key=lambda claim: claim.opened_index):
+            table._by_opening[claim.claim_id] = claim.opened_index
         return table
 
     def _open_one(self, index: int, opening: "ClaimOpening") -> ClaimOutcome:
@@ -176,12 +186,11 @@
     def _win(self, index: int, opening: "ClaimOpening", previous: Claim | None) -> ClaimOutcome:
         won = Claim(opening.claim_id, opening.fingerprint, opening.entry_id, opening.attempt, index)
         if previous is not None:
-            self._remove(previous)
+            self._forget(previous.claim_id)
         if not self._make_room(_size(won)):
-            if previous is not None:
-                self._insert(previous)
             return ClaimOutcome(opening.claim_id, "full")
         self._insert(won)
+        self._by_opening[won.claim_id] = index
         return ClaimOutcome(opening.claim_id, "won")
 
     def _complete_one(self, completion: "ClaimCompletion") -> ClaimOutcome:
@@ -211,7 +220,7 @@
         while len(self) + added > self.max_claims or self.size_bytes + needed_bytes > self.max_bytes:
             if not self._finished:
                 return False
-            self._remove(next(iter(self._finished.values())))
+            self._forget(next(iter(self._finished)))
             self.evicted += 1
         return True
 
@@ -237,9 +246,9 @@
         self.size_bytes -= _size(claim)
         self._with_answer.pop(claim.claim_id, None)
 
-    def _all(self) -> Iterator[Claim]:
-        yield from self._open.values()
-        yield from self._finished.values()
+    def _forget(self, claim_id: str) -> None:
+        del self._by_opening[claim_id]
+        self._remove(self._open.get(claim_id) or self._finished[claim_id])
 
 
 def _size(claim: Claim) -> int:
--- a/tests/tickets/test_parse.py
+++ b/tests/tickets/test_parse.py
@@ -2,11 +2,13 @@
 
 from pathlib import Path
 
+import attrs
 import testtools
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
 from cranberrylever.errors import TicketError
+from cranberrylever.routing import KeySource
 from cranberrylever.tickets import (
     FailureDomainSpec,
     ServiceSpec,
@@ -170,3 +172,18 @@
         state = parse_ticket(format_configuration(configuration)).unwrap()
         self.assertEqual(4, state.number)
         self.assertEqual([], describe_changes(state, configuration))
+
+
+class SchemaPageTest(testtools.TestCase):
+    def test_page_lists_every_field(self):
+        """Guards against a field that operators can't find."""
+        page = (Path(__file__).parents[2] / "docs" / "tickets.md").read_text()
+        tables = {
+            "top": [field for field in attrs.fields(Ticket) if field.type is int],
+            "`[[service]]`": attrs.fields(ServiceSpec),
+            "`[service.key]`": attrs.fields(KeySource),
+            "`[[failure_domain]]`": attrs.fields(FailureDomainSpec),
+            "`[[target]]`": attrs.fields(TargetSpec),
+        }
+        rows = [f"| {table} | `{field.name}` |" for table, fields in tables.items() for field in fields]
+        self.assertEqual([], [row for row in rows if row not in page])
