--- a/cranberrylever/_cli/_client.py
+++ b/cranberrylever/_cli/_client.py
@@ -14,6 +14,10 @@
 
 RETRY_PAUSE_S = 0.2
 MAX_REQUEST_S = 5.0
+_UNAVAILABLE_REMEDY = "check --control and that a majority of control members runs"
+_UNKNOWN_OUTCOME_REMEDY = (
+    f"{_UNAVAILABLE_REMEDY}, then submit the same ticket again, because it may have been accepted"
+)
 
 
 @attrs.frozen
@@ -77,7 +81,7 @@
     except TimeoutError:
         raise ControlUnavailableError(
             f"no control member answered within {settings.timeout:g} s ({last_problem})",
-            "check --control and that a majority of control members runs",
+            _UNAVAILABLE_REMEDY if body is None else _UNKNOWN_OUTCOME_REMEDY,
         ) from None
 
 
--- a/cranberrylever/_cli/_docs.py
+++ b/cranberrylever/_cli/_docs.py
@@ -4,12 +4,19 @@
 
 from cranberrylever._cli._exits import ExitCode
 from cranberrylever.setting_fields import SettingField, setting_fields
-from cranberrylever.settings import ControlSettings, EntrySettings, OperatorSettings, TargetSettings
+from cranberrylever.settings import (
+    ControlSettings,
+    DevSettings,
+    EntrySettings,
+    OperatorSettings,
+    TargetSettings,
+)
 
 _PROGRAMS = {
     "`entry`": EntrySettings,
     "`control`": ControlSettings,
     "`target`": TargetSettings,
+    "`dev`": DevSettings,
     "`status` and `ticket submit`, `show`, `list`, `diff`": OperatorSettings,
 }
 _INTRODUCTION = """\
--- a/cranberrylever/_cli/_programs.py
+++ b/cranberrylever/_cli/_programs.py
@@ -5,7 +5,7 @@
 from cranberrylever._cli._arguments import Check
 from cranberrylever._cli._options import with_settings
 from cranberrylever._cli._run import run_program
-from cranberrylever.settings import ControlSettings, EntrySettings, TargetSettings
+from cranberrylever.settings import ControlSettings, DevSettings, EntrySettings, TargetSettings
 
 
 @with_settings(EntrySettings)
@@ -38,11 +38,14 @@
     return run_program(create_target(settings, exit_on_crash=True), "the target")
 
 
-def dev() -> None:
+@with_settings(DevSettings)
+def dev(settings: DevSettings, check: Check = False) -> None:
     """Run one control member, two entries and six stand-in targets in one process on loopback."""
+    if check:
+        return _report_valid()
     from cranberrylever.dev import run_dev
 
-    run_dev()
+    return run_dev(settings.token)
 
 
 def _report_valid() -> None:
--- a/cranberrylever/_cli/_tables.py
+++ b/cranberrylever/_cli/_tables.py
@@ -12,8 +12,9 @@
 
 
 def _text(value: object) -> str:
+    """Return a cell; an empty text and the time -1 stand for a value that does not exist."""
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
-        return f"{value:.2f}"
+        return f"{max(value, 0.0):.2f}" if value > -0.5 else "-"
     return "-" if value == "" else str(value)
--- a/cranberrylever/settings.py
+++ b/cranberrylever/settings.py
@@ -206,6 +206,13 @@
     log: LogSettings = attrs.field(factory=LogSettings)
 
 
+@attrs.frozen
+class DevSettings:
+    """Settings of the demonstration."""
+
+    token: str = setting(f"Bearer token of the operator API; {_TOKEN_NOTE}.", token, "")
+
+
 @attrs.frozen
 class OperatorSettings:
     """Settings of the operator's commands; ``control`` lists the http addresses of control members.
--- a/tests/cli/test_tickets.py
+++ b/tests/cli/test_tickets.py
@@ -79,6 +79,7 @@
         result = self.submit(unused_address(), options=["--timeout", "0.3"])
         self.assertEqual((3, 1), (result.code, result.err.count("\n")))
         self.assertIn("no control member answered within 0.3 s", result.err)
+        self.assertIn("submit the same ticket again", result.err)
 
     def test_answer_of_another_form_is_not_taken_as_acceptance(self):
         """Guards against a proxy's page that is reported as an accepted ticket."""
