--- a/bench/faults.py
+++ b/bench/faults.py
@@ -14,7 +14,7 @@
 PAUSE_SECONDS = (0.5, 2.5)
 FREEZE_SECONDS = (0.5, 3.0)
 CUT_SECONDS = (0.5, 4.0)
-REJOIN_LIMIT_SECONDS = 30.0
+REJOIN_LIMIT_SECONDS = 15.0
 HEARD_SECONDS = 0.5
 
 
@@ -149,9 +149,15 @@
         """Wait until a restarted member is a voter that keeps up; only then may the next be lost."""
         # The leader needs a message of the new process before its status tells of it.
         await asyncio.sleep(HEARD_SECONDS)
-        async with asyncio.timeout(REJOIN_LIMIT_SECONDS):
-            while not await self.is_voter(member_id):
-                await asyncio.sleep(0.05)
+        try:
+            async with asyncio.timeout(REJOIN_LIMIT_SECONDS):
+                while not await self.is_voter(member_id):
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            status = await self.cluster.status()
+            output = self.cluster.control[member_id].tail()
+            message = f"{member_id} has not rejoined after {REJOIN_LIMIT_SECONDS:g} s: {status}\n{output}"
+            raise RuntimeError(message) from None
 
     async def is_voter(self, member_id: str) -> bool:
         """Return whether the leader counts a member as a voter that keeps up."""
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import defaultdict
 
 import aiohttp
 import attrs
@@ -18,6 +19,7 @@
 from bench.faults import FaultInjector
 from bench.load import MIXED_UP, LoadGenerator, LoadRequest
 from bench.scenario import KEYED_SERVICE, Layout
+from cranberrylever.target import Run
 
 WATCH_SECONDS = 0.2
 MAX_ORDERS = 10_000_000
@@ -79,6 +81,7 @@
     watch: ConfigurationWatch | None = None
     tasks: list["asyncio.Task[object]"] = attrs.field(factory=list)
     watch_task: "asyncio.Task[None] | None" = None
+    moved_keys: int = 0
 
     def start(self, rate: float) -> None:
         """Start load: ``rate`` orders and as many reads per second."""
@@ -106,6 +109,7 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self.watch_task
         runs = self.injector.read_runs()
+        self.moved_keys = count_moved_keys(runs)
         mixed_up = [
             sample for sample in self.reads.result.samples + self.caller.samples if sample.outcome == MIXED_UP
         ]
@@ -135,6 +139,16 @@
         return (
             f"{self.injector.count} faults; reads served {self.reads.result.served_share():.4f} of "
             f"{len(self.reads.result.samples)}, longest time without a served read "
-            f"{longest_outage(self.reads.result.samples):.2f} s; {self.caller.served} orders served in "
-            f"{attempts} attempts ({answered:.4f})"
+            f"{longest_outage(self.reads.result.samples):.2f} s, slowest served read "
+            f"{self.reads.result.percentile_ms(100) / 1000:.2f} s; {self.caller.served} orders served in "
+            f"{attempts} attempts ({answered:.4f}); {self.moved_keys} keys ran on more than one target"
         )
+
+
+def count_moved_keys(runs: list[Run]) -> int:
+    """Return the number of keys that ran on more than one target."""
+    targets: dict[str, set[str]] = defaultdict(set)
+    for run in runs:
+        if run.shard is not None:
+            targets[run.key].add(run.target_id)
+    return sum(1 for names in targets.values() if len(names) > 1)
