Refuse claims when the table is full instead of evicting finished ones

Cause: a finished claim that was evicted before its retention could be won by a resend, which runs a non-idempotent request twice. Change: claims leave only by expiry; at a bound an opening is refused as full, which the entry answers as not-run. The test of the bound now demands that the old claim is still answered. Ruled out: evicting only claims that ended not-run, which frees little.

--- a/cranberrylever/claims/_table.py
+++ b/cranberrylever/claims/_table.py
@@ -64,24 +64,21 @@
 
     open_claims: tuple[Claim, ...] = ()
     finished_claims: tuple[Claim, ...] = ()
-    evicted: int = 0
     dropped_answers: int = 0
 
 
 class ClaimTable:
     """Claims by id, bounded in number and bytes.
 
-    When the bytes reach their bound, the oldest stored answers are replaced by ``unknown`` first, because a
-    claim that is kept without its answer still prevents a second execution. Then the oldest finished claims
-    leave. Open claims leave only by ``expire``; when they alone reach a bound, further openings are refused
-    as ``full``.
+    When the bytes reach their bound, the oldest stored answers are replaced by ``unknown``, because a claim
+    that is kept without its answer still prevents a second execution. Claims leave only by ``expire``; when
+    they reach a bound, further openings are refused as ``full``: an evicted claim could be won and run again.
 
     Args:
         max_claims: Largest number of claims.
         max_bytes: Largest sum of the sizes of ids, fingerprints and answers.
 
     Attributes:
-        evicted: Number of finished claims that left before ``expire``.
         dropped_answers: Number of answers replaced by ``unknown``.
         size_bytes: Sum of the sizes of all claims.
     """
@@ -89,7 +86,6 @@
     def __init__(self, max_claims: int = MAX_CLAIMS, max_bytes: int = MAX_CLAIM_BYTES) -> None:
         self.max_claims = max_claims
         self.max_bytes = max_bytes
-        self.evicted = 0
         self.dropped_answers = 0
         self.size_bytes = 0
         # OrderedDict finds its first item in constant time after many removals at the front; dict does not.
@@ -148,7 +144,7 @@
     def to_record(self) -> ClaimTableRecord:
         """Return the snapshot form."""
         return ClaimTableRecord(
-            tuple(self._open.values()), tuple(self._finished.values()), self.evicted, self.dropped_answers
+            tuple(self._open.values()), tuple(self._finished.values()), self.dropped_answers
         )
 
     @classmethod
@@ -157,7 +153,6 @@
     ) -> "ClaimTable":
         """Return the table that ``record`` was made from; pass the same bounds."""
         table = cls(max_claims, max_bytes)
-        table.evicted = record.evicted
         table.dropped_answers = record.dropped_answers
         claims = (*record.open_claims, *record.finished_claims)
         for claim in claims:
@@ -206,7 +201,7 @@
         return ClaimOutcome(completion.claim_id, "completed")
 
     def _make_room(self, needed_bytes: int) -> bool:
-        """Drop the oldest answers, then the oldest finished claims, until one more claim fits.
+        """Drop the oldest answers until one more claim fits.
 
         Args:
             needed_bytes: Size of the claim to add, 0 when none is added.
@@ -217,12 +212,7 @@
         added = 1 if needed_bytes else 0
         while self.size_bytes + needed_bytes > self.max_bytes and self._with_answer:
             self._drop_answer(next(iter(self._with_answer)))
-        while len(self) + added > self.max_claims or self.size_bytes + needed_bytes > self.max_bytes:
-            if not self._finished:
-                return False
-            self._forget(next(iter(self._finished)))
-            self.evicted += 1
-        return True
+        return len(self) + added <= self.max_claims and self.size_bytes + needed_bytes <= self.max_bytes
 
     def _drop_answer(self, claim_id: str) -> None:
         """Replace a stored answer by ``unknown`` and keep the claim's place in the order."""
--- a/tests/claims/test_table.py
+++ b/tests/claims/test_table.py
@@ -136,19 +136,20 @@
         self.assertEqual("answered", self.win(table, 3, "k", "a1"))
         self.assertEqual("won", self.win(table, 4, "k", "a2"))
 
-    def test_number_is_bounded_and_open_claims_stay(self):
-        """Guards against memory without a bound and against an open claim that is won a second time."""
+    def test_number_is_bounded_and_no_claim_is_evicted(self):
+        """Guards against memory without a bound and against an evicted claim that is won and run again."""
         table = ClaimTable(max_claims=3)
         for index, claim_id in enumerate(("k1", "k2", "k3")):
             self.win(table, index, claim_id)
         self.assertEqual("full", self.win(table, 4, "k4"))
         self.finish(table, "k2")
         self.finish(table, "k1")
-        self.assertEqual("won", self.win(table, 5, "k5"))
-        self.assertIsNone(table.get("k2"))
-        self.assertIsNotNone(table.get("k1"))
+        self.assertEqual("full", self.win(table, 5, "k5"))
+        self.assertEqual("answered", self.win(table, 6, "k2", "other"))
         self.assertEqual("open", self.win(table, 6, "k3", "other"))
-        self.assertEqual((3, 1), (len(table), table.evicted))
+        self.assertEqual(2, table.expire(1))
+        self.assertEqual("won", self.win(table, 7, "k5"))
+        self.assertEqual(2, len(table))
 
     def test_bytes_are_bounded_and_claims_outlive_their_answers(self):
         """Guards against a resend that runs again because its stored answer was large."""
@@ -160,7 +161,7 @@
         outcomes = table.open(9, [ClaimOpening(key, "f", "e", "new") for key in ("k1", "k2", "k3")])
         self.assertEqual({"answered"}, {outcome.state for outcome in outcomes})
         self.assertEqual(["unknown", "done", "done"], [outcome.answer.outcome for outcome in outcomes])
-        self.assertEqual((0, 1), (table.evicted, table.dropped_answers))
+        self.assertEqual(1, table.dropped_answers)
 
     def test_answer_larger_than_the_bound_is_not_kept(self):
         """Guards against one answer that empties the table."""
