Count a readmitted member once it has synced that it votes

A kill made it a learner again, the leader lost its disk, and the one voter left could elect nobody. Change: replies say whether the folder votes by what the follower has synced; the leader counts it, and reports the repair as complete in members(), only then. Ruled out: treating the appended readmission as committed after a restart, which breaks the rule that a readmission may still be replaced. Conclusion: a repair that members() reports as complete survives a kill of the repaired member.

--- a/cranberrylever/consensus/_election.py
+++ b/cranberrylever/consensus/_election.py
@@ -23,6 +23,11 @@
             for membership in (committed, self.memberships.latest)
         )
 
+    def votes_durably(self) -> bool:
+        """Return whether this member's own folder votes by what is synced, which a kill does not change."""
+        _, membership = self.memberships.at(self.hard.commit_index)
+        return is_voter(membership, self.config.member_id, self.folder_id, self.founder)
+
     def _is_known_voter(self, member: str, folder_id: str, request: VoteRequest) -> bool:
         """Return whether the candidate's folder votes.
 
--- a/cranberrylever/consensus/_follower.py
+++ b/cranberrylever/consensus/_follower.py
@@ -80,6 +80,7 @@
             self.commit_index,
             request.round,
             self.founder,
+            self.votes_durably(),
         )
         self.send_after_sync(sender, reply)
 
@@ -127,6 +128,12 @@
 
     def _reply_chunk(self, sender: str, chunk: SnapshotChunk, next_offset: int, installed: bool) -> None:
         reply = SnapshotReply(
-            self.hard.term, chunk.last_index, next_offset, installed, chunk.round, self.founder
+            self.hard.term,
+            chunk.last_index,
+            next_offset,
+            installed,
+            chunk.round,
+            self.founder,
+            self.votes_durably(),
         )
         self.send_after_sync(sender, reply)
--- a/cranberrylever/consensus/_leadership.py
+++ b/cranberrylever/consensus/_leadership.py
@@ -165,13 +165,12 @@
             ),
         )
 
-    def observe_folder(self, member: str, folder_id: str, founder: bool) -> None:
-        """Start over with a member that answers from another data folder."""
-        progress = self.progress[member]
-        if progress.folder_id == folder_id:
-            progress.founder = founder
-            return
-        self.progress[member] = Progress(self.node.log.last_index + 1, folder_id, founder)
+    def observe_folder(self, member: str, folder_id: str, reply: AppendReply | SnapshotReply) -> None:
+        """Take note of the member's folder and start over when it is another one."""
+        if self.progress[member].folder_id != folder_id:
+            self.progress[member] = Progress(self.node.log.last_index + 1, folder_id)
+        self.progress[member].founder = reply.founder
+        self.progress[member].votes = reply.votes
 
     def on_append_reply(self, member: str, reply: AppendReply, now: float) -> None:
         """Take over a follower's answer."""
@@ -231,9 +230,13 @@
         """Return whether answers of ``member`` count towards a majority.
 
         The folder must vote under the committed and under the latest membership. A replaced folder
-        stops counting when its replacement is appended, the new one counts once that is committed.
+        stops counting when its replacement is appended. The new one counts once that is committed and the
+        member has synced this fact; otherwise a kill could make it a learner again after the leader relied
+        on its copy.
         """
         progress = self.progress[member]
+        if not progress.votes:
+            return False
         history = self.node.memberships
         _, committed = history.at(self.node.commit_index)
         return all(
--- a/cranberrylever/consensus/_messages.py
+++ b/cranberrylever/consensus/_messages.py
@@ -120,6 +120,7 @@
         commit_index: Commit index of the follower.
         round: ``round`` of the request.
         founder: Whether the follower's folder was created with bootstrap.
+        votes: Whether the follower's folder votes by what it has synced.
     """
 
     term: int
@@ -130,6 +131,7 @@
     commit_index: int
     round: int
     founder: bool = False
+    votes: bool = False
 
 
 @attrs.frozen
@@ -156,6 +158,7 @@
     installed: bool
     round: int
     founder: bool = False
+    votes: bool = False
 
 
 @attrs.frozen
--- a/cranberrylever/consensus/_node.py
+++ b/cranberrylever/consensus/_node.py
@@ -299,7 +299,7 @@
             return
         if self.leadership is None or reply.term < self.hard.term:
             return
-        self.leadership.observe_folder(sender, folder_id, reply.founder)
+        self.leadership.observe_folder(sender, folder_id, reply)
         if isinstance(reply, AppendReply):
             self.leadership.on_append_reply(sender, reply, now)
         else:
--- a/cranberrylever/consensus/_progress.py
+++ b/cranberrylever/consensus/_progress.py
@@ -24,6 +24,7 @@
         next_index: Next index to send.
         folder_id: Folder id that the state belongs to, empty until the member was heard.
         founder: Whether that folder was created with bootstrap.
+        votes: Whether the member has synced that its folder votes.
         match_index: Last index that the member has synced and that matches the leader's log.
         match_round: The leader's round when ``match_index`` was raised last.
         acknowledged_round: Latest heartbeat round that the member answered.
@@ -36,6 +37,7 @@
     next_index: int
     folder_id: str = ""
     founder: bool = False
+    votes: bool = False
     match_index: int = 0
     match_round: int = 0
     acknowledged_round: int = 0
--- a/cranberrylever/consensus/_status.py
+++ b/cranberrylever/consensus/_status.py
@@ -14,9 +14,12 @@
         folder = node.folders.get(member)
         folder_id = folder.folder_id if folder else ""
         heard_at = folder.heard_at if folder else None
-        match_index = node.leadership.progress[member].match_index if node.leadership else 0
+        match_index = 0
         _, membership = node.memberships.at(node.commit_index)
         votes = is_voter(membership, member, folder_id, folder.founder if folder else False)
+        if node.leadership is not None:
+            match_index = node.leadership.progress[member].match_index
+            votes = votes and node.leadership.counts(member)
     role = "voter" if votes else "learner"
     if member == node.leader_id:
         role = "leader"
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -53,10 +53,10 @@
     return now
 
 
-def acknowledge(node, now, member="b", folder="fb", round_number=None, match=None):
+def acknowledge(node, now, member="b", folder="fb", round_number=None, match=None, votes=True):
     match = node.log.last_index if match is None else match
     number = node.leadership.round if round_number is None else round_number
-    reply = AppendReply(node.hard.term, True, match, match, 0, 0, number)
+    reply = AppendReply(node.hard.term, True, match, match, 0, 0, number, votes=votes)
     node.step(member, folder, reply, now)
 
 
@@ -138,8 +138,10 @@
         self.assertFalse(node.may_vote())
         node.step("b", "fb", AppendRequest(2, 2, 2, 2, 2), 1.0)
         self.assertTrue(node.may_vote())
+        self.assertFalse(node.votes_durably())
         sync(node, 1.0)
         self.assertEqual(2, node.hard.commit_index)
+        self.assertTrue(node.votes_durably())
         self.assertEqual([True], self.ask(node, 2.0, term=3))
 
     def test_vote_of_unknown_folder_is_not_counted(self):
@@ -269,6 +271,21 @@
         acknowledge(node, now)
         self.assertEqual(node.memberships.latest_index, node.commit_index)
 
+    def test_readmitted_member_counts_once_it_synced_that_it_votes(self):
+        """Guards against a commit on a copy whose member is a learner again after a kill."""
+        node = make_node()
+        now = elect(node)
+        acknowledge(node, now)
+        acknowledge(node, now, member="c", folder="new", votes=False)
+        sync(node, now)
+        acknowledge(node, now)
+        index = node.propose(b"x")
+        sync(node, now)
+        acknowledge(node, now, member="c", folder="new", votes=False)
+        self.assertLess(node.commit_index, index)
+        acknowledge(node, now, member="c", folder="new")
+        self.assertEqual(index, node.commit_index)
+
     def test_leader_without_majority_steps_down(self):
         """Guards against a partitioned leader that accepts proposals for ever."""
         node = make_node()
