Check that each log segment continues the one before

Change: a segment whose previous term is not the last term of the file before is refused; the tests compare the loaded entries as they are, and a disk whose first write fails must refuse the next one. Ruled out: a checksum over the whole chain of segments, which must be rewritten at each compaction.

--- a/cranberrylever/consensus/_segments.py
+++ b/cranberrylever/consensus/_segments.py
@@ -65,6 +65,9 @@
     def last_term(self) -> int:
         return self.terms[-1] if self.terms else self.previous_term
 
+    def follows(self, other: "_Segment") -> bool:
+        return self.first_index == other.last_index + 1 and self.previous_term == other.last_term
+
     def add(self, entry: LogEntry, size: int) -> None:
         self.offsets.append(self.size)
         self.terms.append(entry.term)
@@ -248,8 +251,10 @@
             raise damaged(path, "the file is missing")
         data = path.read_bytes()
         segment = self._read_header(path, number, data)
-        if self.segments and segment.first_index != self.segments[-1].last_index + 1:
-            raise damaged(path, f"it starts at index {segment.first_index} and leaves a gap")
+        if self.segments and not segment.follows(self.segments[-1]):
+            raise damaged(
+                path, f"it starts at index {segment.first_index} and does not continue the file before"
+            )
         while segment.size < len(data):
             offset = segment.size
             record = _decode_record(data, offset, segment.salt)
--- a/tests/consensus/test_disk.py
+++ b/tests/consensus/test_disk.py
@@ -50,15 +50,19 @@
     return batches
 
 
-def contents(hard, snapshot, entries, base_index, base_term):
+def contents(hard, snapshot, entries):
     """Return what matters of a stored state, independent of how much was compacted."""
-    entries, _ = usable_entries(snapshot, entries, base_index, base_term)
     after = snapshot.index if snapshot else 0
     return hard, snapshot, tuple(entry for entry in entries if entry.index > after)
 
 
+def loaded_contents(state):
+    return contents(state.hard_state, state.snapshot, state.entries)
+
+
 def twin_contents(disk):
-    return contents(disk.hard_state, disk.snapshot, disk.entries, disk.base_index, disk.base_term)
+    entries, _ = usable_entries(disk.snapshot, disk.entries, disk.base_index, disk.base_term)
+    return contents(disk.hard_state, disk.snapshot, entries)
 
 
 def allowed_contents(twin, outstanding):
@@ -152,9 +156,7 @@
             self.with_storage(action, files=files)
         except KilledError:
             files.lose_unsynced()
-        state = self.load()
-        first = state.entries[0].index if state.entries else 0
-        found = contents(state.hard_state, state.snapshot, state.entries, first - 1, state.base_term)
+        found = loaded_contents(self.load())
         self.assertTrue(found in allowed_contents(twin, outstanding), f"kill before operation {kill_at}")
         return files.count < kill_at
 
@@ -168,10 +170,7 @@
             for item in batches:
                 for step in twin.steps(item):
                     step()
-            state = self.load()
-            first = state.entries[0].index if state.entries else 0
-            found = contents(state.hard_state, state.snapshot, state.entries, first - 1, state.base_term)
-            self.assertEqual(twin_contents(twin), found, f"seed {seed}")
+            self.assertEqual(twin_contents(twin), loaded_contents(self.load()), f"seed {seed}")
 
 
 class DamageTest(FolderCase):
@@ -324,8 +323,12 @@
 
 
 class _FullDisk(FileOperations):
+    """Fails one write; later ones would succeed again."""
+
     def __init__(self, error):
-        self.error = error
+        self.errors = [error]
 
     def write(self, descriptor, data):
-        raise self.error
+        if self.errors:
+            raise self.errors.pop()
+        super().write(descriptor, data)
