Bound connections, headers and permits of the entry more strictly

Cause: a review of the entry against the design. Change: the highest limit per target is its connections divided by the live entries; a permit stays in use for 100 ms after a cancellation, because the target still runs the work; targets in cold start get half of the pooled requests while there is a free permit; connections without complete headers close after 10 s; waiting requests count as demand for permits; header values keep their bytes; unexpected exceptions are logged and answered with an outcome; an address that cannot be bound names its setting. Ruled out: urgent polls while requests wait for room at a target, which would multiply the load of control just when targets are overloaded.

--- a/cranberrylever/entry/_admission.py
+++ b/cranberrylever/entry/_admission.py
@@ -19,6 +19,10 @@
 """Requests that may wait for permits of one target or service."""
 
 
+COLD_SHARE = 0.5
+"""Share of pooled requests that go to a target in cold start while there is a free permit for it."""
+
+
 class _NoRoomError(Exception):
     """No target has room now; the request may wait in ``queue``, or for a view when that is ``None``."""
 
@@ -103,7 +107,9 @@
         candidates = [
             target
             for target in table.pools[service.name]
-            if target.target_id not in tried and self.targets.has_room(target, now)
+            if target.target_id not in tried
+            and not self.targets.needs_permit(target, now)
+            and self.targets.has_room(target, now)
         ]
         if not candidates:
             return None
@@ -121,6 +127,17 @@
             self._wake_for(state)
         return self.in_flight.remove(attempt)
 
+    def waiting_for_permits(self, now: float) -> dict[str, int]:
+        """Return the requests that wait for permits, per target."""
+        waiting = {}
+        for target_id, state in self.targets.states.items():
+            queue = self.queues.get(state.view.service) or self.queues.get(
+                f"{state.view.service}/{target_id}"
+            )
+            if queue and self.targets.needs_permit(state.view, now):
+                waiting[target_id] = len(queue)
+        return waiting
+
     def wake_all(self) -> None:
         """Let all waiting requests try again, after a change of view, permits or marks."""
         for queue in self.queues.values():
@@ -221,7 +238,7 @@
             roomy = [target for target in pool if self.targets.has_room(target, now)]
             fresh = [target for target in roomy if target.target_id not in tried] if tried else roomy
             if fresh or roomy:
-                target = self.chooser.choose(fresh or roomy, now)
+                target = self._choose_among(fresh or roomy, now)
                 return self._register(exchange, table, target, reason or "pooled", now)
         if all(self.targets.needs_permit(target, now) for target in pool):
             forwarded = self._forward(exchange, table, random.choice(pool), now)
@@ -229,6 +246,16 @@
                 return forwarded
         raise self._no_room(service.name, list(pool))
 
+    def _choose_among(self, candidates: list[TargetView], now: float) -> TargetView:
+        """Return a target with room.
+
+        A target in cold start is slow and would be avoided, but it becomes warm only by work.
+        """
+        cold = [target for target in candidates if self.targets.needs_permit(target, now)]
+        if cold and (len(cold) == len(candidates) or random.random() < COLD_SHARE):
+            return random.choice(cold)
+        return self.chooser.choose(candidates, now)
+
     def _forward(
         self, exchange: Exchange, table: RoutingTable, target: TargetView, now: float
     ) -> Attempt | None:
--- a/cranberrylever/entry/_answers.py
+++ b/cranberrylever/entry/_answers.py
@@ -16,6 +16,7 @@
 _OUTCOME_NAME = _headers.OUTCOME.lower().encode()
 _OUTCOME_DONE = (_OUTCOME_NAME, _headers.DONE.encode())
 _OUTCOME_UNKNOWN = (_OUTCOME_NAME, _headers.UNKNOWN.encode())
+_STATUS_WITHOUT_BODY = frozenset({204, 304})
 _CLOSE = (b"connection", b"close")
 _LAST_BODY = {"type": "http.response.body", "body": b"", "more_body": False}
 
@@ -74,6 +75,9 @@
                 caller's connection, so that the answer does not look complete.
         """
         headers = _headers.answer_headers(response.raw_headers)
+        if response.status in _STATUS_WITHOUT_BODY:
+            # A 304 may name the length of the answer to a GET; uvicorn would wait for that many bytes.
+            headers = [pair for pair in headers if pair[0] != b"content-length"]
         headers.append(_OUTCOME_UNKNOWN if is_unknown(response) else _OUTCOME_DONE)
         exchange.answer_started = True
         await self._start(response.status, headers)
--- a/cranberrylever/entry/_app.py
+++ b/cranberrylever/entry/_app.py
@@ -8,6 +8,7 @@
 from starlette.routing import Route
 
 from cranberrylever.errors import NotRunError, UnknownOutcomeError
+from cranberrylever.logs import Log
 
 from . import _headers
 from ._answers import AnswerWriter, RefusalError, TruncatedAnswerError
@@ -34,6 +35,7 @@
         dispatcher: Runs requests.
         claimed: Runs requests with an idempotency key.
         tuning: Limits.
+        log: Program log.
     """
 
     def __init__(
@@ -43,7 +45,9 @@
         dispatcher: Dispatcher,
         claimed: ClaimedRunner,
         tuning: EntryTuning,
+        log: Log,
     ) -> None:
+        self.log = log
         self.views = views
         self.reader = reader
         self.dispatcher = dispatcher
@@ -129,6 +133,11 @@
             await writer.refuse(502, _headers.UNKNOWN, error)
         except TruncatedAnswerError:
             return
+        except Exception as error:
+            self.log.failure("request_failed", error, service=exchange.service.name)
+            if not exchange.answer_started:
+                refusal = RefusalError(500, "the entry failed", "report the log lines of this entry")
+                await writer.refuse(500, exchange.outcome, refusal)
 
     async def _run_plain(self, exchange: Exchange, writer: AnswerWriter) -> None:
         attempt, response = await self.dispatcher.run(exchange)
--- a/cranberrylever/entry/_dispatcher.py
+++ b/cranberrylever/entry/_dispatcher.py
@@ -21,6 +21,9 @@
 HEDGE_QUANTILE = 0.95
 MIN_HEDGE_DELAY = 0.001
 
+CANCEL_TIME = 0.1
+"""Seconds after which a target has ended the work of a closed connection."""
+
 
 class ServiceLimits:
     """Budgets and latency of one service at this entry."""
@@ -167,8 +170,7 @@
             self.finish(attempt)
             raise
         except asyncio.CancelledError:
-            self._record_abandoned(attempt, loop.time())
-            self.finish(attempt)
+            self._abandon(attempt, loop.time())
             raise
         except BaseException:
             self.finish(attempt)
@@ -181,12 +183,19 @@
                 self.limits[attempt.exchange.service.name].latency.record(now - started)
         return response
 
-    def _record_abandoned(self, attempt: Attempt, now: float) -> None:
+    def _abandon(self, attempt: Attempt, now: float) -> None:
+        """End an attempt whose connection has been closed without an answer."""
         if attempt.state is None or not attempt.sent:
+            self.finish(attempt)
             return
         self.targets.record_abandoned(attempt.state, attempt, now)
         if now >= attempt.exchange.deadline:
             attempt.state.limit.record_refusal(now)
+        if self.targets.needs_permit(attempt.state.view, now):
+            # The target runs the work until it notices the closed connection, so its permit is still in use.
+            asyncio.get_running_loop().call_later(CANCEL_TIME, self.finish, attempt)
+        else:
+            self.finish(attempt)
 
     def _discard(self, attempt: Attempt, response: aiohttp.ClientResponse | None) -> None:
         if response is not None:
--- a/cranberrylever/entry/_headers.py
+++ b/cranberrylever/entry/_headers.py
@@ -51,12 +51,20 @@
             continue
         if name.startswith(_OWN_PREFIX):
             continue
-        kept.append((name.decode("latin-1"), value.decode("latin-1")))
+        kept.append((name.decode("latin-1"), _decode(value)))
     if listed:
         kept = [pair for pair in kept if pair[0].encode("latin-1") not in listed]
     return kept
 
 
+def _decode(value: bytes) -> str:
+    """Return a header value in the form that aiohttp, which encodes as UTF-8, sends as the same bytes."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def answer_headers(raw: tuple[tuple[bytes, bytes], ...]) -> list[tuple[bytes, bytes]]:
     """Return a target's headers without hop-by-hop ones and without an outcome, which the entry sets."""
     kept = []
--- a/cranberrylever/entry/_link.py
+++ b/cranberrylever/entry/_link.py
@@ -53,6 +53,9 @@
                 await self._attach()
             except _STREAM_ERRORS as error:
                 self.link.log.write("debug", "control_stream_lost", address=self.address, error=repr(error))
+            except Exception as error:
+                # Without a stream the view expires and the entry refuses, so going on is safe.
+                self.link.log.failure("control_stream_failed", error, address=self.address)
             await asyncio.sleep(self.link.tuning.reconnect_delay)
 
     async def _attach(self) -> None:
@@ -181,8 +184,11 @@
     async def _poll(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            if self.build_report is not None:
+            try:
                 self.send_poll(loop.time())
+            except Exception as error:
+                # Without polls the view expires and the entry refuses, so going on is safe.
+                self.log.failure("poll_failed", error)
             interval = self.tuning.urgent_poll_interval if self.is_urgent() else self.tuning.poll_interval
             self.poll_now.clear()
             with contextlib.suppress(TimeoutError):
@@ -195,6 +201,8 @@
 
     def send_poll(self, now: float) -> None:
         """Send a report to the leader, or to all members while it is unknown."""
+        if self.build_report is None:
+            return
         self.sequence += 1
         self.polls[self.sequence] = now
         self.polls.pop(self.sequence - _REMEMBERED_POLLS, None)
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -69,7 +69,7 @@
         self.claims = ClaimClient(self.settings.entry_id, self.tuning, self._send_frame)
         claimed = ClaimedRunner(self.claims, self.dispatcher, self.tuning)
         reader = RequestReader(self.views, self.tuning)
-        self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning)
+        self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning, self.log)
         self.server = HttpServer(self.app, self.settings.listen, self.tuning)
         await self.server.start()
         self.link = self._create_link()
@@ -122,15 +122,12 @@
         link.on_view_answer = self._receive_view
         link.on_claim_result = self.claims.receive
         link.on_leader_change = self.claims.resend
-        link.is_urgent = self._is_urgent
+        link.is_urgent = lambda: bool(self.views.waiters)
         return link
 
     def _send_frame(self, **fields: object) -> bool:
         return self.link.send(**fields)
 
-    def _is_urgent(self) -> bool:
-        return bool(self.views.waiters) or self.admission.waiting() > 0
-
     def _check_before_send(self, attempt: Attempt) -> None:
         """Raise unless the attempt may still be sent; time has passed since it was chosen."""
         now = self.loop.time()
@@ -145,6 +142,8 @@
     def _build_report(self, sequence: int) -> EntryReport:
         now = self.loop.time()
         version = self.views.version
+        requests = self.counts.take_requests()
+        self._send_metrics(version, requests)
         return EntryReport(
             sequence=sequence,
             entry_id=self.settings.entry_id,
@@ -152,13 +151,19 @@
             applied_version=version,
             settled_version=self.in_flight.settled_version(version),
             shard_counts=self.counts.take_shards(),
-            target_loads=self.targets.take_loads(now),
+            target_loads=self.targets.take_loads(self.admission.waiting_for_permits(now), now),
             hot_keys=self.counts.take_hot_keys(now),
             suspects=self.crashes.records(now),
             permits=self.targets.used_permits(now),
-            requests=self.counts.take_requests(),
+            requests=requests,
         )
 
+    def _send_metrics(self, version: int, requests: int) -> None:
+        self.metrics.count("requests", requests)
+        self.metrics.gauge("view_version", version)
+        self.metrics.gauge("in_flight", len(self.in_flight.attempts))
+        self.metrics.gauge("waiting", self.admission.waiting())
+
     def _receive_view(self, answer: ViewAnswer, poll_sent: float) -> None:
         now = self.loop.time()
         previous = self.views.version
--- a/cranberrylever/entry/_server.py
+++ b/cranberrylever/entry/_server.py
@@ -7,8 +7,13 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from cranberrylever.errors import SettingError
+
 from ._tuning import EntryTuning
 
+BACKLOG = 2048
+"""Connections that the kernel holds until they are accepted, for a burst of reconnecting callers."""
+
 _REQUEST_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\ncranberrylever-outcome: not-run\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -55,6 +60,7 @@
 
     max_connections = 0
     max_header_bytes = 0
+    header_timeout = 0.0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection unless there are too many."""
@@ -65,6 +71,8 @@
         if len(self.connections) > self.max_connections:
             self.refused = True
             transport.close()
+            return
+        self._limit_wait()
 
     def data_received(self, data: bytes) -> None:
         """Parse data; refuse headers that are too large before the parser has buffered all of them."""
@@ -75,6 +83,8 @@
         super().data_received(data)
         if self.in_headers and self.received_bytes > self.max_header_bytes:
             self._refuse_headers()
+        elif self.in_headers and self.received_bytes:
+            self._limit_wait()
 
     def on_headers_complete(self) -> None:
         """Start the request."""
@@ -99,6 +109,12 @@
         if not self.refused:
             super().on_message_complete()
 
+    def _limit_wait(self) -> None:
+        """Close the connection when the headers of its next request take too long; each byte starts anew."""
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.header_timeout, self.timeout_keep_alive_handler
+        )
+
     def _refuse_headers(self) -> None:
         self.refused = True
         if not self.transport.is_closing():
@@ -133,15 +149,29 @@
         self.config.load()
         # Each truncated answer would otherwise be logged as an error of the application.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
-        limits = {"max_connections": tuning.max_connections, "max_header_bytes": tuning.max_header_bytes}
+        limits = {
+            "max_connections": tuning.max_connections,
+            "max_header_bytes": tuning.max_header_bytes,
+            "header_timeout": tuning.header_timeout,
+        }
         self.protocol_class = type("LimitedProtocol", (EntryProtocol,), limits)
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen."""
+        """Listen.
+
+        Raises:
+            SettingError: The address cannot be used.
+        """
         host, _, port = self.listen.rpartition(":")
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(self._create_protocol, host, int(port), backlog=2048)
+        try:
+            self.server = await loop.create_server(self._create_protocol, host, int(port), backlog=BACKLOG)
+        except OSError as error:
+            raise SettingError(
+                f"cannot listen on --listen {self.listen}: {error.strerror}",
+                "give a free address of this instance",
+            ) from error
 
     def _create_protocol(self) -> asyncio.Protocol:
         return self.protocol_class(config=self.config, server_state=self.state, app_state={})
--- a/cranberrylever/entry/_targets.py
+++ b/cranberrylever/entry/_targets.py
@@ -6,6 +6,8 @@
 from cranberrylever.routing import RoutingTable, TargetView
 from cranberrylever.wire import TargetLoad
 
+MIN_WEIGHT = 0.001
+
 
 @attrs.define(eq=False)
 class TargetState:
@@ -31,7 +33,7 @@
 
     def estimated_wait(self, now: float) -> float:
         """Return the expected time until one more request would be answered."""
-        return (self.outstanding + 1) * self.expected_latency(now) / self.view.weight
+        return (self.outstanding + 1) * self.expected_latency(now) / max(self.view.weight, MIN_WEIGHT)
 
 
 class TargetStates:
@@ -49,10 +51,13 @@
     def apply_view(self, table: RoutingTable) -> None:
         """Take over the targets of a new view; a new incarnation starts with a fresh state."""
         states: dict[str, TargetState] = {}
+        entries = max(1, len(table.entries))
         for target_id, view in table.targets.items():
             state = self.states.get(target_id)
             if state is None or state.view.incarnation != view.incarnation:
                 state = TargetState(view, AdaptiveLimit(view.slots, view.connections))
+            # All entries together must not open more connections than the target accepts.
+            state.limit.set_maximum(view.connections // entries)
             if view.phase == "cold":
                 self.marks.confirm(target_id)
             state.view = view
@@ -116,15 +121,21 @@
         state.starts.pop(token, None)
         state.outstanding -= 1
 
-    def take_loads(self, now: float) -> tuple[TargetLoad, ...]:
-        """Return the loads for a report and start to count again."""
+    def take_loads(self, waiting: dict[str, int], now: float) -> tuple[TargetLoad, ...]:
+        """Return the loads for a report and start to count again.
+
+        Args:
+            waiting: Requests per target that wait for permits; control divides permits by demand.
+            now: Loop time.
+        """
         loads = []
         for target_id, state in self.states.items():
             cold = self.marks.appears_cold(target_id, now)
-            if state.requests or state.outstanding or cold:
+            requests = state.requests + waiting.get(target_id, 0)
+            if requests or state.outstanding or cold:
                 latency_ms = state.latency.recent(now) * 1000
                 load = TargetLoad(
-                    target_id, state.view.incarnation, state.outstanding, state.requests, latency_ms, cold
+                    target_id, state.view.incarnation, state.outstanding, requests, latency_ms, cold
                 )
                 loads.append(load)
                 state.requests = 0
--- a/cranberrylever/entry/_tuning.py
+++ b/cranberrylever/entry/_tuning.py
@@ -23,6 +23,7 @@
     max_connections: int = 2_000
     max_requests: int = 2_000
     keep_alive: float = 20.0
+    header_timeout: float = 10.0
     target_keep_alive: float = 4.0
     finish_timeout: float = 30.0
     disconnect_check_delay: float = 0.01
--- a/cranberrylever/limits/_concurrency.py
+++ b/cranberrylever/limits/_concurrency.py
@@ -25,10 +25,15 @@
     """
 
     def __init__(self, initial: int, maximum: int) -> None:
-        self.maximum = float(max(1, maximum))
-        self.limit = min(float(max(1, initial)), self.maximum)
+        self.limit = float(max(1, initial))
+        self.set_maximum(maximum)
         self._decreased_at = float("-inf")
 
+    def set_maximum(self, maximum: int) -> None:
+        """Change the highest limit, at least 1."""
+        self.maximum = float(max(1, maximum))
+        self.limit = min(self.limit, self.maximum)
+
     @property
     def value(self) -> int:
         """The limit as a whole number, at least 1."""
--- a/cranberrylever/logs.py
+++ b/cranberrylever/logs.py
@@ -3,6 +3,7 @@
 import os
 import threading
 import time
+import traceback
 from collections import deque
 from collections.abc import Callable
 
@@ -128,6 +129,11 @@
         """Write one line about a fault that the program handles."""
         self.write("warning", message_type, **fields)
 
+    def failure(self, message_type: str, error: BaseException, **fields: object) -> None:
+        """Write one line about an exception that no rule expects, with its traceback."""
+        trace = "".join(traceback.format_exception(error))
+        self.write("error", message_type, error=repr(error), traceback=trace, **fields)
+
     def decision(
         self,
         service: str,
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -247,8 +247,62 @@
 
         run(main)
 
+    def test_header_bytes_and_empty_answers_pass_unchanged(self):
+        """Guards against header values that are encoded anew, and a 304 that breaks the connection."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                await world.start_entry()
+
+                async def unchanged(request, writer):
+                    return b"HTTP/1.1 304 X\r\ncontent-length: 10\r\netag: 1\r\n\r\n"
+
+                world.targets[0].handler = unchanged
+                status, answered, _ = await world.call("/ledger/k", headers={"X-Name": "h\u00fctte"})
+                self.assertEqual((304, "1"), (status, answered["etag"]))
+                received = world.targets[0].requests[0].headers["x-name"]
+                self.assertEqual("h\u00fctte", received.encode("latin-1").decode())
+
+        run(main)
+
 
 class ConnectionTest(testtools.TestCase):
+    def test_connections_are_limited_in_number_and_time(self):
+        """Guards against callers that open many connections, or never complete their headers."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                tuning = evolve(TEST_TUNING, max_connections=2, header_timeout=0.2)
+                entry = await world.start_entry(tuning)
+                host, port = entry.bound_address.split(":")
+                idle = [await asyncio.open_connection(host, int(port)) for _ in range(2)]
+                idle[0][1].write(b"GET /ledger/k HTTP/1.1\r\nHost:")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                self.assertEqual(b"", await asyncio.wait_for(reader.read(), 1))
+                for waiting, _ in idle:
+                    self.assertEqual(b"", await asyncio.wait_for(waiting.read(), 1))
+                status, _, _ = await world.call("/ledger/k")
+                self.assertEqual(200, status)
+                for _, opened in (*idle, (reader, writer)):
+                    opened.close()
+
+        run(main)
+
+    def test_unexpected_failure_is_answered_and_logged(self):
+        """Guards against faults of the entry that leave the caller without an outcome."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                entry = await world.start_entry()
+                entry.dispatcher.run = None
+                status, answered, _ = await world.call("/ledger/k", "POST")
+                self.assertEqual((500, "not-run"), (status, answered[OUTCOME]))
+
+        run(main)
+
     def test_answers_are_streamed(self):
         """Guards against answers that are held back until they are complete."""
 
