--- a/cranberrylever/claims/_table.py
+++ b/cranberrylever/claims/_table.py
@@ -1,6 +1,7 @@
 """The table of execution claims, part of the replicated state."""
 
-from collections.abc import Iterable, Iterator
+from collections import OrderedDict
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -63,24 +64,21 @@
 
     open_claims: tuple[Claim, ...] = ()
     finished_claims: tuple[Claim, ...] = ()
-    evicted: int = 0
     dropped_answers: int = 0
 
 
 class ClaimTable:
     """Claims by id, bounded in number and bytes.
 
-    When the bytes reach their bound, the oldest stored answers are replaced by ``unknown`` first, because a
-    claim that is kept without its answer still prevents a second execution. Then the oldest finished claims
-    leave. Open claims leave only by ``expire``; when they alone reach a bound, further openings are refused
-    as ``full``.
+    When the bytes reach their bound, the oldest stored answers are replaced by ``unknown``, because a claim
+    that is kept without its answer still prevents a second execution. Claims leave only by ``expire``; when
+    they reach a bound, further openings are refused as ``full``: an evicted claim could be won and run again.
 
     Args:
         max_claims: Largest number of claims.
         max_bytes: Largest sum of the sizes of ids, fingerprints and answers.
 
     Attributes:
-        evicted: Number of finished claims that left before ``expire``.
         dropped_answers: Number of answers replaced by ``unknown``.
         size_bytes: Sum of the sizes of all claims.
     """
@@ -88,12 +86,13 @@
     def __init__(self, max_claims: int = MAX_CLAIMS, max_bytes: int = MAX_CLAIM_BYTES) -> None:
         self.max_claims = max_claims
         self.max_bytes = max_bytes
-        self.evicted = 0
         self.dropped_answers = 0
         self.size_bytes = 0
+        # OrderedDict finds its first item in constant time after many removals at the front; dict does not.
         self._open: dict[str, Claim] = {}
-        self._finished: dict[str, Claim] = {}
-        self._with_answer: dict[str, None] = {}
+        self._finished: OrderedDict[str, Claim] = OrderedDict()
+        self._with_answer: OrderedDict[str, None] = OrderedDict()
+        self._by_opening: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._open) + len(self._finished)
@@ -133,15 +132,19 @@
         Returns:
             The number of claims forgotten.
         """
-        old = [claim for claim in self._all() if claim.opened_index <= opened_before]
-        for claim in old:
-            self._remove(claim)
-        return len(old)
+        count = 0
+        while self._by_opening:
+            claim_id, opened_index = next(iter(self._by_opening.items()))
+            if opened_index > opened_before:
+                break
+            self._forget(claim_id)
+            count += 1
+        return count
 
     def to_record(self) -> ClaimTableRecord:
         """Return the snapshot form."""
         return ClaimTableRecord(
-            tuple(self._open.values()), tuple(self._finished.values()), self.evicted, self.dropped_answers
+            tuple(self._open.values()), tuple(self._finished.values()), self.dropped_answers
         )
 
     @classmethod
@@ -150,10 +153,12 @@
     ) -> "ClaimTable":
         """Return the table that ``record`` was made from; pass the same bounds."""
         table = cls(max_claims, max_bytes)
-        table.evicted = record.evicted
         table.dropped_answers = record.dropped_answers
-        for claim in (*record.open_claims, *record.finished_claims):
+        claims = (*record.open_claims, *record.finished_claims)
+        for claim in claims:
             table._insert(claim)
+        for claim in sorted(claims, key=lambda claim: claim.opened_index):
+            table._by_opening[claim.claim_id] = claim.opened_index
         return table
 
     def _open_one(self, index: int, opening: "ClaimOpening") -> ClaimOutcome:
@@ -176,12 +181,11 @@
     def _win(self, index: int, opening: "ClaimOpening", previous: Claim | None) -> ClaimOutcome:
         won = Claim(opening.claim_id, opening.fingerprint, opening.entry_id, opening.attempt, index)
         if previous is not None:
-            self._remove(previous)
+            self._forget(previous.claim_id)
         if not self._make_room(_size(won)):
-            if previous is not None:
-                self._insert(previous)
             return ClaimOutcome(opening.claim_id, "full")
         self._insert(won)
+        self._by_opening[won.claim_id] = index
         return ClaimOutcome(opening.claim_id, "won")
 
     def _complete_one(self, completion: "ClaimCompletion") -> ClaimOutcome:
@@ -197,7 +201,7 @@
         return ClaimOutcome(completion.claim_id, "completed")
 
     def _make_room(self, needed_bytes: int) -> bool:
-        """Drop the oldest answers, then the oldest finished claims, until one more claim fits.
+        """Drop the oldest answers until one more claim fits.
 
         Args:
             needed_bytes: Size of the claim to add, 0 when none is added.
@@ -208,12 +212,7 @@
         added = 1 if needed_bytes else 0
         while self.size_bytes + needed_bytes > self.max_bytes and self._with_answer:
             self._drop_answer(next(iter(self._with_answer)))
-        while len(self) + added > self.max_claims or self.size_bytes + needed_bytes > self.max_bytes:
-            if not self._finished:
-                return False
-            self._remove(next(iter(self._finished.values())))
-            self.evicted += 1
-        return True
+        return len(self) + added <= self.max_claims and self.size_bytes + needed_bytes <= self.max_bytes
 
     def _drop_answer(self, claim_id: str) -> None:
         """Replace a stored answer by ``unknown`` and keep the claim's place in the order."""
@@ -237,9 +236,9 @@
         self.size_bytes -= _size(claim)
         self._with_answer.pop(claim.claim_id, None)
 
-    def _all(self) -> Iterator[Claim]:
-        yield from self._open.values()
-        yield from self._finished.values()
+    def _forget(self, claim_id: str) -> None:
+        del self._by_opening[claim_id]
+        self._remove(self._open.get(claim_id) or self._finished[claim_id])
 
 
 def _size(claim: Claim) -> int:
