Evict claims that did not run before answered ones

Cause: under refusals, claims that ended not-run filled the table and pushed out answered claims, whose resends would then have run a second time. Change: claims that ended not-run leave first. A property test compares a table with one restored from its record at tight bounds after each command. Ruled out: forgetting a claim as soon as it ends not-run, because a late copy of its opening would hold it again. Conclusion: answered claims stay as long as the bounds allow.

--- a/cranberrylever/claims/_table.py
+++ b/cranberrylever/claims/_table.py
@@ -71,17 +71,17 @@
 class ClaimTable:
     """Claims by id, bounded in number and bytes.
 
-    When the bytes reach their bound, the oldest stored answers are replaced by ``unknown`` first, because a
-    claim that is kept without its answer still prevents a second execution. Then the oldest finished claims
-    leave. Open claims leave only by ``expire``; when they alone reach a bound, further openings are refused
-    as ``full``.
+    When a bound is reached, claims that ended not-run leave first. When the bytes are still above their
+    bound, the oldest stored answers are replaced by ``unknown``, because a claim that is kept without its
+    answer still prevents a second execution. Then the oldest answered claims leave. Open claims leave only
+    by ``expire``; when they alone reach a bound, further openings are refused as ``full``.
 
     Args:
         max_claims: Largest number of claims.
         max_bytes: Largest sum of the sizes of ids, fingerprints and answers.
 
     Attributes:
-        evicted: Number of finished claims that left before ``expire``.
+        evicted: Number of answered claims that left before ``expire``.
         dropped_answers: Number of answers replaced by ``unknown``.
         size_bytes: Sum of the sizes of all claims.
     """
@@ -96,6 +96,7 @@
         self._open: dict[str, Claim] = {}
         self._finished: OrderedDict[str, Claim] = OrderedDict()
         self._with_answer: OrderedDict[str, None] = OrderedDict()
+        self._not_run: OrderedDict[str, None] = OrderedDict()
         self._by_opening: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
@@ -206,7 +207,9 @@
         return ClaimOutcome(completion.claim_id, "completed")
 
     def _make_room(self, needed_bytes: int) -> bool:
-        """Drop the oldest answers, then the oldest finished claims, until one more claim fits.
+        """Drop what is needed least until one more claim fits.
+
+        Claims that ended not-run go first, because a second execution of them is allowed anyway.
 
         Args:
             needed_bytes: Size of the claim to add, 0 when none is added.
@@ -215,14 +218,19 @@
             Whether the bounds are kept.
         """
         added = 1 if needed_bytes else 0
-        while self.size_bytes + needed_bytes > self.max_bytes and self._with_answer:
-            self._drop_answer(next(iter(self._with_answer)))
-        while len(self) + added > self.max_claims or self.size_bytes + needed_bytes > self.max_bytes:
-            if not self._finished:
+        while True:
+            has_too_many_bytes = self.size_bytes + needed_bytes > self.max_bytes
+            if not has_too_many_bytes and len(self) + added <= self.max_claims:
+                return True
+            if self._not_run:
+                self._forget(next(iter(self._not_run)))
+            elif has_too_many_bytes and self._with_answer:
+                self._drop_answer(next(iter(self._with_answer)))
+            elif self._finished:
+                self._forget(next(iter(self._finished)))
+                self.evicted += 1
+            else:
                 return False
-            self._forget(next(iter(self._finished)))
-            self.evicted += 1
-        return True
 
     def _drop_answer(self, claim_id: str) -> None:
         """Replace a stored answer by ``unknown`` and keep the claim's place in the order."""
@@ -239,12 +247,15 @@
         self.size_bytes += _size(claim)
         if _answer_size(claim):
             self._with_answer[claim.claim_id] = None
+        if claim.did_not_run:
+            self._not_run[claim.claim_id] = None
 
     def _remove(self, claim: Claim) -> None:
         table = self._open if claim.is_open else self._finished
         del table[claim.claim_id]
         self.size_bytes -= _size(claim)
         self._with_answer.pop(claim.claim_id, None)
+        self._not_run.pop(claim.claim_id, None)
 
     def _forget(self, claim_id: str) -> None:
         del self._by_opening[claim_id]
--- a/tests/claims/test_table.py
+++ b/tests/claims/test_table.py
@@ -1,7 +1,7 @@
 """Tests of the claim table."""
 
 import testtools
-from hypothesis import seed, settings
+from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule, run_state_machine_as_test
 
@@ -128,6 +128,33 @@
             machine, settings=settings(max_examples=150, stateful_step_count=40, deadline=None, database=None)
         )
 
+    def test_restored_table_goes_on_like_the_original(self):
+        """Guards against members that evict different claims after one of them was restored."""
+        bounds = {"max_claims": 3, "max_bytes": 1_400}
+        names = st.sampled_from(["k1", "k2", "k3", "k4", "k5"])
+        answers = st.sampled_from([NOT_RUN, DONE, ClaimAnswer("done", 200, (), bytes(150))])
+        steps = st.lists(st.tuples(names, st.none() | answers, st.booleans()), max_size=40)
+
+        @seed(1)
+        @settings(max_examples=200, deadline=None, database=None)
+        @given(steps)
+        def compare(steps):
+            original, restored = ClaimTable(**bounds), ClaimTable(**bounds)
+            for index, (claim_id, answer, is_restored) in enumerate(steps):
+                for table in (original, restored):
+                    if answer is None:
+                        self.win(table, index, claim_id, f"a{index}")
+                    elif (claim := table.get(claim_id)) is not None:
+                        table.complete(index, [ClaimCompletion(claim_id, "e", answer, claim.attempt)])
+                    assert len(table) <= 3
+                    assert table.size_bytes <= 1_400
+                if is_restored:
+                    restored = ClaimTable.from_record(restored.to_record(), **bounds)
+                assert original.to_record() == restored.to_record()
+                assert original.size_bytes == restored.size_bytes
+
+        compare()
+
     def test_late_copy_of_an_ended_opening_does_not_hold_the_claim(self):
         """Guards against a delayed opening that blocks resends of a request that did not run."""
         table = ClaimTable()
@@ -150,6 +177,18 @@
         self.assertEqual("open", self.win(table, 6, "k3", "other"))
         self.assertEqual((3, 1), (len(table), table.evicted))
 
+    def test_claims_that_did_not_run_leave_before_answered_ones(self):
+        """Guards against refused requests that push out the claims of requests that ran."""
+        table = ClaimTable(max_claims=3)
+        self.win(table, 1, "k1")
+        self.finish(table, "k1")
+        for index in range(2, 9):
+            claim_id = f"k{index}"
+            self.assertEqual("won", self.win(table, index, claim_id))
+            table.complete(index, [ClaimCompletion(claim_id, "e", NOT_RUN, "a")])
+        self.assertEqual("answered", self.win(table, 9, "k1", "other"))
+        self.assertEqual((3, 0), (len(table), table.evicted))
+
     def test_bytes_are_bounded_and_claims_outlive_their_answers(self):
         """Guards against a resend that runs again because its stored answer was large."""
         table = ClaimTable(max_bytes=10_000)
