--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import shutil
 
 from cranberrylever.consensus import (
     ConsensusConfig,
@@ -13,6 +14,7 @@
     create_driver,
 )
 from cranberrylever.errors import CranberryleverError
+from tests.consensus.killing import SimulatedDiskStorage
 
 CLUSTER = "test"
 
@@ -63,13 +65,15 @@
 class Cluster:
     """Members by name; every observation checks the rules that hold across members."""
 
-    def __init__(self, size, seed=1, snapshot_entries=50, **network):
+    def __init__(self, size, seed=1, snapshot_entries=50, sync_times=(0.01,), folder=None, **network):
         self.rng = random.Random(seed)
         self.network = _ObservedNetwork(random.Random(seed + 1), **network)
         self.network.observer = self.observe
         self.names = [f"m{number}" for number in range(size)]
         self.addresses = {name: f"{name}:1" for name in self.names}
         self.snapshot_entries = snapshot_entries
+        self.sync_times = sync_times
+        self.folder = folder
         self.disks = {name: MemoryDisk() for name in self.names}
         self.drivers = {}
         self.storages = {}
@@ -78,7 +82,11 @@
         self.acknowledged = set()
 
     async def start(self, name, bootstrap=False):
-        storage = MemoryStorage(self.disks[name], CLUSTER, bootstrap, sync_time=self.rng.uniform(0, 0.01))
+        sync_time = self.rng.uniform(0, self.rng.choice(self.sync_times))
+        if self.folder is None:
+            storage = MemoryStorage(self.disks[name], CLUSTER, bootstrap, sync_time)
+        else:
+            storage = SimulatedDiskStorage(self.folder / name, CLUSTER, bootstrap, sync_time, self.rng)
         config = ConsensusConfig(CLUSTER, name, self.addresses, snapshot_entries=self.snapshot_entries)
         driver = create_driver(
             config,
@@ -103,10 +111,31 @@
         await driver.close()
         assert driver.error is None, driver.error
 
+    def pause(self, name):
+        """Stop a member's process for a while; what arrives stays in its sockets."""
+        driver = self.drivers[name]
+        held = []
+        driver.transport.set_receiver(held.append)
+        driver._pump = lambda *args: None
+
+        def resume():
+            if self.drivers.get(name) is driver:
+                del driver._pump
+                driver.transport.set_receiver(driver._on_frame)
+                driver._is_pump_scheduled = False
+                driver._timer = None
+                for frame in held:
+                    driver._on_frame(frame)
+                driver._pump()
+
+        return resume
+
     async def lose_disk(self, name):
         if name in self.drivers:
             await self.kill(name)
         self.disks[name] = MemoryDisk()
+        if self.folder is not None:
+            shutil.rmtree(self.folder / name, ignore_errors=True)
 
     async def close(self):
         for name in list(self.drivers):
