--- a/cranberrylever/claims/_table.py
+++ b/cranberrylever/claims/_table.py
@@ -64,7 +64,6 @@
 
     open_claims: tuple[Claim, ...] = ()
     finished_claims: tuple[Claim, ...] = ()
-    evicted: int = 0
     dropped_answers: int = 0
 
 
@@ -73,15 +72,14 @@
 
     When a bound is reached, claims that ended not-run leave first. When the bytes are still above their
     bound, the oldest stored answers are replaced by ``unknown``, because a claim that is kept without its
-    answer still prevents a second execution. Then the oldest answered claims leave. Open claims leave only
-    by ``expire``; when they alone reach a bound, further openings are refused as ``full``.
+    answer still prevents a second execution. Open and answered claims leave only by ``expire``, because an
+    evicted one could be won and run again; when they reach a bound, further openings are refused as ``full``.
 
     Args:
         max_claims: Largest number of claims.
         max_bytes: Largest sum of the sizes of ids, fingerprints and answers.
 
     Attributes:
-        evicted: Number of answered claims that left before ``expire``.
         dropped_answers: Number of answers replaced by ``unknown``.
         size_bytes: Sum of the sizes of all claims.
     """
@@ -89,12 +87,11 @@
     def __init__(self, max_claims: int = MAX_CLAIMS, max_bytes: int = MAX_CLAIM_BYTES) -> None:
         self.max_claims = max_claims
         self.max_bytes = max_bytes
-        self.evicted = 0
         self.dropped_answers = 0
         self.size_bytes = 0
         # OrderedDict finds its first item in constant time after many removals at the front; dict does not.
         self._open: dict[str, Claim] = {}
-        self._finished: OrderedDict[str, Claim] = OrderedDict()
+        self._finished: dict[str, Claim] = {}
         self._with_answer: OrderedDict[str, None] = OrderedDict()
         self._not_run: OrderedDict[str, None] = OrderedDict()
         self._by_opening: OrderedDict[str, int] = OrderedDict()
@@ -149,7 +146,7 @@
     def to_record(self) -> ClaimTableRecord:
         """Return the snapshot form."""
         return ClaimTableRecord(
-            tuple(self._open.values()), tuple(self._finished.values()), self.evicted, self.dropped_answers
+            tuple(self._open.values()), tuple(self._finished.values()), self.dropped_answers
         )
 
     @classmethod
@@ -158,7 +155,6 @@
     ) -> "ClaimTable":
         """Return the table that ``record`` was made from; pass the same bounds."""
         table = cls(max_claims, max_bytes)
-        table.evicted = record.evicted
         table.dropped_answers = record.dropped_answers
         claims = (*record.open_claims, *record.finished_claims)
         for claim in claims:
@@ -207,9 +203,9 @@
         return ClaimOutcome(completion.claim_id, "completed")
 
     def _make_room(self, needed_bytes: int) -> bool:
-        """Drop what is needed least until one more claim fits.
+        """Drop claims that ended not-run, then the oldest answers, until one more claim fits.
 
-        Claims that ended not-run go first, because a second execution of them is allowed anyway.
+        A claim that ended not-run may be won again anyway, so its loss allows no second execution.
 
         Args:
             needed_bytes: Size of the claim to add, 0 when none is added.
@@ -226,9 +222,6 @@
                 self._forget(next(iter(self._not_run)))
             elif has_too_many_bytes and self._with_answer:
                 self._drop_answer(next(iter(self._with_answer)))
-            elif self._finished:
-                self._forget(next(iter(self._finished)))
-                self.evicted += 1
             else:
                 return False
 
