--- a/cranberrylever/_cli/_client.py
+++ b/cranberrylever/_cli/_client.py
@@ -14,6 +14,10 @@
 
 RETRY_PAUSE_S = 0.2
 MAX_REQUEST_S = 5.0
+_UNAVAILABLE_REMEDY = "check --control and that a majority of control members runs"
+_UNKNOWN_OUTCOME_REMEDY = (
+    f"{_UNAVAILABLE_REMEDY}, then submit the same ticket again, because it may have been accepted"
+)
 
 
 @attrs.frozen
@@ -70,14 +74,14 @@
                     except (aiohttp.ClientError, TimeoutError, ValueError) as error:
                         last_problem = f"{address}: {_describe(error)}"
                         continue
-                    if answer.status != 503:
+                    if answer.status < 500:
                         return _content(answer, address)
                     last_problem = f"{address}: {_error_text(answer)}"
                 await asyncio.sleep(RETRY_PAUSE_S)
     except TimeoutError:
         raise ControlUnavailableError(
             f"no control member answered within {settings.timeout:g} s ({last_problem})",
-            "check --control and that a majority of control members runs",
+            _UNAVAILABLE_REMEDY if body is None else _UNKNOWN_OUTCOME_REMEDY,
         ) from None
 
 
--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -3,15 +3,13 @@
 import asyncio
 import random
 
-import eliot
-
 from cranberrylever.consensus._config import ConsensusConfig, MemberStatus
 from cranberrylever.consensus._leadership import Leadership
-from cranberrylever.consensus._log import is_voter
 from cranberrylever.consensus._machine import StateMachine
 from cranberrylever.consensus._messages import MESSAGE_KINDS, EntryKind, Message, Snapshot
 from cranberrylever.consensus._node import RaftNode
 from cranberrylever.consensus._pending import PendingCalls, proposal_lost
+from cranberrylever.consensus._status import member_status
 from cranberrylever.consensus._storage import Storage, StorageBatch
 from cranberrylever.consensus._transport import Transport
 from cranberrylever.errors import (
@@ -22,9 +20,10 @@
     ProposalLostError,
     StorageError,
 )
+from cranberrylever.logs import Log
 from cranberrylever.wire import PeerFrame, decode, encode
 
-MAX_APPLY_BATCH = 512
+MAX_APPLY_BATCH = 128
 KEPT_ENTRIES_DIVISOR = 4
 
 
@@ -52,12 +51,14 @@
         self.transport = transport
         self.machine = machine
         self.rng = rng
+        self.log = Log("consensus", config.member_id)
         self.node: RaftNode | None = None
         self.applied_index = 0
         self.leader_since: float | None = None
         self.error: CranberryleverError | None = None
         self.stopped = asyncio.Event()
         self._leadership: Leadership | None = None
+        self._standing: tuple[str | None, int, bool] = (None, 0, False)
         self._pending = PendingCalls()
         self._is_saving = False
         self._is_pump_scheduled = False
@@ -92,26 +93,11 @@
         return self.leader_since is not None and self.node.has_lease(now)
 
     def members(self) -> tuple[MemberStatus, ...]:
-        """Return what this member knows of each member of the group."""
-        return tuple(self._member_status(member) for member in self.config.members)
-
-    def _member_status(self, member: str) -> MemberStatus:
-        node = self.node
+        """Return what this member knows of each member of the group; nothing before the start."""
+        if self.node is None:
+            return ()
         now = self._now()
-        if member == self.config.member_id:
-            role = "voter" if node.may_vote() else "learner"
-            folder_id, match_index, heard_at = node.folder_id, node.persisted_index, now
-        else:
-            folder = node.folders.get(member)
-            folder_id = folder.folder_id if folder else ""
-            founder = folder.founder if folder else False
-            _, membership = node.memberships.at(node.commit_index)
-            role = "voter" if is_voter(membership, member, folder_id, founder) else "learner"
-            heard_at = folder.heard_at if folder else None
-            match_index = node.leadership.progress[member].match_index if node.leadership else 0
-        if member == node.leader_id:
-            role = "leader"
-        return MemberStatus(member, role, folder_id, match_index, heard_at)
+        return tuple(member_status(self.node, member, now) for member in self.config.members)
 
     # Life cycle --------------------------------------------------------------------------------
 
@@ -144,10 +130,10 @@
         if not isinstance(error, CranberryleverError):
             error = InvariantError(f"unexpected {error!r}", "report the log lines before this one")
         self.error = error
-        eliot.log_message("consensus:stopped", member=self.config.member_id, error=str(error))
-        self._stop(error)
+        self.log.write("error", "member_stopped", error=str(error))
+        self._stop(ProposalLostError(f"this member stopped: {error.message}", error.remedy))
 
-    def _stop(self, error: CranberryleverError) -> None:
+    def _stop(self, error: ProposalLostError) -> None:
         if self.stopped.is_set():
             return
         self.stopped.set()
@@ -191,8 +177,6 @@
         await future
 
     def _require_running(self) -> None:
-        if self.error is not None:
-            raise self.error
         if self.node is None or self.stopped.is_set():
             raise NotLeaderError()
 
@@ -207,7 +191,7 @@
         try:
             message = decode(frame.body, kind)
         except CodecError as error:
-            eliot.log_message("consensus:bad_frame", sender=frame.sender, error=str(error))
+            self.log.warning("frame_refused", sender=frame.sender, error=str(error))
             return
         try:
             self.node.step(frame.sender, frame.folder_id, message, self._now())
@@ -338,9 +322,19 @@
             self._leadership = leadership
             self.leader_since = None
             self._pending.fail_proposals(proposal_lost(), before_term=self.term if leadership else None)
+        self._log_changes()
         if leadership and self.leader_since is None and self.applied_index >= leadership.first_index:
             self.leader_since = now
 
+    def _log_changes(self) -> None:
+        """Log a new leader, a new term or a change of this member's vote."""
+        standing = (self.leader_id, self.term, self.node.may_vote())
+        if standing == self._standing:
+            return
+        self._standing = standing
+        leader, term, votes = standing
+        self.log.info("standing_changed", leader=leader, term=term, votes=votes)
+
     def _set_timer(self, now: float) -> None:
         """Wake at the next deadline; a timer that is early is left, so heartbeats do not replace it."""
         deadline = self.node.deadline()
