Recover from silent streams and abort unsent requests at the end of the lease

Cause: a review of partitions. A control stream without answers stayed open for as long as TCP resends; the unsent part of a large request could leave after the view's lease, when its shard may have moved; an entry behind address translation ignored the hop header, so two entries could forward a request to each other until its deadline. Change: a stream without any answer for 2 s is opened again; at the end of the lease keyed attempts with unsent bytes are aborted; the hop header always stops forwarding, and only its trust for claims depends on the address. Ruled out: aborting all attempts at the end of the lease, because the target's grant covers work that has reached it. A request that is stopped together with its entry and leaves on its resumption is not covered; fences cover it.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,8 @@
     "in_force",
     "cold_peak",
     "double_runs",
+    "forward_cpu",
+    "straggler",
 )
 
 
--- a/bench/straggler.py
+++ b/bench/straggler.py
@@ -299,7 +299,8 @@
 
 def run_paused(main: Callable[[], object]) -> Run:
     """Run a coroutine function on a loop of its own with paused time."""
-    loop = looptime.new_event_loop(start=0)
+    # Without callbacks from other threads there is nothing to wait for before the clock moves on.
+    loop = looptime.new_event_loop(start=0, noop_cycles=0)
     try:
         return loop.run_until_complete(main())
     finally:
--- a/cranberrylever/entry/_app.py
+++ b/cranberrylever/entry/_app.py
@@ -90,7 +90,7 @@
             if exchange is None:
                 return
             key = ""
-            if not exchange.idempotent and not exchange.is_forwarded:
+            if not exchange.idempotent and not exchange.is_claimed:
                 key = self.reader.idempotency_key(scope["headers"])
         except RefusalError as error:
             await writer.refuse(error.status, _headers.NOT_RUN, error)
--- a/cranberrylever/entry/_exchange.py
+++ b/cranberrylever/entry/_exchange.py
@@ -15,10 +15,10 @@
 class Exchange:
     """A request as received from a caller; ``deadline`` is a loop time.
 
-    ``url_suffix`` is the undecoded path with its query. ``is_forwarded`` tells that
-    another entry sent the request, so it must not be forwarded again. ``open_dispatches`` counts the attempts
-    of which a byte may have left and that no target refused. ``held_elsewhere`` tells that another request
-    with the same idempotency key holds the claim.
+    ``url_suffix`` is the undecoded path with its query. ``is_forwarded`` tells that another entry sent the
+    request, so it must not be forwarded again, and ``is_claimed`` that this other entry holds its claim.
+    ``open_dispatches`` counts the attempts of which a byte may have left and that no target refused.
+    ``held_elsewhere`` tells that another request with the same idempotency key holds the claim.
     """
 
     service: ServiceView
@@ -31,6 +31,7 @@
     request_id: str
     key_hash: int | None = None
     is_forwarded: bool = False
+    is_claimed: bool = False
     open_dispatches: int = 0
     answer_started: bool = False
     held_elsewhere: bool = False
@@ -88,6 +89,10 @@
     blocked_at: int | None = None
     transport: asyncio.Transport | None = None
 
+    def has_unsent_bytes(self) -> bool:
+        """Whether a part of the request is still held by this process."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def abort(self) -> None:
         """Break the connection, which ends the target's work and fails the attempt."""
         self.aborted = True
--- a/cranberrylever/entry/_inflight.py
+++ b/cranberrylever/entry/_inflight.py
@@ -60,6 +60,17 @@
         """Return the attempts of requests with this fingerprint."""
         return (attempt for attempt in self.attempts if attempt.exchange.fingerprint == fingerprint)
 
+    def abort_unsent(self) -> int:
+        """Break the connections of keyed attempts of which a part has not left yet, and return their number.
+
+        Once the lease of the view has passed, the shard may move, and a target that does not check fences
+        would run a request that becomes complete after that.
+        """
+        unsent = [attempt for attempt in self.attempts if attempt.shard >= 0 and attempt.has_unsent_bytes()]
+        for attempt in unsent:
+            attempt.abort()
+        return len(unsent)
+
     def abort_lost(self, table: RoutingTable) -> None:
         """Break the connections to targets that the view shows as lost or no longer has.
 
--- a/cranberrylever/entry/_link.py
+++ b/cranberrylever/entry/_link.py
@@ -34,8 +34,23 @@
         self.address = address
         self.link = link
         self.connected = False
+        self.channel: Channel | None = None
+        self.unanswered_since: float | None = None
         self.frames: asyncio.Queue[EntryFrame] = asyncio.Queue(_MAX_QUEUED_FRAMES)
 
+    def poll(self, frame: EntryFrame, now: float) -> None:
+        """Send a report, which the member must answer in some way.
+
+        After a partition a connection may stay silent for minutes, because TCP resends at growing intervals.
+        A stream without any answer is therefore opened again.
+        """
+        if not self.send(frame):
+            return
+        if self.unanswered_since is None:
+            self.unanswered_since = now
+        elif now - self.unanswered_since > self.link.tuning.stream_timeout:
+            self.channel.close()
+
     def send(self, frame: EntryFrame) -> bool:
         """Queue a frame; a stream that is down or blocked takes none."""
         if not self.connected:
@@ -60,7 +75,7 @@
 
     async def _attach(self) -> None:
         host, _, port = self.address.rpartition(":")
-        channel = Channel(host, int(port), codec=MsgpackCodec())
+        channel = self.channel = Channel(host, int(port), codec=MsgpackCodec())
         try:
             async with EntryControlStub(channel).attach.open() as stream:
                 async with asyncio.timeout(self.link.tuning.connect_timeout):
@@ -73,10 +88,12 @@
     async def _exchange(self, stream) -> None:  # noqa: ANN001 - grpclib's generic stream type
         self.frames = asyncio.Queue(_MAX_QUEUED_FRAMES)
         self.connected = True
+        self.unanswered_since = None
         self.link.member_connected(self)
         sender = asyncio.create_task(self._send_frames(stream))
         try:
             while (reply := await stream.recv_message()) is not None:
+                self.unanswered_since = None
                 self.link.receive(self, reply)
         finally:
             sender.cancel()
@@ -209,4 +226,4 @@
         report = self.build_report(self.sequence)
         frame = self.frame(report=report)
         for member in self._receivers(now):
-            member.send(frame)
+            member.poll(frame, now)
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -45,6 +45,7 @@
         self.views = ViewStore(tuning.view_lifetime)
         self.in_flight = InFlight()
         self.counts = RequestCounts()
+        self.lease_timer: asyncio.TimerHandle | None = None
         self.targets = TargetStates(tuning.cold_mark_lifetime)
         self.crashes = CrashWatch(self.in_flight, self.report_now, 2 * tuning.poll_interval, self.log)
         self.admission = Admission(
@@ -90,6 +91,8 @@
         await self.server.wait_finished(self.tuning.finish_timeout)
         await self.claims.close(self.tuning.claim_close_timeout)
         await self.link.close()
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
         await self.client.close()
         self.metrics.close()
         self.log.info("entry_stopped")
@@ -158,6 +161,16 @@
             requests=requests,
         )
 
+    def _watch_lease(self) -> None:
+        """Act once on each expiry of the view's lease."""
+        if self.views.is_valid(self.loop.time()):
+            self.lease_timer = self.loop.call_at(self.views.valid_until, self._watch_lease)
+            return
+        self.lease_timer = None
+        aborted = self.in_flight.abort_unsent()
+        self.log.warning("view_expired", version=self.views.version, aborted=aborted)
+        self.metrics.count("view_expired")
+
     def _send_metrics(self, version: int, requests: int) -> None:
         self.metrics.count("requests", requests)
         self.metrics.gauge("view_version", version)
@@ -170,6 +183,8 @@
         if answer.version < previous:
             return
         changed = self.views.offer(answer, poll_sent)
+        if self.lease_timer is None:
+            self._watch_lease()
         if changed:
             table = self.views.table
             self.targets.apply_view(table)
--- a/cranberrylever/entry/_reader.py
+++ b/cranberrylever/entry/_reader.py
@@ -60,8 +60,9 @@
             idempotent=is_idempotent(service, method, rest),
             request_id=self._request_id(headers),
             key_hash=key_hash,
-            is_forwarded=_headers.find(headers, _HOP_NAME) is not None and self._is_entry(scope["client"]),
+            is_forwarded=_headers.find(headers, _HOP_NAME) is not None,
         )
+        exchange.is_claimed = exchange.is_forwarded and self._is_entry(scope["client"])
         body = await self._read_body(headers, receive, service.max_body_bytes, exchange.deadline)
         if body is None:
             return None
--- a/cranberrylever/entry/_tuning.py
+++ b/cranberrylever/entry/_tuning.py
@@ -16,6 +16,7 @@
     view_lifetime: float = 1.2
     leader_timeout: float = 0.3
     reconnect_delay: float = 0.2
+    stream_timeout: float = 2.0
     connect_timeout: float = 1.0
     max_deadline_ms: int = 120_000
     max_buffered_bytes: int = 64 * 1_048_576
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -38,6 +38,7 @@
         self.claims: dict[str, tuple[str, str, ClaimAnswer | None]] = {}
         self.claim_frames: list[EntryFrame] = []
         self.is_leader = True
+        self.streams = 0
         self.answers_polls = True
         self.answers_claims = True
         self.answers_completions = True
@@ -52,6 +53,7 @@
         await self.server.wait_closed()
 
     async def attach(self, stream: Stream) -> None:
+        self.streams += 1
         while (frame := await stream.recv_message()) is not None:
             for reply in self.replies(frame):
                 await stream.send_message(reply)
@@ -127,6 +129,7 @@
         self.incarnation = incarnation
         self.requests: list[FakeRequest] = []
         self.handler: Callable[[FakeRequest, asyncio.StreamWriter], Awaitable[bytes | None]] = self.answer_ok
+        self.before_body: Callable[[], Awaitable[object]] | None = None
         self.disconnects = 0
         self.writers: set[asyncio.StreamWriter] = set()
 
@@ -162,6 +165,8 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         first, *lines = head.strip().split("\r\n")
         headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+        if self.before_body is not None:
+            await self.before_body()
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         method, path, _ = first.split(" ")
         request = FakeRequest(method, path, headers, body)
--- a/tests/entry/test_views.py
+++ b/tests/entry/test_views.py
@@ -1,6 +1,7 @@
 """Tests of the view lease, the link to control and the settled version."""
 
 import asyncio
+import io
 import math
 
 import testtools
@@ -120,6 +121,43 @@
 
         run(main)
 
+    def test_silent_stream_is_opened_again(self):
+        """Guards against a connection that stays dead for minutes after a partition."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = keyed_view(1, world.targets)
+                await world.start_entry(evolve(TEST_TUNING, stream_timeout=0.2))
+                self.assertEqual(1, world.control.streams)
+                world.control.answers_polls = False
+                await wait_until(lambda: world.control.streams > 1)
+
+        run(main)
+
+    def test_unsent_part_of_a_request_never_leaves_after_the_lease(self):
+        """Guards against a request that becomes complete at its old owner after the shard may have moved."""
+
+        async def main():
+            async with World() as world:
+                view = keyed_view(1, world.targets)
+                service = evolve(view.services[0], max_body_bytes=50_000_000)
+                world.control.view = evolve(view, services=(service,))
+                entry = await world.start_entry(evolve(TEST_TUNING, view_lifetime=1.0))
+                reading = asyncio.Event()
+                world.targets[0].before_body = reading.wait
+                call = asyncio.create_task(
+                    world.call("/ledger/k", "POST", data=io.BytesIO(b"x" * 12_000_000))
+                )
+                await wait_until(lambda: any(a.has_unsent_bytes() for a in entry.in_flight.attempts))
+                world.control.answers_polls = False
+                status, headers, _ = await call
+                self.assertEqual((502, "unknown"), (status, headers[OUTCOME]))
+                reading.set()
+                await asyncio.sleep(0.2)
+                self.assertEqual([], world.targets[0].requests)
+
+        run(main)
+
     def test_foreign_cluster_is_ignored(self):
         """Guards against a view of another cluster after a wrong address in the settings."""
 
