--- a/cranberrylever/claims/_table.py
+++ b/cranberrylever/claims/_table.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import msgspec
 
-from cranberrylever.wire import ClaimAnswer
+from cranberrylever.wire import ClaimAnswer, encode
 
 if TYPE_CHECKING:
     from cranberrylever.state import ClaimCompletion, ClaimOpening
@@ -92,6 +93,7 @@
         # OrderedDict finds its first item in constant time after many removals at the front; dict does not.
         self._open: dict[str, Claim] = {}
         self._finished: dict[str, Claim] = {}
+        self._encoded: dict[str, msgspec.Raw] = {}
         self._with_answer: OrderedDict[str, None] = OrderedDict()
         self._not_run: OrderedDict[str, None] = OrderedDict()
         self._by_opening: OrderedDict[str, int] = OrderedDict()
@@ -149,6 +151,14 @@
             tuple(self._open.values()), tuple(self._finished.values()), self.dropped_answers
         )
 
+    def to_encoded_record(self) -> ClaimTableRecord:
+        """Return the snapshot form with each finished claim encoded already.
+
+        Encoding 100,000 claims at once would stall the loop for longer than a heartbeat interval. Only
+        ``wire.encode`` accepts the result.
+        """
+        return attrs.evolve(self.to_record(), finished_claims=tuple(self._encoded.values()))
+
     @classmethod
     def from_record(
         cls, record: ClaimTableRecord, max_claims: int = MAX_CLAIMS, max_bytes: int = MAX_CLAIM_BYTES
@@ -230,6 +240,7 @@
         claim = self._finished[claim_id]
         bare = attrs.evolve(claim, answer=ClaimAnswer(UNKNOWN))
         self._finished[claim_id] = bare
+        self._encoded[claim_id] = msgspec.Raw(encode(bare))
         self.size_bytes -= _size(claim) - _size(bare)
         del self._with_answer[claim_id]
         self.dropped_answers += 1
@@ -237,6 +248,8 @@
     def _insert(self, claim: Claim) -> None:
         table = self._open if claim.is_open else self._finished
         table[claim.claim_id] = claim
+        if not claim.is_open:
+            self._encoded[claim.claim_id] = msgspec.Raw(encode(claim))
         self.size_bytes += _size(claim)
         if _answer_size(claim):
             self._with_answer[claim.claim_id] = None
@@ -246,6 +259,7 @@
     def _remove(self, claim: Claim) -> None:
         table = self._open if claim.is_open else self._finished
         del table[claim.claim_id]
+        self._encoded.pop(claim.claim_id, None)
         self.size_bytes -= _size(claim)
         self._with_answer.pop(claim.claim_id, None)
         self._not_run.pop(claim.claim_id, None)
--- a/cranberrylever/state/_cluster.py
+++ b/cranberrylever/state/_cluster.py
@@ -110,7 +110,7 @@
             view_version=self.view_version,
             next_fence=self.next_fence,
             tickets=self.tickets.to_record(),
-            claims=self.claims.to_record(),
+            claims=self.claims.to_encoded_record(),
             targets=self.targets.to_record(),
             shards={name: table.to_record() for name, table in sorted(self.shards.items())},
             permits=self.permits.to_record(),
--- a/tests/claims/test_table.py
+++ b/tests/claims/test_table.py
@@ -104,6 +104,8 @@
         record = decode(encode(self.table.to_record()), ClaimTableRecord)
         restored = ClaimTable.from_record(record)
         assert restored.to_record() == self.table.to_record()
+        # The prepared encoding is what snapshots hold, so it must not differ from the claims.
+        assert decode(encode(self.table.to_encoded_record()), ClaimTableRecord) == record
         assert restored.size_bytes == self.table.size_bytes
         self.table = restored
 
