Run both planner figures from bench/planner.py

Cause: two parts had each connected the planner to make bench, and the module of one imported a class that the other had replaced.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,8 +12,8 @@
 FIGURES = {
     "forward_cpu": ("forward_cpu", "run"),
     "straggler_p99": ("straggler", "run"),
-    "imbalance": ("placement", "run_imbalance"),
-    "churn": ("placement", "run_churn"),
+    "imbalance": ("planner", "run_imbalance"),
+    "churn": ("planner", "run_churn"),
     "owner_loss": ("owner_loss", "run"),
     "leader_loss": ("leader_loss", "run"),
     "domain_out": ("domain_out", "run"),
--- a/bench/planner.py
+++ b/bench/planner.py
@@ -1,6 +1,5 @@
 """Imbalance and churn of the planner, next to the mapping by hash modulo the number of targets."""
 
-import asyncio
 import random
 from collections.abc import Mapping, Sequence
 
@@ -157,18 +156,12 @@
     return at_most("imbalance_excess", value, "", baseline / 2, baseline, imbalance_figure.note)
 
 
-async def run(keys: int = KEYS) -> list[Figure]:
-    """Measure imbalance and churn of the planner with ``keys`` keys."""
-    workload = make_workload(keys)
-    balance = measure_imbalance(workload)
-    return [balance, excess(balance), measure_churn(workload)]
+async def run_imbalance(keys: int = KEYS) -> list[Figure]:
+    """Measure the imbalance of the planner with ``keys`` keys."""
+    balance = measure_imbalance(make_workload(keys))
+    return [balance, excess(balance)]
 
 
-def main() -> None:
-    """Print all figures."""
-    for figure in asyncio.run(run()):
-        print(figure.line())
-
-
-if __name__ == "__main__":
-    main()
+async def run_churn(keys: int = KEYS) -> list[Figure]:
+    """Measure the churn of the planner with ``keys`` keys."""
+    return [measure_churn(make_workload(keys))]
