Ignore late answers of forgotten targets and test more losses

Cause: an answer to a renewal of a target that was removed and has announced itself again would have failed the ledger's own check. Change: such an answer is ignored; tests of it, of a target without capacity, of a second loss after earlier ones and of a target lost with the leader; the fake cluster has its own module. Ruled out: dropping the check, which finds expiries that are not recorded.

--- a/cranberrylever/ownership/_grants.py
+++ b/cranberrylever/ownership/_grants.py
@@ -172,6 +172,9 @@
         holder = self.holders.get((renewal.target_id, renewal.incarnation))
         if holder is None or renewal.term != self.term or ack.sequence != renewal.sequence:
             return False
+        if renewal.sent_at < holder.created_at:
+            # The target was forgotten and has announced itself again since.
+            return False
         if ack.incarnation != renewal.incarnation:
             self.record_failure(renewal)
             return False
--- a/tests/ownership/test_coordinator.py
+++ b/tests/ownership/test_coordinator.py
@@ -6,7 +6,7 @@
 
 from cranberrylever.ownership import Coordinator
 from cranberrylever.state import AllocatePermits, AssignShards, Command, FreeShards, ReleaseShards
-from tests.ownership.fakes import FakeCluster
+from tests.ownership.fake_cluster import FakeCluster
 
 
 def running_cluster(targets: int = 4, entries: int = 2, shards: int = 64) -> FakeCluster:
@@ -99,6 +99,26 @@
         self.assertEqual([], commands_since(cluster, start, FreeShards))
         self.assertLess(cluster.run_until(lambda: serves(cluster, range(64), "t1"), 5), 0.5)
 
+    def test_target_and_leader_lost_together(self):
+        """Guards against a recovery that takes much longer than the election and one grant lifetime."""
+        cluster = running_cluster()
+        cluster.targets["t1"].ended = True
+        start, cluster.drop = cluster.now, lambda kind: kind in ("report", "renewal")
+        cluster.advance(0.6)
+        cluster.drop = lambda kind: False
+        cluster.elect(keeps_proposals=False)
+        cluster.run_until(lambda: serves(cluster, range(64), "t1"), 5)
+        self.assertLess(cluster.now - start, 0.6 + 1.32 + 0.3)
+
+    def test_silence_of_a_lost_target_does_not_hide_another(self):
+        """Guards against a late release because targets lost before count as silent too."""
+        cluster = running_cluster(targets=5)
+        for name in ("t1", "t2"):
+            cluster.targets[name].ended = True
+            cluster.advance(2.5)
+        cluster.targets["t3"].ended = True
+        self.assertLess(cluster.run_until(lambda: serves(cluster, range(64), "t3"), 5), 1.7)
+
     def test_restart_at_the_same_address_frees_at_once(self):
         cluster = running_cluster()
         cluster.targets["t1"].ended = True
--- a/tests/ownership/test_ledgers.py
+++ b/tests/ownership/test_ledgers.py
@@ -47,6 +47,14 @@
             self.ledger.record_failure(self.renew(5.0 + number * 0.2))
         self.assertTrue(self.ledger.is_expired("t", "i", 5.01 + BOUND))
 
+    def test_late_answer_of_a_forgotten_target_is_ignored(self):
+        """Guards against an answer that is counted for a target announced again since."""
+        self.ack(self.renew(5.0), 90_000.0, 5.01)
+        late = self.renew(5.2)
+        self.ledger.forget(set(), 9.0)
+        self.ledger.holder("t", "i", 9.5)
+        self.assertFalse(self.ack(late, 90_200.0, 9.6))
+
     def test_old_grants_count_under_a_new_leader(self):
         self.assertFalse(self.ledger.is_expired("t", "i", BOUND - 0.01))
         self.assertTrue(self.ledger.is_expired("t", "i", BOUND))
--- a/tests/ownership/test_machine.py
+++ b/tests/ownership/test_machine.py
@@ -14,7 +14,8 @@
     run_state_machine_as_test,
 )
 
-from tests.ownership.fakes import FakeCluster, FakeEntry, FakeRequest, FakeTarget
+from tests.ownership.fake_cluster import FakeCluster
+from tests.ownership.fakes import FakeEntry, FakeRequest, FakeTarget
 
 SHARDS = 8
 KEYS = range(3 * SHARDS)
--- a/tests/ownership/test_planner.py
+++ b/tests/ownership/test_planner.py
@@ -83,6 +83,14 @@
         shards = [PlanShard(shard, 1.0 + (shard % 5) / 20, f"t{shard % 4}") for shard in range(64)]
         self.assertEqual((), plan(shards, targets, noise=0.05).releases)
 
+    def test_target_without_capacity_gives_its_shards_away(self):
+        """Guards against shards that stay with a target whose weight or cold capacity is 0."""
+        targets = [PlanTarget("t0", 0.0), PlanTarget("t1", 1.0)]
+        shards = [PlanShard(0, 1.0, "t0"), PlanShard(1, 1.0, "t1"), PlanShard(2, 1.0, None, is_free=True)]
+        result = plan(shards, targets)
+        self.assertEqual((0,), result.releases)
+        self.assertEqual(["t1"], [placement.target_id for placement in result.placements])
+
     def test_leaving_target_costs_only_its_own_shards(self):
         targets = [PlanTarget(f"t{number}", 1.0) for number in range(20)]
         weights = [1] * SHARDS
