Limit a target that answers under a new incarnation

Cause: only refusals were checked for a new incarnation. Change: the header is read from every answer, and the target is limited to the entry's permits and reported at once. Conclusion: 67 tests of tests/entry pass, one of them new.

--- a/cranberrylever/entry/_client.py
+++ b/cranberrylever/entry/_client.py
@@ -136,6 +136,7 @@
             incarnation = response.headers.get(_headers.TARGET_INCARNATION, "")
             response.release()
             raise TargetRefusedError(response.status, is_cold, incarnation)
+        attempt.answered_by = response.headers.get(_headers.TARGET_INCARNATION, attempt.incarnation)
         return response
 
     def _headers(self, attempt: Attempt, now: float) -> list[tuple[str, str]]:
--- a/cranberrylever/entry/_dispatcher.py
+++ b/cranberrylever/entry/_dispatcher.py
@@ -179,6 +179,8 @@
             now = loop.time()
             if self.targets.record_answer(attempt.state, attempt, now):
                 self._report_cold(attempt, "latency jump")
+            if attempt.answered_by not in ("", attempt.incarnation):
+                self._mark_cold(attempt, "new incarnation", now)
             if not attempt.exchange.is_keyed:
                 self.limits[attempt.exchange.service.name].latency.record(now - started)
         return response
@@ -208,11 +210,15 @@
             return
         if error.status == 503:
             state.limit.record_refusal(now)
-        looks_cold = error.is_cold or error.incarnation not in ("", attempt.incarnation)
-        if not looks_cold or state.view.phase != "warm":
-            return
-        if self.targets.marks.mark(attempt.target_id, attempt.incarnation, now):
-            self._report_cold(attempt, "shed while cold" if error.is_cold else "new incarnation")
+        if error.is_cold:
+            self._mark_cold(attempt, "shed while cold", now)
+        elif error.incarnation not in ("", attempt.incarnation):
+            self._mark_cold(attempt, "new incarnation", now)
+
+    def _mark_cold(self, attempt: Attempt, reason: str, now: float) -> None:
+        is_known = attempt.state.view.phase != "warm" or attempt.state.view.incarnation != attempt.incarnation
+        if not is_known and self.targets.marks.mark(attempt.target_id, attempt.incarnation, now):
+            self._report_cold(attempt, reason)
 
     def _report_cold(self, attempt: Attempt, reason: str) -> None:
         self.admission.log.warning("target_appears_cold", target=attempt.target_id, reason=reason)
--- a/cranberrylever/entry/_exchange.py
+++ b/cranberrylever/entry/_exchange.py
@@ -71,7 +71,7 @@
 
     ``address`` is that of another entry when ``state`` is ``None``. ``blocked_at`` is set while a later view
     has taken the shard away: the last version in which the shard was still this target's. ``transport`` is
-    that of the connection once the request is being sent.
+    that of the connection once the request is being sent, and ``answered_by`` the incarnation that answered.
     """
 
     exchange: Exchange
@@ -88,6 +88,7 @@
     finished: bool = False
     blocked_at: int | None = None
     transport: asyncio.Transport | None = None
+    answered_by: str = ""
 
     def has_unsent_bytes(self) -> bool:
         """Whether a part of the request is still held by this process."""
--- a/tests/entry/test_cold.py
+++ b/tests/entry/test_cold.py
@@ -127,6 +127,31 @@
 
         run(main)
 
+    def test_new_incarnation_in_an_answer_limits_the_target(self):
+        """Guards against a full share for a target that has restarted before control knows."""
+
+        async def main():
+            async with World() as world:
+                world.control.view = pooled_view(1, world.targets)
+                entry = await world.start_entry()
+
+                async def restarted(request, writer):
+                    return answer(b"ok", Cranberrylever_Target_Incarnation="i2")
+
+                world.targets[0].handler = restarted
+                self.assertEqual(200, (await world.call("/desk/a"))[0])
+                await wait_until(
+                    lambda: any(
+                        load.appears_cold for report in world.control.reports for load in report.target_loads
+                    )
+                )
+                headers = {"Cranberrylever-Deadline-Ms": "100"}
+                status, answered, _ = await world.call("/desk/a", headers=headers)
+                self.assertEqual((503, "not-run"), (status, answered[OUTCOME]))
+                self.assertEqual({"t1"}, set(entry.targets.marks.marks))
+
+        run(main)
+
 
 class LimitTest(testtools.TestCase):
     def test_queue_refuses_what_cannot_be_sent_in_time(self):
