Name the remedy when the log cannot be opened; check outstanding counts

Cause: a wrong log destination ended the entry with a bare system error. Change: it raises a SettingError; the count of outstanding requests per target is checked never to fall below zero.

--- a/cranberrylever/entry/_targets.py
+++ b/cranberrylever/entry/_targets.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cranberrylever.invariants import check
 from cranberrylever.limits import AdaptiveLimit, ColdMarks, LatencyJump, TargetLatency
 from cranberrylever.routing import RoutingTable, TargetView
 from cranberrylever.wire import TargetLoad
@@ -120,6 +121,7 @@
         """Note that a request is over."""
         state.starts.pop(token, None)
         state.outstanding -= 1
+        check(state.outstanding >= 0, f"{state.outstanding} requests at target {state.view.target_id}")
 
     def take_loads(self, waiting: dict[str, int], now: float) -> tuple[TargetLoad, ...]:
         """Return the loads for a report and start to count again.
--- a/cranberrylever/logs.py
+++ b/cranberrylever/logs.py
@@ -10,6 +10,7 @@
 import eliot
 import msgspec
 
+from cranberrylever.errors import SettingError
 from cranberrylever.settings import LogSettings
 
 FLUSH_INTERVAL = 0.1
@@ -99,10 +100,20 @@
 
 
 def open_log(settings: LogSettings) -> BufferedLogWriter:
-    """Return a writer to the destination in ``settings``."""
+    """Return a writer to the destination in ``settings``.
+
+    Raises:
+        SettingError: The destination cannot be opened.
+    """
     if settings.destination == "-":
         return BufferedLogWriter(_file_writer(STANDARD_ERROR))
-    descriptor = os.open(settings.destination, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+    try:
+        descriptor = os.open(settings.destination, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+    except OSError as error:
+        raise SettingError(
+            f"the log destination {settings.destination!r} cannot be opened: {error.strerror}",
+            "give a path that this user may write, or - for standard error",
+        ) from error
     return BufferedLogWriter(_file_writer(descriptor))
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -60,6 +60,11 @@
         }
         self.assertEqual(expected, {name: line[name] for name in expected})
 
+    def test_wrong_destination_names_the_remedy(self):
+        """Guards against a program that starts without a log, or ends with a bare system error."""
+        settings = LogSettings("/nonexistent/folder/entry.log")
+        self.assertRaises(SettingError, install_log, settings)
+
     def temporary_path(self) -> str:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
