Measure consensus on a slow disk against syncs on the loop's thread

Cause: the disk at hand syncs in 0.25 to 0.4 ms, which hides what a sync on the loop's thread costs. Change: the benchmark adds 20 ms to each sync, with the sync in a thread and on the loop's thread.

--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -32,6 +32,7 @@
 MEMBERS = 3
 PAYLOAD_BYTES = 200
 STALL_PERIOD_SECONDS = 0.001
+SLOW_SYNC_SECONDS = 0.02
 
 
 class _CountingMachine(StateMachine):
@@ -52,14 +53,21 @@
 
 
 class _TimedFiles(FileOperations):
-    """File operations that record the duration of each data sync."""
+    """File operations that record the duration of each data sync.
 
-    def __init__(self) -> None:
+    Args:
+        delay: Time in seconds added to each sync, as a busy disk would.
+    """
+
+    def __init__(self, delay: float) -> None:
+        self.delay = delay
         self.seconds: list[float] = []
 
     def sync_data(self, descriptor: int) -> None:
         started = time.perf_counter()
         super().sync_data(descriptor)
+        if self.delay:
+            time.sleep(self.delay)
         self.seconds.append(time.perf_counter() - started)
 
 
@@ -93,14 +101,16 @@
 
 
 @contextlib.asynccontextmanager
-async def _group(folder: Path, over_sockets: bool, storage_class: type) -> AsyncIterator[_Group]:
+async def _group(
+    folder: Path, over_sockets: bool, storage_class: type = DiskStorage, delay: float = 0.0
+) -> AsyncIterator[_Group]:
     """Run three members on folders below ``folder``."""
     ports = _free_ports(MEMBERS)
     members = {f"m{number}": f"127.0.0.1:{port}" for number, port in enumerate(ports)}
     network = MemoryNetwork()
     drivers, files, closers = [], [], []
     for name, address in members.items():
-        timed = _TimedFiles()
+        timed = _TimedFiles(delay)
         storage = storage_class(folder / name, CLUSTER, bootstrap=True, files=timed)
         transport = MemoryTransport(network, name)
         if over_sockets:
@@ -159,10 +169,15 @@
 
 
 async def _measure(
-    name: str, over_sockets: bool, callers: int, seconds: float, storage_class: type = DiskStorage
+    name: str,
+    over_sockets: bool,
+    callers: int,
+    seconds: float,
+    storage_class: type = DiskStorage,
+    delay: float = 0.0,
 ) -> None:
     with tempfile.TemporaryDirectory(dir=".") as folder:
-        async with _group(Path(folder), over_sockets, storage_class) as group:
+        async with _group(Path(folder), over_sockets, storage_class, delay) as group:
             await _propose_for(group.leader, callers, 0.5)
             for files in group.files:
                 files.seconds.clear()
@@ -211,6 +226,8 @@
         for callers in (1, 16, 256):
             asyncio.run(_measure(name, over_sockets, callers, seconds))
     asyncio.run(_measure("grpclib_sync_on_loop", True, 16, seconds, _InlineStorage))
+    asyncio.run(_measure("slow_disk", True, 16, seconds, DiskStorage, SLOW_SYNC_SECONDS))
+    asyncio.run(_measure("slow_disk_sync_on_loop", True, 16, seconds, _InlineStorage, SLOW_SYNC_SECONDS))
 
 
 if __name__ == "__main__":
