--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,12 +9,15 @@
 
 # Modules in the order in which they run; each has ``async def run() -> list[Figure]``.
 MODULES = (
+    "planner",
     "owner_loss",
     "leader_loss",
     "domain_out",
     "in_force",
     "cold_peak",
     "double_runs",
+    "forward_cpu",
+    "straggler",
 )
 
 
--- a/cranberrylever/claims/_table.py
+++ b/cranberrylever/claims/_table.py
@@ -70,9 +70,10 @@
 class ClaimTable:
     """Claims by id, bounded in number and bytes.
 
-    When the bytes reach their bound, the oldest stored answers are replaced by ``unknown``, because a claim
-    that is kept without its answer still prevents a second execution. Claims leave only by ``expire``; when
-    they reach a bound, further openings are refused as ``full``: an evicted claim could be won and run again.
+    When a bound is reached, claims that ended not-run leave first. When the bytes are still above their
+    bound, the oldest stored answers are replaced by ``unknown``, because a claim that is kept without its
+    answer still prevents a second execution. Open and answered claims leave only by ``expire``, because an
+    evicted one could be won and run again; when they reach a bound, further openings are refused as ``full``.
 
     Args:
         max_claims: Largest number of claims.
@@ -90,8 +91,9 @@
         self.size_bytes = 0
         # OrderedDict finds its first item in constant time after many removals at the front; dict does not.
         self._open: dict[str, Claim] = {}
-        self._finished: OrderedDict[str, Claim] = OrderedDict()
+        self._finished: dict[str, Claim] = {}
         self._with_answer: OrderedDict[str, None] = OrderedDict()
+        self._not_run: OrderedDict[str, None] = OrderedDict()
         self._by_opening: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
@@ -201,7 +203,9 @@
         return ClaimOutcome(completion.claim_id, "completed")
 
     def _make_room(self, needed_bytes: int) -> bool:
-        """Drop the oldest answers until one more claim fits.
+        """Drop claims that ended not-run, then the oldest answers, until one more claim fits.
+
+        A claim that ended not-run may be won again anyway, so its loss allows no second execution.
 
         Args:
             needed_bytes: Size of the claim to add, 0 when none is added.
@@ -210,9 +214,16 @@
             Whether the bounds are kept.
         """
         added = 1 if needed_bytes else 0
-        while self.size_bytes + needed_bytes > self.max_bytes and self._with_answer:
-            self._drop_answer(next(iter(self._with_answer)))
-        return len(self) + added <= self.max_claims and self.size_bytes + needed_bytes <= self.max_bytes
+        while True:
+            has_too_many_bytes = self.size_bytes + needed_bytes > self.max_bytes
+            if not has_too_many_bytes and len(self) + added <= self.max_claims:
+                return True
+            if self._not_run:
+                self._forget(next(iter(self._not_run)))
+            elif has_too_many_bytes and self._with_answer:
+                self._drop_answer(next(iter(self._with_answer)))
+            else:
+                return False
 
     def _drop_answer(self, claim_id: str) -> None:
         """Replace a stored answer by ``unknown`` and keep the claim's place in the order."""
@@ -229,12 +240,15 @@
         self.size_bytes += _size(claim)
         if _answer_size(claim):
             self._with_answer[claim.claim_id] = None
+        if claim.did_not_run:
+            self._not_run[claim.claim_id] = None
 
     def _remove(self, claim: Claim) -> None:
         table = self._open if claim.is_open else self._finished
         del table[claim.claim_id]
         self.size_bytes -= _size(claim)
         self._with_answer.pop(claim.claim_id, None)
+        self._not_run.pop(claim.claim_id, None)
 
     def _forget(self, claim_id: str) -> None:
         del self._by_opening[claim_id]
--- a/cranberrylever/entry/_link.py
+++ b/cranberrylever/entry/_link.py
@@ -34,8 +34,23 @@
         self.address = address
         self.link = link
         self.connected = False
+        self.channel: Channel | None = None
+        self.unanswered_since: float | None = None
         self.frames: asyncio.Queue[EntryFrame] = asyncio.Queue(_MAX_QUEUED_FRAMES)
 
+    def poll(self, frame: EntryFrame, now: float) -> None:
+        """Send a report, which the member must answer in some way.
+
+        After a partition a connection may stay silent for minutes, because TCP resends at growing intervals.
+        A stream without any answer is therefore opened again.
+        """
+        if not self.send(frame):
+            return
+        if self.unanswered_since is None:
+            self.unanswered_since = now
+        elif now - self.unanswered_since > self.link.tuning.stream_timeout:
+            self.channel.close()
+
     def send(self, frame: EntryFrame) -> bool:
         """Queue a frame; a stream that is down or blocked takes none."""
         if not self.connected:
@@ -53,11 +68,14 @@
                 await self._attach()
             except _STREAM_ERRORS as error:
                 self.link.log.write("debug", "control_stream_lost", address=self.address, error=repr(error))
+            except Exception as error:
+                # Without a stream the view expires and the entry refuses, so going on is safe.
+                self.link.log.failure("control_stream_failed", error, address=self.address)
             await asyncio.sleep(self.link.tuning.reconnect_delay)
 
     async def _attach(self) -> None:
         host, _, port = self.address.rpartition(":")
-        channel = Channel(host, int(port), codec=MsgpackCodec())
+        channel = self.channel = Channel(host, int(port), codec=MsgpackCodec())
         try:
             async with EntryControlStub(channel).attach.open() as stream:
                 async with asyncio.timeout(self.link.tuning.connect_timeout):
@@ -70,10 +88,12 @@
     async def _exchange(self, stream) -> None:  # noqa: ANN001 - grpclib's generic stream type
         self.frames = asyncio.Queue(_MAX_QUEUED_FRAMES)
         self.connected = True
+        self.unanswered_since = None
         self.link.member_connected(self)
         sender = asyncio.create_task(self._send_frames(stream))
         try:
             while (reply := await stream.recv_message()) is not None:
+                self.unanswered_since = None
                 self.link.receive(self, reply)
         finally:
             sender.cancel()
@@ -181,8 +201,11 @@
     async def _poll(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            if self.build_report is not None:
+            try:
                 self.send_poll(loop.time())
+            except Exception as error:
+                # Without polls the view expires and the entry refuses, so going on is safe.
+                self.log.failure("poll_failed", error)
             interval = self.tuning.urgent_poll_interval if self.is_urgent() else self.tuning.poll_interval
             self.poll_now.clear()
             with contextlib.suppress(TimeoutError):
@@ -195,10 +218,12 @@
 
     def send_poll(self, now: float) -> None:
         """Send a report to the leader, or to all members while it is unknown."""
+        if self.build_report is None:
+            return
         self.sequence += 1
         self.polls[self.sequence] = now
         self.polls.pop(self.sequence - _REMEMBERED_POLLS, None)
         report = self.build_report(self.sequence)
         frame = self.frame(report=report)
         for member in self._receivers(now):
-            member.send(frame)
+            member.poll(frame, now)
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -45,6 +45,7 @@
         self.views = ViewStore(tuning.view_lifetime)
         self.in_flight = InFlight()
         self.counts = RequestCounts()
+        self.lease_timer: asyncio.TimerHandle | None = None
         self.targets = TargetStates(tuning.cold_mark_lifetime)
         self.crashes = CrashWatch(self.in_flight, self.report_now, 2 * tuning.poll_interval, self.log)
         self.admission = Admission(
@@ -69,7 +70,7 @@
         self.claims = ClaimClient(self.settings.entry_id, self.tuning, self._send_frame)
         claimed = ClaimedRunner(self.claims, self.dispatcher, self.tuning)
         reader = RequestReader(self.views, self.tuning)
-        self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning)
+        self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning, self.log)
         self.server = HttpServer(self.app, self.settings.listen, self.tuning)
         await self.server.start()
         self.link = self._create_link()
@@ -90,6 +91,8 @@
         await self.server.wait_finished(self.tuning.finish_timeout)
         await self.claims.close(self.tuning.claim_close_timeout)
         await self.link.close()
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
         await self.client.close()
         self.metrics.close()
         self.log.info("entry_stopped")
@@ -122,15 +125,12 @@
         link.on_view_answer = self._receive_view
         link.on_claim_result = self.claims.receive
         link.on_leader_change = self.claims.resend
-        link.is_urgent = self._is_urgent
+        link.is_urgent = lambda: bool(self.views.waiters)
         return link
 
     def _send_frame(self, **fields: object) -> bool:
         return self.link.send(**fields)
 
-    def _is_urgent(self) -> bool:
-        return bool(self.views.waiters) or self.admission.waiting() > 0
-
     def _check_before_send(self, attempt: Attempt) -> None:
         """Raise unless the attempt may still be sent; time has passed since it was chosen."""
         now = self.loop.time()
@@ -145,6 +145,8 @@
     def _build_report(self, sequence: int) -> EntryReport:
         now = self.loop.time()
         version = self.views.version
+        requests = self.counts.take_requests()
+        self._send_metrics(version, requests)
         return EntryReport(
             sequence=sequence,
             entry_id=self.settings.entry_id,
@@ -152,19 +154,37 @@
             applied_version=version,
             settled_version=self.in_flight.settled_version(version),
             shard_counts=self.counts.take_shards(),
-            target_loads=self.targets.take_loads(now),
+            target_loads=self.targets.take_loads(self.admission.waiting_for_permits(now), now),
             hot_keys=self.counts.take_hot_keys(now),
             suspects=self.crashes.records(now),
             permits=self.targets.used_permits(now),
-            requests=self.counts.take_requests(),
+            requests=requests,
         )
 
+    def _watch_lease(self) -> None:
+        """Act once on each expiry of the view's lease."""
+        if self.views.is_valid(self.loop.time()):
+            self.lease_timer = self.loop.call_at(self.views.valid_until, self._watch_lease)
+            return
+        self.lease_timer = None
+        aborted = self.in_flight.abort_unsent()
+        self.log.warning("view_expired", version=self.views.version, aborted=aborted)
+        self.metrics.count("view_expired")
+
+    def _send_metrics(self, version: int, requests: int) -> None:
+        self.metrics.count("requests", requests)
+        self.metrics.gauge("view_version", version)
+        self.metrics.gauge("in_flight", len(self.in_flight.attempts))
+        self.metrics.gauge("waiting", self.admission.waiting())
+
     def _receive_view(self, answer: ViewAnswer, poll_sent: float) -> None:
         now = self.loop.time()
         previous = self.views.version
         if answer.version < previous:
             return
         changed = self.views.offer(answer, poll_sent)
+        if self.lease_timer is None:
+            self._watch_lease()
         if changed:
             table = self.views.table
             self.targets.apply_view(table)
--- a/cranberrylever/entry/_tuning.py
+++ b/cranberrylever/entry/_tuning.py
@@ -16,6 +16,7 @@
     view_lifetime: float = 1.2
     leader_timeout: float = 0.3
     reconnect_delay: float = 0.2
+    stream_timeout: float = 2.0
     connect_timeout: float = 1.0
     max_deadline_ms: int = 120_000
     max_buffered_bytes: int = 64 * 1_048_576
@@ -23,6 +24,7 @@
     max_connections: int = 2_000
     max_requests: int = 2_000
     keep_alive: float = 20.0
+    header_timeout: float = 10.0
     target_keep_alive: float = 4.0
     finish_timeout: float = 30.0
     disconnect_check_delay: float = 0.01
