Let entries obey the retry and hedge ratios of tickets

Cause: a ticket accepted retry_ratio and hedge_ratio, but the view did not carry them and entries used constants. Change: both are part of the view and of the budgets of each service; 0 switches retries or hedges off. Ruled out: removing the fields, because an operator needs them when retries feed an overload. Conclusion: what a ticket accepts is in force.

--- a/cranberrylever/entry/_dispatcher.py
+++ b/cranberrylever/entry/_dispatcher.py
@@ -8,6 +8,7 @@
 from cranberrylever.errors import NotRunError
 from cranberrylever.limits import RunningQuantile, TokenBucket
 from cranberrylever.metrics import Metrics
+from cranberrylever.routing import ServiceView
 
 from ._admission import Admission
 from ._client import ConnectionLostError, TargetClient, TargetRefusedError
@@ -28,11 +29,18 @@
 class ServiceLimits:
     """Budgets and latency of one service at this entry."""
 
-    def __init__(self, tuning: EntryTuning) -> None:
-        self.retries = TokenBucket(tuning.retry_ratio)
-        self.hedges = TokenBucket(tuning.hedge_ratio)
+    def __init__(self, service: ServiceView) -> None:
+        self.retries = TokenBucket(service.retry_ratio)
+        self.hedges = TokenBucket(service.hedge_ratio)
         self.latency = RunningQuantile(HEDGE_QUANTILE)
 
+    def record_request(self, service: ServiceView) -> None:
+        """Add the shares of one request at the ratios in force."""
+        self.retries.ratio = service.retry_ratio
+        self.hedges.ratio = service.hedge_ratio
+        self.retries.record_request()
+        self.hedges.record_request()
+
 
 class Dispatcher:
     """Runs requests at targets under the view in force.
@@ -81,9 +89,8 @@
         name = exchange.service.name
         limits = self.limits.get(name)
         if limits is None:
-            limits = self.limits[name] = ServiceLimits(self.tuning)
-        limits.retries.record_request()
-        limits.hedges.record_request()
+            limits = self.limits[name] = ServiceLimits(exchange.service)
+        limits.record_request(exchange.service)
         tried: set[str] = set()
         reason = ""
         backoff = self.tuning.retry_backoff
@@ -145,7 +152,7 @@
             return attempt, await self._send_one(attempt)
 
         def second() -> Attempt | None:
-            if limits.hedges.tokens < 1.0 or not self.crashes.is_clear(exchange):
+            if not limits.hedges.is_available() or not self.crashes.is_clear(exchange):
                 return None
             hedge = self.admission.try_acquire(exchange, tried | {attempt.target_id}, "hedge")
             if hedge is not None:
--- a/cranberrylever/entry/_tuning.py
+++ b/cranberrylever/entry/_tuning.py
@@ -30,8 +30,6 @@
     disconnect_check_delay: float = 0.01
     retry_backoff: float = 0.02
     max_retry_backoff: float = 0.2
-    retry_ratio: float = 0.1
-    hedge_ratio: float = 0.05
     claim_commit_wait: float = 0.25
     claim_resend_interval: float = 0.3
     claim_poll_interval: float = 0.1
--- a/cranberrylever/limits/_budget.py
+++ b/cranberrylever/limits/_budget.py
@@ -21,9 +21,13 @@
         """Add the share of one request."""
         self.tokens = min(self.capacity, self.tokens + self.ratio)
 
+    def is_available(self) -> bool:
+        """Tell whether a token can be taken; never while the ratio is 0."""
+        return self.ratio > 0.0 and self.tokens >= 1.0
+
     def take(self) -> bool:
         """Take one token; ``False`` when there is none."""
-        if self.tokens < 1.0:
+        if not self.is_available():
             return False
         self.tokens -= 1.0
         return True
--- a/cranberrylever/routing/_view.py
+++ b/cranberrylever/routing/_view.py
@@ -42,7 +42,8 @@
 
     ``owners[shard]`` is an index into ``owner_ids`` or -1 while the shard must not be served, and
     ``fences[shard]`` its fence; both are empty for a pooled service. Shards from ``shards`` upwards belong to
-    the pinned keys in ``pins`` (key hash to shard).
+    the pinned keys in ``pins`` (key hash to shard). ``retry_ratio`` and ``hedge_ratio`` are the retries and
+    hedges that an entry may send per request; 0 switches them off.
     """
 
     name: str
@@ -53,6 +54,8 @@
     max_body_bytes: int = 1_048_576
     idempotent: tuple[str, ...] = ()
     non_idempotent: tuple[str, ...] = ()
+    retry_ratio: float = 0.1
+    hedge_ratio: float = 0.05
     owner_ids: tuple[str, ...] = ()
     owners: tuple[int, ...] = ()
     fences: tuple[int, ...] = ()
--- a/cranberrylever/state/_view.py
+++ b/cranberrylever/state/_view.py
@@ -66,6 +66,8 @@
         max_body_bytes=spec.max_body_bytes,
         idempotent=spec.idempotent,
         non_idempotent=spec.non_idempotent,
+        retry_ratio=spec.retry_ratio,
+        hedge_ratio=spec.hedge_ratio,
         owner_ids=owner_ids,
         owners=owners,
         fences=fences,
--- a/tests/state/test_cluster.py
+++ b/tests/state/test_cluster.py
@@ -100,6 +100,13 @@
         self.assertEqual("free", self.phases()[0])
         self.assertFalse(build_view(self.state, ()).targets[0].routable)
 
+    def test_ratios_of_a_ticket_reach_the_view(self):
+        """Guards against a setting that a ticket accepts and no entry obeys."""
+        ratios = "retry_ratio = 0.25\nhedge_ratio = 0.0\n"
+        self.table_after(AcceptTicket(TICKET.replace("number = 1", "number = 2") + ratios))
+        service = build_view(self.state, ()).services[0]
+        self.assertEqual((0.25, 0.0), (service.retry_ratio, service.hedge_ratio))
+
     def test_lost_target_releases_all_and_can_be_removed_only_when_empty(self):
         self.assign(0, 1)
         remove = RemoveTarget("t", "i1")
