Test planned stops, and let faults meet long work

One request in ten now runs for 300 ms, so that an early change of owner shows as an overlap; with 10 ms it would rarely. Random faults include planned stops of targets and targets that turn cold.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -12,6 +12,7 @@
 MAX_ATTEMPTS = 6
 ATTEMPT_SECONDS = 4.0
 PAUSE_SECONDS = 0.3
+LONG_WORK_MS = 300
 
 
 @attrs.define
@@ -64,8 +65,13 @@
     def request(self, number: int, request_id: str, key: str) -> LoadRequest:
         """Return one attempt of an order; the body is the same in all attempts."""
         service = POOLED_SERVICE if self.layout.pooled and number % 3 == 0 else KEYED_SERVICE
-        path = f"/{service}/{self.layout.key(number)}?order={self.prefix}-{number}"
+        path = f"/{service}/{self.layout.key(number)}?order={self.prefix}-{number}{long_work(number)}"
         headers = {"Cranberrylever-Request-Id": request_id, "Cranberrylever-Deadline-Ms": "3000"}
         if key:
             headers["Idempotency-Key"] = key
         return LoadRequest("POST", path, headers, f"order {number}".encode())
+
+
+def long_work(number: int) -> str:
+    """Return the query that lets one request in ten run long enough to meet a change of owner."""
+    return f"&ms={LONG_WORK_MS}" if number % 10 == 0 else ""
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -56,6 +56,8 @@
             self.cut_entry,
             self.move_domain,
             self.submit_ticket,
+            self.stop_target,
+            self.cool_target,
         )
         while not self.stopped:
             await asyncio.sleep(self.random.uniform(*PAUSE_SECONDS))
@@ -83,6 +85,21 @@
         await self.cluster.targets[target_id].kill()
         self.killed_ms[health["incarnation"]] = asyncio.get_running_loop().time() * 1000
 
+    async def stop_target(self, target_id: str = "") -> int:
+        """Stop a target as planned and start it again; returns the exit status."""
+        target_id = target_id or self.random.choice(sorted(self.cluster.targets))
+        self.note(f"stop {target_id}")
+        status = await self.cluster.targets[target_id].terminate()
+        await self.cluster.restart_target(target_id)
+        return status
+
+    async def cool_target(self) -> None:
+        """Let a target turn cold without notice."""
+        target_id = self.random.choice(sorted(self.cluster.targets))
+        self.note(f"turn {target_id} cold")
+        listen = self.cluster.target_settings[target_id].listen
+        await self.cluster.post_json(listen, "/-/fault", {"cold": True})
+
     async def freeze_target(self, target_id: str = "", seconds: float = 0) -> None:
         """Stop a target's process and let it continue."""
         target_id = target_id or self.random.choice(sorted(self.cluster.targets))
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -7,7 +7,7 @@
 import aiohttp
 import attrs
 
-from bench.caller import Caller
+from bench.caller import Caller, long_work
 from bench.checker import (
     find_double_runs,
     find_false_outcomes,
@@ -98,7 +98,8 @@
     def read_request(self, number: int) -> LoadRequest:
         """Return a keyed read."""
         headers = {"Cranberrylever-Request-Id": f"read-{number}", "Cranberrylever-Deadline-Ms": "3000"}
-        return LoadRequest("GET", f"/{KEYED_SERVICE}/{self.layout.key(number)}?n={number}", headers)
+        path = f"/{KEYED_SERVICE}/{self.layout.key(number)}?n={number}{long_work(number)}"
+        return LoadRequest("GET", path, headers)
 
     async def stop(self) -> list[str]:
         """Stop load and return what broke an invariant."""
--- /dev/null
+++ b/tests/process/test_planned_stops.py
@@ -0,0 +1,44 @@
+"""Planned stops of real processes under load."""
+
+import asyncio
+import random
+
+import testtools
+
+from bench.cluster import failure_domain_text, open_cluster
+from bench.faults import FaultInjector
+from bench.load import DONE, LoadGenerator
+from bench.scenario import Layout, mixed_request, start_layout
+
+LAYOUT = Layout(entries=2, keyed=3, pooled=3, target={"service_time_ms": 10})
+RATE = 60.0
+LIMIT_SECONDS = 50.0
+
+
+class PlannedStopTest(testtools.TestCase):
+    def test_planned_stops_interrupt_no_request(self):
+        """Guards invariant 9: a stop that closes connections too early fails requests of callers."""
+
+        async def main():
+            async with asyncio.timeout(LIMIT_SECONDS), open_cluster() as cluster:
+                await start_layout(cluster, LAYOUT)
+                injector = FaultInjector(cluster, LAYOUT, random.Random(1))
+                load = LoadGenerator(cluster.entry_list(), lambda number: mixed_request(LAYOUT, number, 100))
+                task = asyncio.create_task(load.run_open(RATE, LIMIT_SECONDS))
+                await asyncio.sleep(0.5)
+                statuses = [await injector.stop_target("k0"), await injector.stop_target("p0")]
+                await cluster.submit(failure_domain_text("b", "withdrawn"))
+                await asyncio.sleep(3)
+                await cluster.submit(failure_domain_text("b", "active"))
+                leader = await cluster.wait_for_leader()
+                statuses.append(await cluster.control[leader].terminate())
+                await cluster.start_member(leader)
+                await injector.wait_until_repaired(leader)
+                load.stopped = True
+                result = await task
+                return statuses, [sample for sample in result.samples if sample.outcome != DONE], result
+
+        statuses, failed, result = asyncio.run(main())
+        print(f"{len(result.samples)} requests, slowest {result.percentile_ms(100) / 1000:.2f} s")
+        self.assertEqual([0, 0, 0], statuses)
+        self.assertEqual([], failed)
