Measure the cost of losing a tenth of the targets

Change: make slopes compares a loss of a tenth of the targets with the same time in an idle cluster.

--- a/bench/slope_rules.py
+++ b/bench/slope_rules.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from bench.fit import Slope, fit
+from cranberrylever.invariants import check
 from cranberrylever.membership import Announcement
 from cranberrylever.ownership import Coordinator, GrantAck
 from cranberrylever.routing import RoutingTable, View
@@ -29,6 +30,7 @@
 STEPS = 200
 STEP_S = 0.025
 SETTLE_STEPS = 400
+LOSS_STEPS = 80
 TARGET_COUNT = 20
 SHARD_COUNT = 1024
 ENTRY_COUNT = 10
@@ -42,6 +44,7 @@
         self.rules = Coordinator(self.state)
         self.index = 0
         self.now = 0.0
+        self.log_bytes = 0
         self.apply(
             AcceptTicket(f'number = 1\n[[service]]\nname = "ledger"\nkind = "keyed"\nshards = {shards}\n')
         )
@@ -52,6 +55,7 @@
         for entry_id in self.entries:
             self.rules.record_hello(EntryHello(entry_id, "i", "127.0.0.1:2", "a"))
         self.sequence = 0
+        self.lost: set[str] = set()
         self.rules.start_term(1, 0.0)
         for _ in range(SETTLE_STEPS):
             self.advance()
@@ -59,6 +63,7 @@
     def apply(self, command: object) -> object:
         """Apply a command at the next log index."""
         self.index += 1
+        self.log_bytes += len(encode_command(command))
         return self.state.apply(self.index, command)
 
     def advance(self) -> None:
@@ -70,6 +75,11 @@
         for command in self.rules.step(self.now):
             self.apply(command)
 
+    def owned_by_lost(self) -> int:
+        """Return the number of shards that lost targets own."""
+        records = self.state.targets.records
+        return sum(len(self.state.owned_shards(records[name])) for name in self.lost if name in records)
+
     def step(self) -> None:
         """Run one step in which nothing changes."""
         self.rules.step(self.now)
@@ -87,6 +97,9 @@
             if renewal is None:
                 continue
             sent += 1
+            if target_id in self.lost:
+                self.rules.record_grant_failure(target_id, renewal, self.now)
+                continue
             ack = GrantAck("i", self.now * 1000, renewal.sequence, renewal.version, state="warm")
             self.rules.record_grant_ack(target_id, renewal, ack, self.now)
         return sent
@@ -106,6 +119,7 @@
     """Measure all slopes of the rules."""
     return [
         *by_shards(),
+        *by_lost_shards(),
         *by_targets(),
         *by_entries(),
         *by_tickets(),
@@ -135,6 +149,25 @@
     ]
 
 
+def by_lost_shards() -> list[Slope]:
+    """Cost of the loss of a tenth of the targets over an idle cluster, by shards that change owner."""
+    processor, log = [], []
+    for shards in SHARDS:
+        cluster = RulesCluster(shards, TARGET_COUNT, ENTRY_COUNT)
+        idle = cpu_us(cluster.advance, LOSS_STEPS) * LOSS_STEPS
+        cluster.lost = set(cluster.targets[: TARGET_COUNT // 10])
+        moved = cluster.owned_by_lost()
+        bytes_before = cluster.log_bytes
+        busy = cpu_us(cluster.advance, LOSS_STEPS) * LOSS_STEPS
+        check(cluster.owned_by_lost() == 0, "the shards of lost targets have new owners")
+        processor.append((moved, busy - idle))
+        log.append((moved, cluster.log_bytes - bytes_before))
+    return [
+        fit("loss_by_shards", "us", "lost shard", processor),
+        fit("loss_log_by_shards", "B", "lost shard", log),
+    ]
+
+
 def by_targets() -> list[Slope]:
     """Cost by targets of one keyed service."""
     step, view, renewal = [], [], []
