Send metrics from control and outcomes and latencies from entries

Ruled out: a datagram per request, whose system call costs processor time at the entry. Conclusion: both programs can be watched.

--- /dev/null
+++ b/cranberrylever/control/_metrics.py
@@ -0,0 +1,51 @@
+"""Metrics of a control member, sent at a fixed interval."""
+
+from collections import Counter
+
+from cranberrylever.consensus import RaftDriver
+from cranberrylever.control._leader import LeaderLoop
+from cranberrylever.membership import PHASES
+from cranberrylever.metrics import Metrics
+from cranberrylever.ownership import Coordinator
+
+METRICS_INTERVAL_S = 1.0
+
+
+class ControlMetrics:
+    """Sends gauges of consensus at each member, and of the cluster at the leader."""
+
+    def __init__(
+        self, metrics: Metrics, driver: RaftDriver, leader: LeaderLoop, coordinator: Coordinator
+    ) -> None:
+        self.metrics = metrics
+        self.driver = driver
+        self.leader = leader
+        self.coordinator = coordinator
+        self.next_at = 0.0
+
+    def send_due(self, now: float) -> None:
+        """Send all gauges when the interval has passed."""
+        if now < self.next_at:
+            return
+        self.next_at = now + METRICS_INTERVAL_S
+        is_leader = self.leader.is_serving()
+        self.metrics.gauge("is_leader", int(is_leader))
+        self.metrics.gauge("term", self.driver.term)
+        self.metrics.gauge("commit_index", self.driver.commit_index)
+        self.metrics.gauge("applied_index", self.driver.applied_index)
+        if is_leader:
+            self._send_cluster(now)
+
+    def _send_cluster(self, now: float) -> None:
+        state = self.coordinator.state
+        phases = Counter(record.phase for record in state.targets.records.values())
+        for phase in PHASES:
+            self.metrics.gauge(f"targets.{phase}", phases[phase])
+        self.metrics.gauge("claims", len(state.claims))
+        self.metrics.gauge("ticket", state.tickets.last_number)
+        status = self.coordinator.status(now)
+        self.metrics.gauge("entries", len(status.entries))
+        for service in status.services:
+            self.metrics.gauge(f"shards.{service.name}.releasing", service.releasing)
+            self.metrics.gauge(f"shards.{service.name}.free", service.free)
+            self.metrics.gauge(f"imbalance.{service.name}", service.imbalance)
--- a/cranberrylever/control/_program.py
+++ b/cranberrylever/control/_program.py
@@ -10,12 +10,14 @@
 from cranberrylever.control._grants import GrantSender
 from cranberrylever.control._leader import LeaderLoop
 from cranberrylever.control._machine import ClusterMachine
+from cranberrylever.control._metrics import ControlMetrics
 from cranberrylever.control._operator import create_operator_app
 from cranberrylever.control._peers import PeerTransport
 from cranberrylever.control._placement import PlacementLog
 from cranberrylever.control._service import ControlService
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
+from cranberrylever.metrics import create_metrics
 from cranberrylever.ownership import Coordinator
 from cranberrylever.settings import ControlSettings
 from cranberrylever.state import ClusterState
@@ -36,6 +38,7 @@
         self.coordinator = Coordinator(self.state)
         self.forwarder = LeaderForwarder({peer.member_id: peer.http for peer in settings.peers})
         self.driver: RaftDriver | None = None
+        self.metrics = create_metrics(settings.statsd, f"control.{settings.member_id}")
 
     async def start(self) -> None:
         """Open the data folder, join the group and listen.
@@ -44,7 +47,7 @@
             StorageError: The data folder cannot be used.
             OSError: An address cannot be bound.
         """
-        install_log(self.settings.log)
+        self.installed_log = install_log(self.settings.log)
         self._build()
         await self._listen()
         await self.transport.start()
@@ -75,6 +78,8 @@
         await self._close_rpc()
         await self.transport.close()
         await self.forwarder.close()
+        self.metrics.close()
+        self.installed_log.close()
 
     def _build(self) -> None:
         settings = self.settings
@@ -90,6 +95,7 @@
         )
         placement = PlacementLog(self.state, self.leader.is_serving, self.log)
         self.machine.callbacks.append(placement)
+        self.reporter = ControlMetrics(self.metrics, self.driver, self.leader, self.coordinator)
         self.machine.callbacks.append(lambda index, command, result: self.leader.wake.set())
         service = ControlService(settings.cluster_id, self.driver, self.leader, self.coordinator)
         self.http = HttpServer(
@@ -112,6 +118,7 @@
 
     def _after_step(self) -> None:
         self.grants.send_due()
+        self.reporter.send_due(asyncio.get_running_loop().time())
         self.entries.push_view()
 
 
--- a/cranberrylever/entry/_answers.py
+++ b/cranberrylever/entry/_answers.py
@@ -14,8 +14,6 @@
 Send = Callable[[dict], Awaitable[None]]
 
 _OUTCOME_NAME = _headers.OUTCOME.lower().encode()
-_OUTCOME_DONE = (_OUTCOME_NAME, _headers.DONE.encode())
-_OUTCOME_UNKNOWN = (_OUTCOME_NAME, _headers.UNKNOWN.encode())
 _STATUS_WITHOUT_BODY = frozenset({204, 304})
 _CLOSE = (b"connection", b"close")
 _LAST_BODY = {"type": "http.response.body", "body": b"", "more_body": False}
@@ -45,11 +43,15 @@
     Args:
         send: ASGI ``send``.
         closes: Whether the caller's connection closes after the answer.
+
+    Attributes:
+        outcome: Outcome sent to the caller, empty before an answer begins.
     """
 
     def __init__(self, send: Send, closes: bool) -> None:
         self.send = send
         self.closes = closes
+        self.outcome = ""
 
     async def refuse(self, status: int, outcome: str, error: CranberryleverError) -> None:
         """Answer with an error of the entry."""
@@ -62,6 +64,7 @@
         if status in (408, 413):
             # The rest of the body is still on its way and must not be read as the next request.
             self.closes = True
+        self.outcome = outcome
         await self._start(status, headers)
         await self.send({"type": "http.response.body", "body": body, "more_body": False})
 
@@ -78,7 +81,8 @@
         if response.status in _STATUS_WITHOUT_BODY:
             # A 304 may name the length of the answer to a GET; uvicorn would wait for that many bytes.
             headers = [pair for pair in headers if pair[0] != b"content-length"]
-        headers.append(_OUTCOME_UNKNOWN if is_unknown(response) else _OUTCOME_DONE)
+        self.outcome = _headers.UNKNOWN if is_unknown(response) else _headers.DONE
+        headers.append((_OUTCOME_NAME, self.outcome.encode()))
         exchange.answer_started = True
         await self._start(response.status, headers)
         content = response.content
@@ -100,6 +104,7 @@
         """Send a stored answer."""
         headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in answer.headers]
         headers.append((_OUTCOME_NAME, answer.outcome.encode()))
+        self.outcome = answer.outcome
         await self._start(answer.status, headers)
         await self.send({"type": "http.response.body", "body": answer.body, "more_body": False})
 
--- a/cranberrylever/entry/_app.py
+++ b/cranberrylever/entry/_app.py
@@ -17,6 +17,7 @@
 from ._exchange import Exchange
 from ._guard import CALLER_GONE, RequestGuard
 from ._reader import RequestReader
+from ._stats import AnswerStats
 from ._tuning import EntryTuning
 from ._views import ViewStore
 
@@ -35,6 +36,7 @@
         dispatcher: Runs requests.
         claimed: Runs requests with an idempotency key.
         tuning: Limits.
+        stats: Counts answers for the metrics.
         log: Program log.
     """
 
@@ -45,9 +47,11 @@
         dispatcher: Dispatcher,
         claimed: ClaimedRunner,
         tuning: EntryTuning,
+        stats: AnswerStats,
         log: Log,
     ) -> None:
         self.log = log
+        self.stats = stats
         self.views = views
         self.reader = reader
         self.dispatcher = dispatcher
@@ -67,10 +71,14 @@
             await self.health(scope, receive, send)
             return
         self.requests += 1
+        writer = AnswerWriter(send, self.draining)
+        clock = asyncio.get_running_loop().time
+        started = clock()
         try:
-            await self._serve(scope, receive, AnswerWriter(send, self.draining))
+            await self._serve(scope, receive, writer)
         finally:
             self.requests -= 1
+            self.stats.record(writer.outcome, clock() - started)
 
     async def _healthz(self, request: object) -> JSONResponse:
         return JSONResponse({"status": "ok"})
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -23,6 +23,7 @@
 from ._reader import RequestReader
 from ._reports import RequestCounts
 from ._server import HttpServer
+from ._stats import AnswerStats
 from ._targets import TargetStates
 from ._tuning import EntryTuning
 from ._views import ViewStore
@@ -41,10 +42,11 @@
         self.tuning = tuning
         self.incarnation = uuid.uuid4().hex
         self.log = Log("entry", settings.entry_id, settings.log.level)
-        self.metrics = create_metrics(settings.statsd, "entry")
+        self.metrics = create_metrics(settings.statsd, f"entry.{settings.entry_id}")
         self.views = ViewStore(tuning.view_lifetime)
         self.in_flight = InFlight()
         self.counts = RequestCounts()
+        self.stats = AnswerStats()
         self.lease_timer: asyncio.TimerHandle | None = None
         self.targets = TargetStates(tuning.cold_mark_lifetime)
         self.crashes = CrashWatch(self.in_flight, self.report_now, 2 * tuning.poll_interval, self.log)
@@ -70,7 +72,7 @@
         self.claims = ClaimClient(self.settings.entry_id, self.tuning, self._send_frame)
         claimed = ClaimedRunner(self.claims, self.dispatcher, self.tuning)
         reader = RequestReader(self.views, self.tuning)
-        self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning, self.log)
+        self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning, self.stats, self.log)
         self.server = HttpServer(self.app, self.settings.listen, self.tuning)
         await self.server.start()
         self.link = self._create_link()
@@ -173,6 +175,7 @@
 
     def _send_metrics(self, version: int, requests: int) -> None:
         self.metrics.count("requests", requests)
+        self.stats.send(self.metrics)
         self.metrics.gauge("view_version", version)
         self.metrics.gauge("in_flight", len(self.in_flight.attempts))
         self.metrics.gauge("waiting", self.admission.waiting())
