Gather the settings modules in one package

Cause: read-through. Three modules at the top level belonged to the settings, with no private part behind a public one. Change: settings/ with _fields, _values and _programs behind its __init__. Conclusion: no change of behaviour.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -13,8 +13,14 @@
 
 from bench.processes import ManagedProcess, free_address, wait_for_http
 from bench.relay import Relay
-from cranberrylever.setting_fields import setting_fields
-from cranberrylever.settings import ControlSettings, EntrySettings, LogSettings, PeerAddress, TargetSettings
+from cranberrylever.settings import (
+    ControlSettings,
+    EntrySettings,
+    LogSettings,
+    PeerAddress,
+    TargetSettings,
+    setting_fields,
+)
 
 CLUSTER_ID = "bench"
 POLL_SECONDS = 0.02
--- a/cranberrylever/_cli/_docs.py
+++ b/cranberrylever/_cli/_docs.py
@@ -3,13 +3,14 @@
 import typer
 
 from cranberrylever._cli._exits import ExitCode
-from cranberrylever.setting_fields import SettingField, setting_fields
 from cranberrylever.settings import (
     ControlSettings,
     DevSettings,
     EntrySettings,
     OperatorSettings,
+    SettingField,
     TargetSettings,
+    setting_fields,
 )
 
 _PROGRAMS = {
--- a/cranberrylever/_cli/_options.py
+++ b/cranberrylever/_cli/_options.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from cranberrylever.setting_fields import SettingField, load_settings, setting_fields
+from cranberrylever.settings import SettingField, load_settings, setting_fields
 
 
 def with_settings(kind: type) -> Callable[[Callable[..., Any]], Callable[..., Any]]:
--- a/cranberrylever/control/_announcements.py
+++ b/cranberrylever/control/_announcements.py
@@ -9,7 +9,7 @@
 from cranberrylever.errors import AnnouncementError
 from cranberrylever.membership import Announcement
 from cranberrylever.names import NAME_REMEDY, is_name
-from cranberrylever.setting_values import ValueProblemError, remote_address
+from cranberrylever.settings import ValueProblemError, remote_address
 from cranberrylever.structure import StructureError, structure
 
 MAX_ANNOUNCEMENT_BYTES = 65_536
--- /dev/null
+++ b/cranberrylever/settings/__init__.py
@@ -0,0 +1,35 @@
+"""Settings of each program, with their flags, environment variables and checks."""
+
+from cranberrylever.settings._fields import SettingField, load_settings, setting_fields
+from cranberrylever.settings._programs import (
+    ControlSettings,
+    DevSettings,
+    EntrySettings,
+    LogSettings,
+    OperatorSettings,
+    PeerAddress,
+    TargetSettings,
+)
+from cranberrylever.settings._values import (
+    ValueProblemError,
+    listen_address,
+    remote_address,
+    split_address,
+)
+
+__all__ = [
+    "ControlSettings",
+    "DevSettings",
+    "EntrySettings",
+    "LogSettings",
+    "OperatorSettings",
+    "PeerAddress",
+    "SettingField",
+    "TargetSettings",
+    "ValueProblemError",
+    "listen_address",
+    "load_settings",
+    "remote_address",
+    "setting_fields",
+    "split_address",
+]
--- a/cranberrylever/setting_fields.py
+++ b/cranberrylever/settings/_fields.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cranberrylever.errors import SettingError
-from cranberrylever.setting_values import ValueProblemError, boolean
+from cranberrylever.settings._values import ValueProblemError, boolean
 
 S = TypeVar("S")
 
--- a/cranberrylever/settings.py
+++ b/cranberrylever/settings/_programs.py
@@ -3,8 +3,8 @@
 import attrs
 
 from cranberrylever.errors import SettingError
-from cranberrylever.setting_fields import setting, wrong_setting
-from cranberrylever.setting_values import (
+from cranberrylever.settings._fields import setting, wrong_setting
+from cranberrylever.settings._values import (
     ValueProblemError,
     boolean,
     identifier,
--- a/tests/cli/test_settings.py
+++ b/tests/cli/test_settings.py
@@ -13,14 +13,17 @@
 from cranberrylever._cli._docs import configuration_page
 from cranberrylever.cli import app
 from cranberrylever.errors import SettingError
-from cranberrylever.setting_fields import load_settings, setting_fields
-from cranberrylever.setting_values import ValueProblemError, listen_address, split_address
 from cranberrylever.settings import (
     ControlSettings,
     EntrySettings,
     OperatorSettings,
     PeerAddress,
     TargetSettings,
+    ValueProblemError,
+    listen_address,
+    load_settings,
+    setting_fields,
+    split_address,
 )
 from tests.cli.support import run_cli
 
