Share the server configuration and read addresses in one place

Cause: read-through. Two listeners repeated uvicorn's settings, six places split host:port by hand, and brackets of an IPv6 address became part of the host. Change: http_server.server_config and format_address, settings.split_address everywhere; the entry's listener is CallerServer. Conclusion: one place for each.

--- a/cranberrylever/control/_peers.py
+++ b/cranberrylever/control/_peers.py
@@ -11,6 +11,7 @@
 
 from cranberrylever.consensus import Receiver, Transport
 from cranberrylever.logs import Log
+from cranberrylever.settings import split_address
 from cranberrylever.wire import MsgpackCodec, PeerBase, PeerFrame, PeerStub
 
 MAX_QUEUED_FRAMES = 1024
@@ -36,9 +37,7 @@
     def __init__(self, member_id: str, address: str, log: Log) -> None:
         self.member_id = member_id
         self.log = log
-        host, _, port = address.rpartition(":")
-        self.host = host.strip("[]")
-        self.port = int(port)
+        self.host, self.port = split_address(address)
         self.queue: collections.deque[PeerFrame] = collections.deque()
         self.dropped = 0
         self.connections = 0
--- a/cranberrylever/control/_program.py
+++ b/cranberrylever/control/_program.py
@@ -19,7 +19,7 @@
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_metrics
 from cranberrylever.ownership import Coordinator
-from cranberrylever.settings import ControlSettings
+from cranberrylever.settings import ControlSettings, split_address
 from cranberrylever.state import ClusterState
 from cranberrylever.wire import MsgpackCodec
 
@@ -104,8 +104,7 @@
         self.rpc = grpclib.server.Server([self.transport, self.entries], codec=MsgpackCodec())
 
     async def _listen(self) -> None:
-        host, _, port = self.address.rpc.rpartition(":")
-        await self.rpc.start(host.strip("[]"), int(port))
+        await self.rpc.start(*split_address(self.address.rpc))
         await self.http.start()
 
     async def _close_rpc(self) -> None:
--- a/cranberrylever/entry/_crashes.py
+++ b/cranberrylever/entry/_crashes.py
@@ -7,6 +7,7 @@
 from cranberrylever.errors import NotRunError
 from cranberrylever.limits import BLOCKING_CRASHES, SuspectTable
 from cranberrylever.logs import Log
+from cranberrylever.settings import split_address
 from cranberrylever.wire import SuspectRecord
 
 from ._exchange import Attempt, Exchange
@@ -168,10 +169,10 @@
 
     A target may also have closed an idle connection just as a request was sent on it; it then still answers.
     """
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     try:
         async with asyncio.timeout(PROBE_TIMEOUT):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host, port)
             try:
                 writer.write(
                     f"GET /-/health HTTP/1.0\r\nHost: {address}\r\nConnection: close\r\n\r\n".encode()
--- a/cranberrylever/entry/_link.py
+++ b/cranberrylever/entry/_link.py
@@ -9,6 +9,7 @@
 
 from cranberrylever.errors import CodecError
 from cranberrylever.logs import Log
+from cranberrylever.settings import split_address
 from cranberrylever.wire import (
     ClaimResult,
     EntryControlStub,
@@ -74,8 +75,8 @@
             await asyncio.sleep(self.link.tuning.reconnect_delay)
 
     async def _attach(self) -> None:
-        host, _, port = self.address.rpartition(":")
-        channel = self.channel = Channel(host, int(port), codec=MsgpackCodec())
+        host, port = split_address(self.address)
+        channel = self.channel = Channel(host, port, codec=MsgpackCodec())
         try:
             async with EntryControlStub(channel).attach.open() as stream:
                 async with asyncio.timeout(self.link.tuning.connect_timeout):
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -22,7 +22,7 @@
 from ._link import ControlLink
 from ._reader import RequestReader
 from ._reports import RequestCounts
-from ._server import HttpServer
+from ._server import CallerServer
 from ._stats import AnswerStats
 from ._targets import TargetStates
 from ._tuning import EntryTuning
@@ -73,7 +73,7 @@
         claimed = ClaimedRunner(self.claims, self.dispatcher, self.tuning)
         reader = RequestReader(self.views, self.tuning)
         self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning, self.stats, self.log)
-        self.server = HttpServer(self.app, self.settings.listen, self.tuning)
+        self.server = CallerServer(self.app, self.settings.listen, self.tuning)
         await self.server.start()
         self.link = self._create_link()
         self.link.start()
--- a/cranberrylever/entry/_reader.py
+++ b/cranberrylever/entry/_reader.py
@@ -4,6 +4,7 @@
 import os
 
 from cranberrylever.routing import ServiceView, extract_key, hash_key, is_idempotent, split_service
+from cranberrylever.settings import split_address
 
 from . import _headers
 from ._answers import RefusalError
@@ -99,7 +100,7 @@
         """
         if client is None or self.views.table is None:
             return False
-        return any(address.rpartition(":")[0] == client[0] for address in self.views.table.entries.values())
+        return any(split_address(address)[0] == client[0] for address in self.views.table.entries.values())
 
     def _deadline_ms(self, headers: list[tuple[bytes, bytes]], default: int) -> int:
         value = _headers.find(headers, _DEADLINE_NAME)
--- a/cranberrylever/entry/_server.py
+++ b/cranberrylever/entry/_server.py
@@ -3,11 +3,12 @@
 import asyncio
 import logging
 
-import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
 from cranberrylever.errors import SettingError
+from cranberrylever.http_server import format_address, server_config
+from cranberrylever.settings import split_address
 
 from ._tuning import EntryTuning
 
@@ -122,7 +123,7 @@
             self.transport.close()
 
 
-class HttpServer:
+class CallerServer:
     """Listener of one entry.
 
     Args:
@@ -134,18 +135,7 @@
     def __init__(self, app: object, listen: str, tuning: EntryTuning) -> None:
         self.listen = listen
         self.state = ServerState()
-        self.config = uvicorn.Config(
-            app,
-            http="httptools",
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            proxy_headers=False,
-            timeout_keep_alive=tuning.keep_alive,
-        )
+        self.config = server_config(app, timeout_keep_alive=tuning.keep_alive)
         self.config.load()
         # Each truncated answer would otherwise be logged as an error of the application.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
@@ -163,10 +153,10 @@
         Raises:
             SettingError: The address cannot be used.
         """
-        host, _, port = self.listen.rpartition(":")
+        host, port = split_address(self.listen)
         loop = asyncio.get_running_loop()
         try:
-            self.server = await loop.create_server(self._create_protocol, host, int(port), backlog=BACKLOG)
+            self.server = await loop.create_server(self._create_protocol, host, port, backlog=BACKLOG)
         except OSError as error:
             raise SettingError(
                 f"cannot listen on --listen {self.listen}: {error.strerror}",
@@ -179,8 +169,7 @@
     @property
     def bound_address(self) -> str:
         """Address on which the server listens, as ``host:port``."""
-        host, port = self.server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        return format_address(self.server.sockets[0])
 
     def stop_accepting(self) -> None:
         """Close the listener and the idle connections; others close after their answer."""
