Give up leadership before closing the operator API; sharper process checks

Cause: a leader that stops as planned closed its HTTP listener, which takes 0.1 s and more, between its last renewal and the end of its heartbeats. In one run of the planned-stop test the grants of a target ran out and requests were cut off as fenced. Change: the consensus driver closes first. The first renewal of a new leader that grants still waits a whole interval after the one that reads the clock, so the margin stays thin.

free_address returned the same port twice in one run; it now remembers the ports that it gave.

The whole of make test was not run on this commit.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -19,13 +19,18 @@
 READY_LIMIT_SECONDS = 15.0
 STOP_LIMIT_SECONDS = 20.0
 
+_given_ports: set[int] = set()
+
 
 def free_address() -> str:
-    """Return ``host:port`` of a loopback port that was free just now."""
+    """Return ``host:port`` of a loopback port that was free just now and was not returned before."""
     for _ in range(200):
         port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
+            _given_ports.add(port)
             return f"127.0.0.1:{port}"
     raise OSError("no free loopback port found in 200 tries")
 
--- a/cranberrylever/control/_program.py
+++ b/cranberrylever/control/_program.py
@@ -70,8 +70,9 @@
         await self.leader.close()
         await self.grants.close()
         await self.entries.close()
-        await self.http.close()
+        # The other members elect a leader only once this one is silent, and until then nobody renews grants.
         await self.driver.close()
+        await self.http.close()
         await self._close_rpc()
         await self.transport.close()
         await self.forwarder.close()
