Grant at once after the first clock reading of a target

Cause: a new leader's first renewal only reads the target's clock, and the first one that grants waited a whole interval of 200 ms, while the grant of the previous leader ran out. Change: a renewal is due at once while the last one granted nothing. Ruled out: granting with the first renewal, whose expiry would have to count from receipt. Conclusion: 200 ms more margin at each change of leader.

--- a/cranberrylever/ownership/_grants.py
+++ b/cranberrylever/ownership/_grants.py
@@ -51,7 +51,8 @@
 class GrantHolder:
     """What the leader knows about the grant of one incarnation of a target.
 
-    ``expires_by`` is the last possible expiry. ``unanswered_until`` is the last possible expiry of renewals
+    ``expires_by`` is the last possible expiry. ``last_sent_grants`` is false while the last renewal only read
+    the target's clock. ``unanswered_until`` is the last possible expiry of renewals
     that got no answer and may still be delivered.
     """
 
@@ -63,7 +64,7 @@
     ack_received_at: float = -math.inf
     outstanding: GrantRenewal | None = None
     last_sent_at: float = -math.inf
-    last_sent_version: int = -1
+    last_sent_grants: bool = False
     failures: int = 0
 
 
@@ -105,9 +106,12 @@
         """Tell whether a renewal should be sent now; only one may be outstanding."""
         if holder.outstanding is not None:
             return now - holder.last_sent_at >= self.timings.abandon_renewal_after
-        if holder.ack is not None and holder.failures == 0 and holder.ack.version != version:
-            return True
-        return now - holder.last_sent_at >= interval
+        if holder.ack is None or holder.failures > 0:
+            return now - holder.last_sent_at >= interval
+        # Under a new leader the grant of the previous one runs out, so the first renewal that grants follows
+        # the one that reads the clock at once.
+        has_news = not holder.last_sent_grants or holder.ack.version != version
+        return has_news or now - holder.last_sent_at >= interval
 
     def renew(
         self,
@@ -158,7 +162,7 @@
         )
         holder.outstanding = renewal
         holder.last_sent_at = now
-        holder.last_sent_version = version
+        holder.last_sent_grants = expires_at_ms is not None
         holder.expires_by = max(holder.expires_by, expires_by)
         return renewal
 
--- a/tests/ownership/test_ledgers.py
+++ b/tests/ownership/test_ledgers.py
@@ -33,6 +33,14 @@
         self.assertEqual(91_200, second.expires_at_ms)
         self.assertAlmostEqual(5.01 + BOUND, self.ledger.holders["t", "i"].expires_by)
 
+    def test_grant_follows_the_clock_reading_at_once(self):
+        """Guards against a grant that runs out at a change of leader while its renewal waits."""
+        self.ack(self.renew(5.0), 90_000.0, 5.01)
+        holder = self.ledger.holders["t", "i"]
+        self.assertTrue(self.ledger.is_due(holder, 7, 0.2, 5.02))
+        self.ack(self.renew(5.02), 90_020.0, 5.03)
+        self.assertFalse(self.ledger.is_due(holder, 7, 0.2, 5.04))
+
     def test_unanswered_renewal_counts_as_granted(self):
         """Guards against an expiry that ignores a renewal whose answer was lost."""
         self.ack(self.renew(5.0), 90_000.0, 5.01)
