Send a frozen entry no further views

Each new version queued another answer for an entry that reads nothing, and an answer that failed when its stream ended left an unretrieved exception. Change: no view is pushed while an answer to that entry is being sent; a failed answer is logged at level debug. Ruled out: closing the stream of a slow entry, which a short stall does not deserve. Conclusion: memory for a frozen entry is bounded by one answer.

--- a/cranberrylever/control/_entries.py
+++ b/cranberrylever/control/_entries.py
@@ -1,7 +1,8 @@
 """Stream service for entries: views, permits and execution claims."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
+from functools import partial
 
 import attrs
 import grpclib.server
@@ -73,6 +74,9 @@
             report = entry.report
             if report is None or entry.pushed_version >= self.coordinator.state.view_version:
                 continue
+            # A frozen entry takes nothing; without this, each later version would queue another answer.
+            if entry.send_lock.locked():
+                continue
             self._spawn(entry, self._answer_report(entry, report))
 
     async def close(self) -> None:
@@ -95,10 +99,16 @@
         elif frame.complete_claim is not None:
             self._spawn(entry, self._complete_claim(entry, frame.complete_claim))
 
-    def _spawn(self, entry: EntryStream, work: "asyncio._CoroutineLike[None]") -> None:
+    def _spawn(self, entry: EntryStream, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         entry.tasks.add(task)
-        task.add_done_callback(entry.tasks.discard)
+        task.add_done_callback(partial(self._finish, entry))
+
+    def _finish(self, entry: EntryStream, task: "asyncio.Task[None]") -> None:
+        entry.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # The loop that reads this stream sees its end too.
+            self.leader.log.write("debug", "entry_answer_failed", error=repr(task.exception()))
 
     async def _refuse(self, entry: EntryStream, frame: EntryFrame) -> None:
         call = 0
--- a/tests/control/test_entries.py
+++ b/tests/control/test_entries.py
@@ -1,10 +1,12 @@
 """Requests of entries at a control member."""
 
+import asyncio
+
 import testtools
 
 from cranberrylever.control._entries import EntryService, EntryStream
 from cranberrylever.state import ClusterState, decode_command, encode_command
-from cranberrylever.wire import ClaimAnswer, CompleteClaim, OpenClaim
+from cranberrylever.wire import ClaimAnswer, CompleteClaim, EntryReport, OpenClaim, ViewAnswer
 from tests.support import run_paused
 
 
@@ -15,6 +17,9 @@
         self.state = ClusterState()
         self.index = 0
 
+    def is_serving(self):
+        return True
+
     async def propose(self, command):
         self.index += 1
         return self.state.apply(self.index, decode_command(encode_command(command)))
@@ -28,7 +33,41 @@
         self.sent.append(reply.claim_result)
 
 
+class BlockedStream:
+    """A stream whose peer reads nothing."""
+
+    async def send_message(self, reply):
+        await asyncio.get_running_loop().create_future()
+
+
+class FakeCoordinator:
+    def __init__(self):
+        self.state = ClusterState()
+
+    def view_answer(self, report, now):
+        return ViewAnswer(report.sequence, self.state.view_version)
+
+
 class EntryServiceTest(testtools.TestCase):
+    def test_frozen_entry_gets_no_further_views(self):
+        """Guards against answers that pile up for an entry that reads nothing for hours."""
+
+        async def main():
+            coordinator = FakeCoordinator()
+            service = EntryService("c", FakeLeader(), coordinator)
+            entry = EntryStream(BlockedStream(), EntryReport(1, "e1", "i", 0, 0))
+            service.streams.add(entry)
+            for version in range(1, 4):
+                coordinator.state.view_version = version
+                service.push_view()
+                await asyncio.sleep(0.01)
+            count = len(entry.tasks)
+            for task in entry.tasks:
+                task.cancel()
+            return count
+
+        self.assertEqual(1, run_paused(main))
+
     def test_claim_survives_the_log(self):
         """A completion with swapped fields once stopped every member that applied it, at each start."""
         answer = ClaimAnswer("done", 200, (("a", "b"),), b"body")
