--- a/cranberrylever/ownership/_mover.py
+++ b/cranberrylever/ownership/_mover.py
@@ -235,7 +235,7 @@
         if ack is None or ack.version < record.since_version or shard in ack.busy_shards:
             return False
         target = self.state.targets.current(record.target_id, record.incarnation)
-        if target is None or target.announcement.checks_fence:
+        if target is not None and target.announcement.checks_fence:
             return True
         # Such a target accepts late renewals and late requests, so only an acknowledgement that follows the
         # last of both counts.
