--- a/cranberrylever/cli.py
+++ b/cranberrylever/cli.py
@@ -30,7 +30,6 @@
     help="Router for servers that own keys exclusively.",
     epilog=EXIT_HELP,
     no_args_is_help=True,
-    add_completion=False,
     rich_markup_mode=None,
     pretty_exceptions_enable=False,
 )
--- /dev/null
+++ b/tests/cli/test_completion.py
@@ -0,0 +1,21 @@
+"""Shell completion of the command line."""
+
+import os
+import subprocess
+import sys
+
+import testtools
+
+
+class CompletionTest(testtools.TestCase):
+    def test_commands_are_completed(self):
+        """Guards against an installed completion script that gets no answer."""
+        environment = {
+            **os.environ,
+            "_CRANBERRYLEVER_COMPLETE": "complete_bash",
+            "COMP_WORDS": "cranberrylever ticket s",
+            "COMP_CWORD": "2",
+        }
+        command = [sys.executable, "-m", "cranberrylever"]
+        output = subprocess.run(command, env=environment, check=True, capture_output=True, text=True).stdout
+        self.assertEqual(["submit", "show"], output.split())
