Import absolutely in the entry package as everywhere else

Cause: read-through. One package used relative imports, all others absolute ones. Change: absolute imports in cranberrylever/entry. Conclusion: no change of behaviour.

--- a/cranberrylever/entry/_admission.py
+++ b/cranberrylever/entry/_admission.py
@@ -3,18 +3,17 @@
 import asyncio
 import random
 
+from cranberrylever.entry._exchange import Attempt, Exchange
+from cranberrylever.entry._inflight import InFlight
+from cranberrylever.entry._queues import WaitQueue
+from cranberrylever.entry._reports import RequestCounts
+from cranberrylever.entry._targets import TargetStates
+from cranberrylever.entry._views import ViewStore
 from cranberrylever.errors import NotRunError
 from cranberrylever.limits import estimated_wait
 from cranberrylever.logs import Log
 from cranberrylever.routing import LeastWait, RoutingTable, ServiceView, TargetView
 
-from ._exchange import Attempt, Exchange
-from ._inflight import InFlight
-from ._queues import WaitQueue
-from ._reports import RequestCounts
-from ._targets import TargetStates
-from ._views import ViewStore
-
 MAX_PERMIT_QUEUE = 256
 """Requests that may wait for permits of one target or service."""
 
--- a/cranberrylever/entry/_answers.py
+++ b/cranberrylever/entry/_answers.py
@@ -5,12 +5,11 @@
 
 import aiohttp
 
+from cranberrylever.entry import _headers
+from cranberrylever.entry._exchange import Exchange
 from cranberrylever.errors import CranberryleverError
 from cranberrylever.wire import ClaimAnswer
 
-from . import _headers
-from ._exchange import Exchange
-
 Send = Callable[[dict], Awaitable[None]]
 
 _OUTCOME_NAME = _headers.OUTCOME.lower().encode()
--- a/cranberrylever/entry/_app.py
+++ b/cranberrylever/entry/_app.py
@@ -7,20 +7,19 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
+from cranberrylever.entry import _headers
+from cranberrylever.entry._answers import AnswerWriter, RefusalError, TruncatedAnswerError
+from cranberrylever.entry._claimed import ClaimedRunner
+from cranberrylever.entry._dispatcher import Dispatcher
+from cranberrylever.entry._exchange import Exchange
+from cranberrylever.entry._guard import CALLER_GONE, RequestGuard
+from cranberrylever.entry._reader import RequestReader
+from cranberrylever.entry._stats import AnswerStats
+from cranberrylever.entry._tuning import EntryTuning
+from cranberrylever.entry._views import ViewStore
 from cranberrylever.errors import NotRunError, UnknownOutcomeError
 from cranberrylever.logs import Log
 
-from . import _headers
-from ._answers import AnswerWriter, RefusalError, TruncatedAnswerError
-from ._claimed import ClaimedRunner
-from ._dispatcher import Dispatcher
-from ._exchange import Exchange
-from ._guard import CALLER_GONE, RequestGuard
-from ._reader import RequestReader
-from ._stats import AnswerStats
-from ._tuning import EntryTuning
-from ._views import ViewStore
-
 Receive = Callable[[], Awaitable[dict]]
 Send = Callable[[dict], Awaitable[None]]
 
--- a/cranberrylever/entry/_claimed.py
+++ b/cranberrylever/entry/_claimed.py
@@ -4,16 +4,15 @@
 
 import aiohttp
 
+from cranberrylever.entry import _headers
+from cranberrylever.entry._answers import AnswerWriter, RefusalError, is_unknown
+from cranberrylever.entry._claims import ClaimClient, ClaimHandle
+from cranberrylever.entry._dispatcher import Dispatcher
+from cranberrylever.entry._exchange import Exchange
+from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.errors import NotRunError, UnknownOutcomeError
 from cranberrylever.wire import ClaimAnswer, ClaimResult
 
-from . import _headers
-from ._answers import AnswerWriter, RefusalError, is_unknown
-from ._claims import ClaimClient, ClaimHandle
-from ._dispatcher import Dispatcher
-from ._exchange import Exchange
-from ._tuning import EntryTuning
-
 _UNKNOWN_ANSWER = ClaimAnswer(_headers.UNKNOWN)
 
 
--- a/cranberrylever/entry/_claims.py
+++ b/cranberrylever/entry/_claims.py
@@ -6,12 +6,11 @@
 
 import attrs
 
+from cranberrylever.entry import _headers
+from cranberrylever.entry._guard import wait_with_timeout
+from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.wire import ClaimAnswer, ClaimResult, CompleteClaim, OpenClaim
 
-from . import _headers
-from ._guard import wait_with_timeout
-from ._tuning import EntryTuning
-
 OPENING_LOST = ClaimAnswer(_headers.NOT_RUN)
 
 
--- a/cranberrylever/entry/_client.py
+++ b/cranberrylever/entry/_client.py
@@ -8,12 +8,11 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from cranberrylever.entry import _headers
+from cranberrylever.entry._exchange import Attempt, Exchange
+from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.errors import NotRunError, UnknownOutcomeError
 
-from . import _headers
-from ._exchange import Attempt, Exchange
-from ._tuning import EntryTuning
-
 HOP_MARGIN_MS = 20
 
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
--- a/cranberrylever/entry/_crashes.py
+++ b/cranberrylever/entry/_crashes.py
@@ -4,15 +4,14 @@
 import json
 from collections.abc import Callable
 
+from cranberrylever.entry._exchange import Attempt, Exchange
+from cranberrylever.entry._inflight import InFlight
 from cranberrylever.errors import NotRunError
 from cranberrylever.limits import BLOCKING_CRASHES, SuspectTable
 from cranberrylever.logs import Log
 from cranberrylever.settings import split_address
 from cranberrylever.wire import SuspectRecord
 
-from ._exchange import Attempt, Exchange
-from ._inflight import InFlight
-
 PROBE_TIMEOUT = 0.5
 """Seconds for a health answer; a frozen target gives none and is no crashed one."""
 
--- a/cranberrylever/entry/_dispatcher.py
+++ b/cranberrylever/entry/_dispatcher.py
@@ -5,20 +5,19 @@
 
 import aiohttp
 
+from cranberrylever.entry._admission import Admission
+from cranberrylever.entry._client import ConnectionLostError, TargetClient, TargetRefusedError
+from cranberrylever.entry._crashes import CrashWatch
+from cranberrylever.entry._exchange import Attempt, Exchange
+from cranberrylever.entry._hedging import Answer, HedgedSend
+from cranberrylever.entry._targets import TargetStates
+from cranberrylever.entry._tuning import EntryTuning
+from cranberrylever.entry._views import ViewStore
 from cranberrylever.errors import NotRunError
 from cranberrylever.limits import RunningQuantile, TokenBucket
 from cranberrylever.metrics import Metrics
 from cranberrylever.routing import ServiceView
 
-from ._admission import Admission
-from ._client import ConnectionLostError, TargetClient, TargetRefusedError
-from ._crashes import CrashWatch
-from ._exchange import Attempt, Exchange
-from ._hedging import Answer, HedgedSend
-from ._targets import TargetStates
-from ._tuning import EntryTuning
-from ._views import ViewStore
-
 HEDGE_QUANTILE = 0.95
 MIN_HEDGE_DELAY = 0.001
 
--- a/cranberrylever/entry/_exchange.py
+++ b/cranberrylever/entry/_exchange.py
@@ -5,11 +5,10 @@
 import attrs
 import xxhash
 
+from cranberrylever.entry import _headers
+from cranberrylever.entry._targets import TargetState
 from cranberrylever.routing import ServiceView
 
-from . import _headers
-from ._targets import TargetState
-
 
 @attrs.define(eq=False)
 class Exchange:
--- a/cranberrylever/entry/_hedging.py
+++ b/cranberrylever/entry/_hedging.py
@@ -5,10 +5,9 @@
 
 import aiohttp
 
+from cranberrylever.entry._exchange import Attempt
 from cranberrylever.errors import NotRunError, UnknownOutcomeError
 
-from ._exchange import Attempt
-
 Answer = tuple[Attempt, aiohttp.ClientResponse]
 
 
--- a/cranberrylever/entry/_inflight.py
+++ b/cranberrylever/entry/_inflight.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Iterator
 
+from cranberrylever.entry._exchange import Attempt
 from cranberrylever.routing import RoutingTable
 
-from ._exchange import Attempt
-
 
 class InFlight:
     """All attempts that have been registered and not yet ended."""
--- a/cranberrylever/entry/_link.py
+++ b/cranberrylever/entry/_link.py
@@ -7,6 +7,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.errors import CodecError
 from cranberrylever.logs import Log
 from cranberrylever.settings import split_address
@@ -21,8 +22,6 @@
     ViewAnswer,
 )
 
-from ._tuning import EntryTuning
-
 _STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, CodecError, asyncio.TimeoutError)
 _MAX_QUEUED_FRAMES = 10_000
 _REMEMBERED_POLLS = 64
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -4,30 +4,29 @@
 import contextlib
 import uuid
 
+from cranberrylever.entry._admission import Admission
+from cranberrylever.entry._app import EntryApp
+from cranberrylever.entry._claimed import ClaimedRunner
+from cranberrylever.entry._claims import ClaimClient
+from cranberrylever.entry._client import TargetClient
+from cranberrylever.entry._crashes import CrashWatch
+from cranberrylever.entry._dispatcher import Dispatcher
+from cranberrylever.entry._exchange import Attempt
+from cranberrylever.entry._inflight import InFlight
+from cranberrylever.entry._link import ControlLink
+from cranberrylever.entry._reader import RequestReader
+from cranberrylever.entry._reports import RequestCounts
+from cranberrylever.entry._server import CallerServer
+from cranberrylever.entry._stats import AnswerStats
+from cranberrylever.entry._targets import TargetStates
+from cranberrylever.entry._tuning import EntryTuning
+from cranberrylever.entry._views import ViewStore
 from cranberrylever.errors import NotRunError
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_metrics
 from cranberrylever.settings import EntrySettings
 from cranberrylever.wire import EntryHello, EntryReport, ViewAnswer
 
-from ._admission import Admission
-from ._app import EntryApp
-from ._claimed import ClaimedRunner
-from ._claims import ClaimClient
-from ._client import TargetClient
-from ._crashes import CrashWatch
-from ._dispatcher import Dispatcher
-from ._exchange import Attempt
-from ._inflight import InFlight
-from ._link import ControlLink
-from ._reader import RequestReader
-from ._reports import RequestCounts
-from ._server import CallerServer
-from ._stats import AnswerStats
-from ._targets import TargetStates
-from ._tuning import EntryTuning
-from ._views import ViewStore
-
 
 class EntryProgram:
     """One entry: a listener for callers, a client for targets and streams to control.
--- a/cranberrylever/entry/_queues.py
+++ b/cranberrylever/entry/_queues.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 
-from ._guard import wait_with_timeout
+from cranberrylever.entry._guard import wait_with_timeout
 
 
 class WaitQueue:
--- a/cranberrylever/entry/_reader.py
+++ b/cranberrylever/entry/_reader.py
@@ -3,15 +3,14 @@
 import asyncio
 import os
 
+from cranberrylever.entry import _headers
+from cranberrylever.entry._answers import RefusalError
+from cranberrylever.entry._exchange import Exchange
+from cranberrylever.entry._tuning import EntryTuning
+from cranberrylever.entry._views import ViewStore
 from cranberrylever.routing import ServiceView, extract_key, hash_key, is_idempotent, split_service
 from cranberrylever.settings import split_address
 
-from . import _headers
-from ._answers import RefusalError
-from ._exchange import Exchange
-from ._tuning import EntryTuning
-from ._views import ViewStore
-
 MAX_REQUEST_ID = 128
 MAX_IDEMPOTENCY_KEY = 256
 
--- a/cranberrylever/entry/_server.py
+++ b/cranberrylever/entry/_server.py
@@ -6,12 +6,11 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.errors import SettingError
 from cranberrylever.http_server import format_address, server_config
 from cranberrylever.settings import split_address
 
-from ._tuning import EntryTuning
-
 BACKLOG = 2048
 """Connections that the kernel holds until they are accepted, for a burst of reconnecting callers."""
 
--- a/cranberrylever/entry/_views.py
+++ b/cranberrylever/entry/_views.py
@@ -3,13 +3,12 @@
 import asyncio
 import math
 
+from cranberrylever.entry._guard import wait_with_timeout
 from cranberrylever.errors import NotRunError
 from cranberrylever.invariants import check
 from cranberrylever.routing import RoutingTable
 from cranberrylever.wire import ViewAnswer
 
-from ._guard import wait_with_timeout
-
 
 class ViewStore:
     """Versioned view that never goes back and expires.
