Share the constructor of the choosers that estimate

Cause: two choosers repeated the same constructor. Change: EstimatingChooser holds it. Conclusion: no change of behaviour.

--- a/cranberrylever/routing/_chooser.py
+++ b/cranberrylever/routing/_chooser.py
@@ -15,8 +15,8 @@
         """Return one of ``candidates``, which are not empty, at loop time ``now``."""
 
 
-class TwoChoices(Chooser):
-    """The better of two random targets by estimated wait.
+class EstimatingChooser(Chooser):
+    """Chooses by the estimated wait of targets.
 
     Args:
         estimate: Estimated wait of a target at a loop time, in seconds.
@@ -29,6 +29,10 @@
         self.estimate = estimate
         self.random = source or random.Random()
 
+
+class TwoChoices(EstimatingChooser):
+    """The better of two random targets by estimated wait."""
+
     def choose(self, candidates: Sequence[TargetView], now: float) -> TargetView:
         """Return the better of two random candidates."""
         count = len(candidates)
@@ -42,19 +46,8 @@
         return one if self.estimate(one, now) <= self.estimate(other, now) else other
 
 
-class LeastWait(Chooser):
-    """The target with the least estimated wait of all; ties go to a random one.
-
-    Args:
-        estimate: Estimated wait of a target at a loop time, in seconds.
-        source: Random numbers.
-    """
-
-    def __init__(
-        self, estimate: Callable[[TargetView, float], float], source: random.Random | None = None
-    ) -> None:
-        self.estimate = estimate
-        self.random = source or random.Random()
+class LeastWait(EstimatingChooser):
+    """The target with the least estimated wait of all; ties go to a random one."""
 
     def choose(self, candidates: Sequence[TargetView], now: float) -> TargetView:
         """Return the candidate with the least estimate."""
