Let members join a control group, replace a lost voter and hand leadership over

Cause: the platform gives no list of control members; a machine may be replaced by an empty one at another address, and a planned stop left the group without a leader for an election time-out. Change: quorum and peers follow the memberships in the log; a member outside asks its contacts to join, follows as a learner, and takes the vote of a voter that is silent for 2.5 s when all other voters answer; a leader that stops names its successor, whose election skips the pre-vote and the lease check. Ruled out: a general joint consensus: replacing one voter by an entry that counts neither of the two needs no second entry, and a removed voter's shorter log cannot win an election. Conclusion: membership can change at run time; the size of the group stays that of its founding.

--- a/cranberrylever/consensus/_config.py
+++ b/cranberrylever/consensus/_config.py
@@ -11,13 +11,18 @@
 
     A loop stall by fsync or garbage collection stays below 100 ms, so the shortest election timeout
     leaves room for two lost heartbeats. ``drift_margin`` is the part of a lease that is given up for
-    unequal clock rates.
+    unequal clock rates. A member outside the group asks to join every ``join_interval``; a learner that is
+    silent for ``learner_timeout`` is forgotten. A voter that is silent for ``replace_after`` loses its vote to
+    a learner that is up to date; it is longer than a restart takes.
     """
 
     heartbeat: float = 0.05
     election_min: float = 0.25
     election_max: float = 0.5
     drift_margin: float = 0.1
+    join_interval: float = 0.25
+    learner_timeout: float = 5.0
+    replace_after: float = 2.5
 
 
 @attrs.frozen
@@ -27,9 +32,11 @@
     Args:
         cluster_id: Id shared by all processes of the system.
         member_id: Id of this member.
-        members: rpc address (``host:port``) by member id, this member included.
+        members: rpc address (``host:port``) by member id of the founding members; empty for a member that joins
+            a group it does not know. The memberships in the log go first.
         timings: Raft timings.
         snapshot_entries: Entries applied between two snapshots.
+        contacts: Member ids that a member outside the group asks to be let in.
     """
 
     cluster_id: str
@@ -37,11 +44,7 @@
     members: dict[str, str]
     timings: Timings = attrs.field(factory=Timings)
     snapshot_entries: int = 10_000
-
-    @property
-    def quorum(self) -> int:
-        """Number of members that form a majority."""
-        return len(self.members) // 2 + 1
+    contacts: tuple[str, ...] = ()
 
 
 class Role(enum.Enum):
--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -97,7 +97,17 @@
         if self.node is None:
             return ()
         now = self._now()
-        return tuple(member_status(self.node, member, now) for member in self.config.members)
+        return tuple(member_status(self.node, member, now) for member in self.node.group())
+
+    def group(self) -> tuple[str, ...]:
+        """Return the ids of the members of the group; nothing before the start."""
+        return tuple(self.node.group()) if self.node is not None else ()
+
+    def lead_elsewhere(self) -> None:
+        """Stop leading and ask an up-to-date member to start an election at once."""
+        if self.node is not None and self.node.leadership is not None:
+            self.node.hand_over(self._now())
+            self._schedule_pump()
 
     # Life cycle --------------------------------------------------------------------------------
 
--- a/cranberrylever/consensus/_election.py
+++ b/cranberrylever/consensus/_election.py
@@ -3,7 +3,7 @@
 from cranberrylever.consensus._config import Role
 from cranberrylever.consensus._leadership import Leadership
 from cranberrylever.consensus._log import is_voter
-from cranberrylever.consensus._messages import VoteReply, VoteRequest
+from cranberrylever.consensus._messages import StartElection, VoteReply, VoteRequest
 from cranberrylever.invariants import check
 
 
@@ -47,7 +47,7 @@
         self.election_at = self.next_election(now)
         if not self.may_vote():
             return
-        if self.config.quorum == 1:
+        if self.quorum == 1:
             self._start_election(now)
             return
         self.role = Role.PRE_CANDIDATE
@@ -57,20 +57,31 @@
         for member in self.peers:
             self.send_after_sync(member, request)
 
-    def _start_election(self, now: float) -> None:
+    def on_start_election(self, message: StartElection, now: float) -> None:
+        """Stand for election without a pre-vote, because the leader has stepped down for this member."""
+        if message.term == self.hard.term and self.leadership is None and self.may_vote():
+            self._start_election(now, handover=True)
+
+    def _start_election(self, now: float, handover: bool = False) -> None:
         self.role = Role.CANDIDATE
         self.leader_id = None
         self.votes = set()
         self.election_at = self.next_election(now)
         self.set_hard(term=self.hard.term + 1, voted_for=self.config.member_id)
-        request = self._vote_request(self.hard.term, pre_vote=False)
+        request = self._vote_request(self.hard.term, pre_vote=False, handover=handover)
         for member in self.peers:
             self.send_after_sync(member, request)
 
-    def _vote_request(self, term: int, pre_vote: bool) -> VoteRequest:
+    def _vote_request(self, term: int, pre_vote: bool, handover: bool = False) -> VoteRequest:
         membership_index, _ = self.memberships.at(self.commit_index)
         return VoteRequest(
-            term, self.log.last_index, self.log.last_term, pre_vote, self.founder, membership_index
+            term,
+            self.log.last_index,
+            self.log.last_term,
+            pre_vote,
+            self.founder,
+            membership_index,
+            handover,
         )
 
     def _hears_leader(self, now: float) -> bool:
@@ -90,7 +101,7 @@
             term = request.term if granted else self.hard.term
             self.send_after_sync(sender, VoteReply(term, granted, True, self.founder))
             return
-        if request.term >= self.hard.term and self._hears_leader(now):
+        if request.term >= self.hard.term and not request.handover and self._hears_leader(now):
             return
         if request.term > self.hard.term:
             self.become_follower(request.term, now)
@@ -107,7 +118,8 @@
     def _can_vote_for(self, request: VoteRequest, now: float) -> bool:
         own = (self.log.last_term, self.log.last_index)
         is_complete = (request.last_term, request.last_index) >= own
-        return is_complete and self.may_vote() and not self._hears_leader(now)
+        is_free = request.handover or not self._hears_leader(now)
+        return is_complete and self.may_vote() and is_free
 
     def on_vote_reply(self, sender: str, folder_id: str, reply: VoteReply, now: float) -> None:
         """Count a vote of a folder that votes."""
@@ -119,7 +131,7 @@
             return
         if reply.pre_vote and self.role is Role.PRE_CANDIDATE and reply.term == self.hard.term + 1:
             self.votes.add(sender)
-            if len(self.votes) >= self.config.quorum:
+            if len(self.votes) >= self.quorum:
                 self._start_election(now)
         elif not reply.pre_vote and self.role is Role.CANDIDATE and reply.term == self.hard.term:
             self.count_vote(sender, now)
@@ -128,7 +140,7 @@
         """Add a vote; this member's own counts once it is synced."""
         self.votes.add(member)
         own = self.config.member_id
-        if own in self.votes and len(self.votes) >= self.config.quorum:
+        if own in self.votes and len(self.votes) >= self.quorum:
             self._become_leader(now)
 
     def _become_leader(self, now: float) -> None:
--- a/cranberrylever/consensus/_leadership.py
+++ b/cranberrylever/consensus/_leadership.py
@@ -53,6 +53,7 @@
         self.round = 0
         self.confirmed_round = 0
         self.round_sent: dict[int, float] = {0: now}
+        self.started_at = now
         self.heartbeat_at = now
         self.reads: list[_Read] = []
         self.first_index = node.log.last_index + 1
@@ -87,8 +88,66 @@
         if now - self.round_sent[self.confirmed_round] > self.node.config.timings.election_max:
             self.node.step_down(now)
             return
+        self._drop_silent(now)
+        self._replace_silent(now)
         self.start_round(now)
 
+    def _drop_silent(self, now: float) -> None:
+        """Forget learners, and voters that were replaced, that are not heard any more."""
+        kept = set(self.node.group())
+        timeout = self.node.config.timings.learner_timeout
+        for member in [member for member in self.progress if member not in kept]:
+            if self._silence(member, now) > timeout:
+                del self.progress[member]
+
+    def _silence(self, member: str, now: float) -> float:
+        folder = self.node.folders.get(member)
+        return now - max(folder.heard_at if folder else -math.inf, self.started_at)
+
+    def _replace_silent(self, now: float) -> None:
+        """Give the vote of a voter that is gone to a learner that holds the whole committed log.
+
+        The entry is committed by a majority that counts neither of the two, so all other voters must answer.
+        """
+        node = self.node
+        latest = node.memberships.latest
+        if not self.has_committed or latest is None or node.memberships.latest_index > node.commit_index:
+            return
+        timings = node.config.timings
+        voters = [member for member in latest.folders if member != node.config.member_id]
+        silent = [member for member in voters if self._silence(member, now) > timings.replace_after]
+        others = [member for member in voters if member not in silent]
+        if len(silent) != 1 or any(self._silence(member, now) > timings.election_max for member in others):
+            return
+        learner = next((member for member in self.progress if self._is_ready(member, now)), None)
+        if learner is None:
+            return
+        self._append_replacement(silent[0], learner, self.progress[learner].folder_id)
+
+    def _is_ready(self, member: str, now: float) -> bool:
+        """Tell whether a learner may take a vote."""
+        node = self.node
+        progress = self.progress[member]
+        latest = node.memberships.latest
+        is_learner = member not in latest.folders and progress.folder_id not in (*latest.retired, "")
+        is_complete = progress.match_index >= node.commit_index
+        return is_learner and is_complete and self._silence(member, now) < node.config.timings.election_max
+
+    def successor(self) -> str | None:
+        """Return the voter that has synced most of the log, ``None`` when none answers."""
+        voters = [member for member in self.progress if self.counts(member)]
+        return max(voters, key=lambda member: self.progress[member].match_index, default=None)
+
+    def _append_replacement(self, removed: str, added: str, folder_id: str) -> None:
+        node = self.node
+        latest = node.memberships.latest
+        bound = latest.folders[removed]
+        folders = {member: folder for member, folder in latest.folders.items() if member != removed}
+        folders[added] = folder_id
+        retired = latest.retired + ((bound,) if bound else ())
+        index = node.log.last_index + 1
+        node.append_entry(membership_entry(index, node.hard.term, Membership(folders, retired)))
+
     def start_round(self, now: float) -> None:
         """Send a heartbeat, or entries, to every member under a new round number."""
         self.round += 1
@@ -129,6 +188,12 @@
         if is_heartbeat:
             self._send_append(member, progress, ())
 
+    def add_learner(self, member: str, folder_id: str, now: float) -> None:
+        """Send the log to a member that does not vote."""
+        self.node.heard(member, now)
+        if member not in self.progress:
+            self.progress[member] = Progress(self.node.log.last_index + 1, folder_id)
+
     def _send_append(self, member: str, progress: Progress, entries: tuple[LogEntry, ...]) -> None:
         previous = progress.next_index - 1
         request = AppendRequest(
@@ -248,7 +313,7 @@
         """Return the greatest value that a majority of voters has reached."""
         counted = (value for member, value in values.items() if self.counts(member))
         reached = sorted([own, *counted], reverse=True)
-        quorum = self.node.config.quorum
+        quorum = self.node.quorum
         return reached[quorum - 1] if len(reached) >= quorum else 0
 
     def update_commit(self) -> None:
@@ -304,6 +369,8 @@
         if not progress.folder_id or progress.folder_id in history.latest.retired:
             return
         bound = history.latest.folders.get(member, "")
+        if member not in history.latest.folders:
+            return
         if bound == progress.folder_id or progress.match_index < node.commit_index:
             return
         retired = history.latest.retired + ((bound,) if bound else ())
--- a/cranberrylever/consensus/_log.py
+++ b/cranberrylever/consensus/_log.py
@@ -149,7 +149,7 @@
     """
     if membership is None:
         return founder
-    if folder_id in membership.retired:
+    if folder_id in membership.retired or member_id not in membership.folders:
         return False
-    bound = membership.folders.get(member_id, "")
+    bound = membership.folders[member_id]
     return folder_id == bound if bound else founder
--- a/cranberrylever/consensus/_messages.py
+++ b/cranberrylever/consensus/_messages.py
@@ -72,6 +72,7 @@
         pre_vote: Whether the vote is not given yet.
         founder: Whether the candidate's folder was created with bootstrap.
         membership_index: Index of the committed membership under which the candidate votes, or 0.
+        handover: Whether the last leader stepped down for this candidate, so that no lease is in force.
     """
 
     term: int
@@ -80,6 +81,7 @@
     pre_vote: bool = False
     founder: bool = False
     membership_index: int = 0
+    handover: bool = False
 
 
 @attrs.frozen
@@ -169,8 +171,39 @@
     reason: str
 
 
+@attrs.frozen
+class StartElection:
+    """Sent by a leader of ``term`` that has stepped down: the receiver shall stand for election at once."""
+
+    term: int
+
+
+@attrs.frozen
+class JoinRequest:
+    """Asks to become a learner of the group; ``last_index`` is the end of the sender's log."""
+
+    last_index: int
+
+
+@attrs.frozen
+class JoinHint:
+    """Answer of a member that does not lead: the leader it knows and the members of the group."""
+
+    leader_id: str
+    members: tuple[str, ...]
+
+
 Message = (
-    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotChunk | SnapshotReply | FolderRefused
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotChunk
+    | SnapshotReply
+    | FolderRefused
+    | JoinRequest
+    | JoinHint
+    | StartElection
 )
 
 MESSAGE_KINDS: dict[str, type] = {kind.__name__: kind for kind in Message.__args__}
--- a/cranberrylever/consensus/_node.py
+++ b/cranberrylever/consensus/_node.py
@@ -15,11 +15,15 @@
     AppendRequest,
     EntryKind,
     FolderRefused,
+    JoinHint,
+    JoinRequest,
     LogEntry,
+    Membership,
     Message,
     Snapshot,
     SnapshotChunk,
     SnapshotReply,
+    StartElection,
     VoteReply,
     VoteRequest,
 )
@@ -49,7 +53,6 @@
 
     def __init__(self, config: ConsensusConfig, stored: StoredState, now: float, rng: random.Random) -> None:
         self.config = config
-        self.peers = [member for member in config.members if member != config.member_id]
         self.rng = rng
         self.folder_id = stored.folder_id
         self.founder = stored.founder
@@ -68,10 +71,10 @@
         self.folders: dict[str, Folder] = {}
         self.last_heard = -math.inf
         is_fresh = self.hard.term == 0 and self.log.last_index == 0
-        self.no_vote_before = (
-            -math.inf if is_fresh or config.quorum == 1 else now + config.timings.election_min
-        )
-        self.election_at = now if config.quorum == 1 else self.next_election(now)
+        self.no_vote_before = -math.inf if is_fresh or self.quorum == 1 else now + config.timings.election_min
+        self.election_at = now if self.quorum == 1 else self.next_election(now)
+        self.contacts = set(config.contacts) - {config.member_id}
+        self.join_at = now
         self.refused: str | None = None
         self.installed: Snapshot | None = None
         self._incoming: list[bytes] = []
@@ -87,6 +90,32 @@
         self.failed_reads: list[int] = []
         self._next_read = 0
 
+    @property
+    def peers(self) -> list[str]:
+        """The other members of the memberships in force, committed or not."""
+        return [member for member in self.group() if member != self.config.member_id]
+
+    @property
+    def quorum(self) -> int:
+        """Number of members that form a majority under each membership in force."""
+        sizes = [len(membership.folders) for membership in self._memberships_in_force()]
+        return max(sizes, default=len(self.config.members)) // 2 + 1
+
+    def group(self) -> list[str]:
+        """Return the ids of all members, this one included when it is one."""
+        memberships = self._memberships_in_force()
+        if not memberships:
+            return list(self.config.members)
+        return list(dict.fromkeys(member for item in memberships for member in item.folders))
+
+    def is_outside(self) -> bool:
+        """Tell whether this member belongs to no membership that it knows of."""
+        return self.config.member_id not in self.group()
+
+    def _memberships_in_force(self) -> list[Membership]:
+        _, committed = self.memberships.at(self.commit_index)
+        return [item for item in (self.memberships.latest, committed) if item is not None]
+
     def _load_log(self, stored: StoredState) -> None:
         snapshot = stored.snapshot
         if stored.entries:
@@ -237,19 +266,40 @@
         leadership = self.leadership
         return leadership is not None and leadership.has_committed and now < leadership.lease_until()
 
+    def hand_over(self, now: float) -> None:
+        """Step down and let the follower that holds most of the log stand for election at once."""
+        successor = self.leadership.successor()
+        term = self.hard.term
+        self.step_down(now)
+        if successor is not None:
+            self.send(successor, StartElection(term))
+
     # Time --------------------------------------------------------------------------------------
 
     def deadline(self) -> float:
         """Return when ``tick`` has something to do."""
-        return self.leadership.deadline() if self.leadership is not None else self.election_at
+        if self.leadership is not None:
+            return self.leadership.deadline()
+        return min(self.election_at, self.join_at) if self.is_outside() else self.election_at
 
     def tick(self, now: float) -> None:
         """Act on the passing of time."""
         if self.leadership is not None:
             self.leadership.tick(now)
-        elif now >= self.election_at:
+            return
+        if now >= self.join_at and self.is_outside():
+            self._ask_to_join(now)
+        if now >= self.election_at:
             self.start_pre_vote(now)
 
+    def _ask_to_join(self, now: float) -> None:
+        """Ask every known member to be let in, unless a leader sends entries already."""
+        self.join_at = now + self.config.timings.join_interval
+        if now - self.last_heard < self.config.timings.election_max:
+            return
+        for member in self.contacts.union(self.peers):
+            self.send(member, JoinRequest(self.log.last_index))
+
     # Dispatch ----------------------------------------------------------------------------------
 
     def step(self, sender: str, folder_id: str, message: Message, now: float) -> None:
@@ -261,7 +311,7 @@
             message: The message.
             now: Time in seconds.
         """
-        if sender not in self.peers or self._refuse_retired(sender, folder_id):
+        if self._refuse_retired(sender, folder_id):
             return
         founder = getattr(message, "founder", False)
         known = self.folders.get(sender)
@@ -282,6 +332,24 @@
             case FolderRefused():
                 if message.folder_id == self.folder_id:
                     self.refused = message.reason
+            case StartElection():
+                self.on_start_election(message, now)
+            case JoinRequest():
+                self._on_join_request(sender, folder_id, now)
+            case JoinHint():
+                self.contacts.update({*message.members, message.leader_id} - {"", self.config.member_id})
+
+    def _on_join_request(self, sender: str, folder_id: str, now: float) -> None:
+        if self.leadership is not None:
+            self.leadership.add_learner(sender, folder_id, now)
+        else:
+            self.send(sender, JoinHint(self.leader_id or "", tuple(self.group())))
+
+    def heard(self, member: str, now: float) -> None:
+        """Take note that a member was heard."""
+        folder = self.folders.get(member)
+        if folder is not None:
+            self.folders[member] = attrs.evolve(folder, heard_at=now)
 
     def _refuse_retired(self, sender: str, folder_id: str) -> bool:
         """Return whether the sender's folder was replaced, and tell it so."""
@@ -299,6 +367,8 @@
             return
         if self.leadership is None or reply.term < self.hard.term:
             return
+        if sender not in self.leadership.progress:
+            return
         self.leadership.observe_folder(sender, folder_id, reply)
         if isinstance(reply, AppendReply):
             self.leadership.on_append_reply(sender, reply, now)
--- a/cranberrylever/control/_peers.py
+++ b/cranberrylever/control/_peers.py
@@ -23,6 +23,7 @@
 ECHO_INTERVAL_SECONDS = 0.2
 ECHO_TIMEOUT_SECONDS = 1.0
 ECHO_KIND = "Echo"
+IDLE_LINK_SECONDS = 30.0
 
 
 class PeerLink:
@@ -41,6 +42,7 @@
         self.queue: collections.deque[PeerFrame] = collections.deque()
         self.dropped = 0
         self.connections = 0
+        self.used_at = 0.0
         self._reason = ""
         self._unanswered_since: float | None = None
         self._wake = asyncio.Event()
@@ -62,6 +64,7 @@
             self.queue.popleft()
             self.dropped += 1
         self.queue.append(frame)
+        self.used_at = asyncio.get_running_loop().time()
         self._wake.set()
 
     async def _run(self) -> None:
@@ -140,15 +143,21 @@
         cluster_id: Frames of another cluster are refused.
         member_id: This member; frames for another receiver are refused.
         members: rpc address by member id; this member's own entry is ignored.
+        ids_are_addresses: Whether a member's id is its rpc address, so that members not in ``members`` can be
+            reached as well.
     """
 
-    def __init__(self, cluster_id: str, member_id: str, members: dict[str, str]) -> None:
+    def __init__(
+        self, cluster_id: str, member_id: str, members: dict[str, str], ids_are_addresses: bool = False
+    ) -> None:
         self.cluster_id = cluster_id
         self.member_id = member_id
+        self.ids_are_addresses = ids_are_addresses
         self.callback: Receiver | None = None
-        log = Log("consensus", member_id)
+        self.log = Log("consensus", member_id)
+        self.closing: set[asyncio.Task[None]] = set()
         self.links = {
-            peer: PeerLink(peer, address, log) for peer, address in members.items() if peer != member_id
+            peer: PeerLink(peer, address, self.log) for peer, address in members.items() if peer != member_id
         }
 
     async def start(self) -> None:
@@ -160,13 +169,32 @@
         """Close all outgoing streams."""
         for link in self.links.values():
             await link.close()
+        if self.closing:
+            await asyncio.wait(self.closing)
 
     def send(self, receiver: str, frame: PeerFrame) -> None:
-        """Queue ``frame`` for ``receiver``."""
+        """Queue ``frame`` for ``receiver``; a member met for the first time is connected to."""
         link = self.links.get(receiver)
+        if link is None and self.ids_are_addresses and receiver != self.member_id:
+            link = self._add_link(receiver)
         if link is not None:
             link.put(frame)
 
+    def _add_link(self, receiver: str) -> PeerLink:
+        self._drop_idle_links()
+        link = self.links[receiver] = PeerLink(receiver, receiver, self.log)
+        link.start()
+        return link
+
+    def _drop_idle_links(self) -> None:
+        """Close the streams to members that were replaced and get no frames any more."""
+        now = asyncio.get_running_loop().time()
+        idle = [peer for peer, link in self.links.items() if now - link.used_at > IDLE_LINK_SECONDS]
+        for peer in idle:
+            task = asyncio.get_running_loop().create_task(self.links.pop(peer).close())
+            self.closing.add(task)
+            task.add_done_callback(self.closing.discard)
+
     def set_receiver(self, callback: Receiver) -> None:
         """Call ``callback`` for every frame that arrives."""
         self.callback = callback
--- /dev/null
+++ b/tests/consensus/test_join.py
@@ -0,0 +1,152 @@
+"""Tests of members that join a group from outside and take the vote of one that is gone."""
+
+import asyncio
+
+import testtools
+
+from cranberrylever.consensus import (
+    ConsensusConfig,
+    MemoryDisk,
+    MemoryNetwork,
+    MemoryStorage,
+    MemoryTransport,
+    create_driver,
+)
+from cranberrylever.errors import StorageError
+from tests.consensus.cluster import ListMachine, wait_for
+from tests.support import run_paused
+
+CLUSTER = "test"
+FOUNDERS = ("a:1", "b:1", "c:1")
+
+
+class Group:
+    """Members whose ids are their addresses; each knows the founders only."""
+
+    def __init__(self):
+        self.network = MemoryNetwork(min_delay=0.001, max_delay=0.003)
+        self.disks = {}
+        self.drivers = {}
+        self.machines = {}
+
+    async def start(self, name, founds=False):
+        disk = self.disks.setdefault(name, MemoryDisk())
+        members = {member: member for member in FOUNDERS} if founds else {}
+        contacts = tuple(member for member in FOUNDERS if member != name)
+        config = ConsensusConfig(CLUSTER, name, members, contacts=contacts)
+        storage = MemoryStorage(disk, CLUSTER, founds)
+        self.machines[name] = ListMachine()
+        transport = MemoryTransport(self.network, name)
+        self.drivers[name] = create_driver(config, storage, transport, self.machines[name])
+        await self.drivers[name].start()
+
+    async def stop(self, name):
+        await self.drivers.pop(name).close()
+        self.network.transports.pop(name, None)
+
+    async def stop_all(self):
+        for name in list(self.drivers):
+            await self.stop(name)
+
+    def leader(self):
+        leaders = [driver for driver in self.drivers.values() if driver.leader_since is not None]
+        return leaders[0] if len(leaders) == 1 else None
+
+    async def form(self):
+        for name in FOUNDERS:
+            await self.start(name, founds=True)
+        await wait_for(self.leader)
+
+    def follower(self):
+        leader = self.leader()
+        return next(name for name, driver in self.drivers.items() if driver is not leader)
+
+
+class JoinTest(testtools.TestCase):
+    """A machine of control that is replaced by an empty one at another address."""
+
+    def test_stranger_follows_without_a_vote(self):
+        """Guards against a fourth member that raises the majority or is never sent the log."""
+
+        async def scenario():
+            group = Group()
+            await group.form()
+            await group.leader().propose(b"one")
+            await group.start("d:1")
+            await wait_for(lambda: group.machines["d:1"].payloads == {b"one"})
+            assert "d:1" not in group.leader().group()
+            assert not group.drivers["d:1"].node.may_vote()
+            await group.stop_all()
+
+        run_paused(scenario)
+
+    def test_learner_takes_the_vote_of_a_lost_member(self):
+        """Guards against a removed member that counts for the majority for ever."""
+
+        async def scenario():
+            group = Group()
+            await group.form()
+            lost = group.follower()
+            await group.stop(lost)
+            await group.start("d:1")
+            await wait_for(lambda: "d:1" in group.leader().group() and lost not in group.leader().group())
+            await wait_for(lambda: group.drivers["d:1"].node.may_vote())
+            await group.leader().propose(b"two")
+            second = next(name for name in group.drivers if name not in ("d:1", lost))
+            await group.stop(second)
+            await wait_for(group.leader)
+            await group.leader().propose(b"three")
+            await wait_for(lambda: group.machines["d:1"].payloads == {b"two", b"three"})
+            await group.stop_all()
+
+        run_paused(scenario)
+
+    def test_replaced_member_learns_that_its_folder_is_retired(self):
+        """Guards against a replaced member that returns and votes beside its successor."""
+
+        async def scenario():
+            group = Group()
+            await group.form()
+            lost = group.follower()
+            await group.stop(lost)
+            await group.start("d:1")
+            await wait_for(lambda: lost not in group.leader().group())
+            await group.start(lost)
+            error = await group.drivers[lost].wait_stopped()
+            assert isinstance(error, StorageError), error
+            await group.stop_all()
+
+        run_paused(scenario)
+
+    def test_no_vote_moves_without_all_other_voters(self):
+        """Guards against two disjoint majorities when the vote moves while another member is away."""
+
+        async def scenario():
+            group = Group()
+            await group.form()
+            leader = group.leader().config.member_id
+            others = [name for name in FOUNDERS if name != leader]
+            await group.start("d:1")
+            for name in others:
+                await group.stop(name)
+            await asyncio.sleep(5.0)
+            assert set(group.drivers["d:1"].group()) <= set(FOUNDERS)
+            await group.stop_all()
+
+        run_paused(scenario)
+
+    def test_leader_hands_over_at_once(self):
+        """Guards against a planned stop that leaves the group without a leader for an election time-out."""
+
+        async def scenario():
+            group = Group()
+            await group.form()
+            leader = group.leader()
+            await leader.propose(b"one")
+            started = asyncio.get_running_loop().time()
+            leader.lead_elsewhere()
+            await wait_for(lambda: group.leader() not in (None, leader))
+            assert asyncio.get_running_loop().time() - started < 0.1
+            await group.stop_all()
+
+        run_paused(scenario)
