--- a/cranberrylever/entry/_server.py
+++ b/cranberrylever/callers/_server.py
@@ -2,15 +2,25 @@
 
 import asyncio
 import logging
+from typing import Protocol
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
-from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.errors import SettingError
 from cranberrylever.http_server import format_address, server_config
 from cranberrylever.settings import split_address
 
+
+class ServerTuning(Protocol):
+    """Limits of a listener: counts, bytes and seconds."""
+
+    max_connections: int
+    max_header_bytes: int
+    keep_alive: float
+    header_timeout: float
+
+
 BACKLOG = 2048
 """Connections that the kernel holds until they are accepted, for a burst of reconnecting callers."""
 
@@ -131,7 +141,7 @@
         tuning: Limits.
     """
 
-    def __init__(self, app: object, listen: str, tuning: EntryTuning) -> None:
+    def __init__(self, app: object, listen: str, tuning: ServerTuning) -> None:
         self.listen = listen
         self.state = ServerState()
         self.config = server_config(app, timeout_keep_alive=tuning.keep_alive)
--- a/cranberrylever/consensus/_config.py
+++ b/cranberrylever/consensus/_config.py
@@ -11,9 +11,9 @@
 
     A loop stall by fsync or garbage collection stays below 100 ms, so the shortest election timeout
     leaves room for two lost heartbeats. ``drift_margin`` is the part of a lease that is given up for
-    unequal clock rates. A member outside the group asks to join every ``join_interval``; a learner that is
-    silent for ``learner_timeout`` is forgotten. A voter that is silent for ``replace_after`` loses its vote to
-    a learner that is up to date; it is longer than a restart takes.
+    unequal clock rates. A member outside the group asks to join every ``join_interval``; a learner that
+    is silent for ``learner_timeout`` is forgotten. A voter that is silent for ``replace_after`` loses its
+    vote to a learner that is up to date; it is longer than a restart takes.
     """
 
     heartbeat: float = 0.05
@@ -32,8 +32,8 @@
     Args:
         cluster_id: Id shared by all processes of the system.
         member_id: Id of this member.
-        members: rpc address (``host:port``) by member id of the founding members; empty for a member that joins
-            a group it does not know. The memberships in the log go first.
+        members: rpc address (``host:port``) by member id of the founding members; empty for a member that
+            joins a group it does not know. The memberships in the log go first.
         timings: Raft timings.
         snapshot_entries: Entries applied between two snapshots.
         contacts: Member ids that a member outside the group asks to be let in.
--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -83,6 +83,11 @@
         """Highest index known to be committed."""
         return self.node.commit_index if self.node else 0
 
+    @property
+    def is_retired(self) -> bool:
+        """Whether the group has told this member that its data folder may not take part any more."""
+        return self.node is not None and self.node.refused is not None
+
     @property
     def folder_id(self) -> str:
         """Id of this member's data folder."""
--- a/cranberrylever/control/_machine.py
+++ b/cranberrylever/control/_machine.py
@@ -1,23 +1,43 @@
 """Adapter between the consensus driver and the cluster state."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from cranberrylever.consensus import StateMachine
-from cranberrylever.state import ClusterState, Command, decode_command
+from cranberrylever.state import decode_command
 
-AppliedCallback = Callable[[int, Command, object], None]
+AppliedCallback = Callable[[int, object, object], None]
+
+
+class ReplicatedState(Protocol):
+    """State that all members bring to the same value by the same commands."""
+
+    def apply(self, index: int, command: object) -> object:
+        """Apply one committed command and return its result."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot."""
 
 
 class ClusterMachine(StateMachine):
-    """Applies committed log payloads to a ``ClusterState``."""
+    """Applies committed log payloads to a replicated state.
+
+    Args:
+        state: The state.
+        decode: Returns the command in a payload.
+    """
 
-    def __init__(self, state: ClusterState) -> None:
+    def __init__(self, state: ReplicatedState, decode: Callable[[bytes], object] = decode_command) -> None:
         self.state = state
+        self.decode = decode
         self.callbacks: list[AppliedCallback] = []
 
     def apply(self, index: int, payload: bytes) -> object:
         """Apply one committed command and return its result."""
-        command = decode_command(payload)
+        command = self.decode(payload)
         result = self.state.apply(index, command)
         for callback in self.callbacks:
             callback(index, command, result)
--- a/cranberrylever/control/_program.py
+++ b/cranberrylever/control/_program.py
@@ -36,7 +36,7 @@
         self.state = ClusterState()
         self.machine = ClusterMachine(self.state)
         self.coordinator = Coordinator(self.state)
-        self.forwarder = LeaderForwarder({peer.member_id: peer.http for peer in settings.peers})
+        self.forwarder = LeaderForwarder({peer.member_id: peer.http for peer in settings.peers}.get)
         self.driver: RaftDriver | None = None
         self.metrics = create_metrics(settings.statsd, f"control.{settings.member_id}")
 
--- a/cranberrylever/entry/_app.py
+++ b/cranberrylever/entry/_app.py
@@ -7,12 +7,12 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
+from cranberrylever.callers import CALLER_GONE, RequestGuard
 from cranberrylever.entry import _headers
 from cranberrylever.entry._answers import AnswerWriter, RefusalError, TruncatedAnswerError
 from cranberrylever.entry._claimed import ClaimedRunner
 from cranberrylever.entry._dispatcher import Dispatcher
 from cranberrylever.entry._exchange import Exchange
-from cranberrylever.entry._guard import CALLER_GONE, RequestGuard
 from cranberrylever.entry._reader import RequestReader
 from cranberrylever.entry._stats import AnswerStats
 from cranberrylever.entry._tuning import EntryTuning
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -4,6 +4,7 @@
 import contextlib
 import uuid
 
+from cranberrylever.callers import CallerServer
 from cranberrylever.entry._admission import Admission
 from cranberrylever.entry._app import EntryApp
 from cranberrylever.entry._claimed import ClaimedRunner
@@ -16,7 +17,6 @@
 from cranberrylever.entry._link import ControlLink
 from cranberrylever.entry._reader import RequestReader
 from cranberrylever.entry._reports import RequestCounts
-from cranberrylever.entry._server import CallerServer
 from cranberrylever.entry._stats import AnswerStats
 from cranberrylever.entry._targets import TargetStates
 from cranberrylever.entry._tuning import EntryTuning
--- /dev/null
+++ b/cranberrylever/fleet/_contacts.py
@@ -0,0 +1,60 @@
+"""When targets were heard last and how long they stay cold, in the leader's memory."""
+
+import attrs
+
+from cranberrylever.fleet._directory import FleetTarget, TargetNotice
+
+
+@attrs.define
+class Contact:
+    """What the leader heard from one life of a target; times are loop seconds."""
+
+    heard_at: float
+    sequence: int = -1
+    cold_until: float = 0.0
+
+
+class FleetContacts:
+    """Contacts by life.
+
+    Args:
+        now: Loop time; lives that were known before count as heard now.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.started_at = now
+        self.contacts: dict[tuple[str, int], Contact] = {}
+
+    def record(self, notice: TargetNotice, now: float) -> bool:
+        """Take over a notice and tell whether it changed how long the target stays cold.
+
+        A notice that arrives after a later one of the same life only counts as a sign of life.
+        """
+        life = (notice.target_id, notice.started_ms)
+        contact = self.contacts.setdefault(life, Contact(now))
+        contact.heard_at = now
+        if notice.sequence < contact.sequence:
+            return False
+        contact.sequence = notice.sequence
+        was_cold = contact.cold_until > now
+        contact.cold_until = now + notice.cold_for if notice.cold_for > 0 else 0.0
+        return was_cold != (contact.cold_until > now)
+
+    def is_latest(self, notice: TargetNotice) -> bool:
+        """Tell whether no later notice of the same life has been recorded."""
+        contact = self.contacts.get((notice.target_id, notice.started_ms))
+        return contact is None or notice.sequence >= contact.sequence
+
+    def silence(self, target: FleetTarget, now: float) -> float:
+        """Return the seconds since the target was heard."""
+        contact = self.contacts.get(target.life)
+        return now - (contact.heard_at if contact else self.started_at)
+
+    def cold_for(self, target: FleetTarget, now: float) -> float:
+        """Return how much longer the target stays cold, 0 when it is warm."""
+        contact = self.contacts.get(target.life)
+        return max(0.0, contact.cold_until - now) if contact else 0.0
+
+    def keep_only(self, lives: set[tuple[str, int]]) -> None:
+        """Forget all other lives."""
+        self.contacts = {life: contact for life, contact in self.contacts.items() if life in lives}
--- /dev/null
+++ b/cranberrylever/fleet/_directory.py
@@ -0,0 +1,153 @@
+"""The replicated directory of targets that announce themselves again and again."""
+
+import attrs
+
+MAX_ENDED_LIVES = 2_000
+"""Ended lives remembered, so that a call of theirs that was held up does not bring them back."""
+
+
+@attrs.frozen
+class TargetNotice:
+    """What a target says about itself at one moment.
+
+    ``started_ms`` is the time of its start in Unix milliseconds and names its life together with the id.
+    ``sequence`` grows with each notice of one life. ``cold_for`` is how much longer it stays cold, in seconds.
+    """
+
+    target_id: str
+    started_ms: int
+    sequence: int
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool
+    cold_for: float
+
+
+@attrs.frozen
+class FleetTarget:
+    """One life of a target; ``leaving`` is set for good once it has said that it drains."""
+
+    target_id: str
+    started_ms: int
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    leaving: bool = False
+
+    @property
+    def life(self) -> tuple[str, int]:
+        """Id and start, which no other process shares."""
+        return self.target_id, self.started_ms
+
+
+@attrs.frozen
+class FleetRecord:
+    """Snapshot form of ``FleetDirectory``."""
+
+    targets: tuple[FleetTarget, ...] = ()
+    ended: tuple[tuple[str, int], ...] = ()
+
+
+class FleetDirectory:
+    """All targets by id, and the lives that have ended."""
+
+    def __init__(self, record: FleetRecord | None = None) -> None:
+        record = record or FleetRecord()
+        self.targets = {target.target_id: target for target in record.targets}
+        self.ended: dict[tuple[str, int], None] = dict.fromkeys(tuple(life) for life in record.ended)
+
+    def is_outdated(self, notice: TargetNotice) -> bool:
+        """Tell whether a notice comes from a life that has ended or was replaced."""
+        if (notice.target_id, notice.started_ms) in self.ended:
+            return True
+        known = self.targets.get(notice.target_id)
+        if known is not None and known.started_ms > notice.started_ms:
+            return True
+        occupant = self.at_address(notice.address)
+        return (
+            occupant is not None
+            and occupant.target_id != notice.target_id
+            and occupant.started_ms > notice.started_ms
+        )
+
+    def is_change(self, notice: TargetNotice) -> bool:
+        """Tell whether a notice says something that the directory does not hold."""
+        if self.is_outdated(notice):
+            return False
+        known = self.targets.get(notice.target_id)
+        return known is None or known != self._merged(notice, known)
+
+    def at_address(self, address: str) -> FleetTarget | None:
+        """Return the target that listens on ``address``."""
+        return next((target for target in self.targets.values() if target.address == address), None)
+
+    def record(self, notice: TargetNotice) -> tuple[FleetTarget, ...]:
+        """Take over a notice.
+
+        Returns:
+            The lives that it proves to have ended: an earlier one at the same address.
+        """
+        if self.is_outdated(notice):
+            return ()
+        ended = []
+        known = self.targets.get(notice.target_id)
+        occupant = self.at_address(notice.address)
+        if occupant is not None and occupant.life != (notice.target_id, notice.started_ms):
+            ended.append(occupant)
+            self.end(occupant.target_id, occupant.started_ms)
+        self.targets[notice.target_id] = self._merged(notice, known)
+        return tuple(ended)
+
+    def end(self, target_id: str, started_ms: int) -> FleetTarget | None:
+        """Remove a life for good and return it, ``None`` when it is not in the directory."""
+        target = self.targets.get(target_id)
+        if target is None or target.started_ms != started_ms:
+            return None
+        del self.targets[target_id]
+        self._remember_end(target.life)
+        return target
+
+    def leave(self, target_id: str, started_ms: int) -> bool:
+        """Mark a life that has said that it ends; later notices of it, held up on their way, change nothing.
+
+        Returns:
+            Whether this was news.
+        """
+        target = self.targets.get(target_id)
+        if target is None or target.started_ms != started_ms or target.life in self.ended:
+            return False
+        self.targets[target_id] = attrs.evolve(target, leaving=True)
+        self._remember_end(target.life)
+        return True
+
+    def forget(self, target_id: str, started_ms: int) -> FleetTarget | None:
+        """Remove a life that has been silent for long; it may announce itself again."""
+        target = self.targets.get(target_id)
+        if target is None or target.started_ms != started_ms:
+            return None
+        return self.targets.pop(target_id)
+
+    def to_record(self) -> FleetRecord:
+        """Return the content for a snapshot."""
+        return FleetRecord(tuple(self.targets.values()), tuple(self.ended))
+
+    def _remember_end(self, life: tuple[str, int]) -> None:
+        self.ended[life] = None
+        while len(self.ended) > MAX_ENDED_LIVES:
+            del self.ended[next(iter(self.ended))]
+
+    @staticmethod
+    def _merged(notice: TargetNotice, known: FleetTarget | None) -> FleetTarget:
+        was_leaving = known is not None and known.started_ms == notice.started_ms and known.leaving
+        return FleetTarget(
+            notice.target_id,
+            notice.started_ms,
+            notice.service,
+            notice.address,
+            notice.failure_domain,
+            notice.slots,
+            notice.draining or was_leaving,
+        )
--- /dev/null
+++ b/cranberrylever/gateway/_admission.py
@@ -0,0 +1,68 @@
+"""Whether a request is sent now, waits or is turned away: a pure decision on estimates.
+
+It answers an overload of keyed targets, where a request that no target can answer in time would only delay the
+others: it is turned away at once with the time at which room is expected. Less urgent requests are turned away
+first, so that those of high priority find room.
+"""
+
+import enum
+
+import attrs
+
+
+class Verdict(enum.Enum):
+    """What to do with a request."""
+
+    SEND = "send"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+@attrs.frozen
+class Admission:
+    """A verdict with the time in seconds after which room is expected."""
+
+    verdict: Verdict
+    delay: float = 0.0
+    reason: str = ""
+
+
+URGENT_PRIORITY = 0
+MIN_RETRY_AFTER_S = 0.05
+
+URGENT_DEADLINE_SHARE = 0.9
+"""Share of its remaining time that an urgent request may be expected to take."""
+
+PATIENT_DEADLINE_SHARE = 0.75
+"""The same for less urgent requests, which leave room at a target that is nearly full."""
+
+
+@attrs.frozen
+class Offer:
+    """One request at one target, in seconds.
+
+    ``remaining`` is the time until its caller gives up, ``cold_delay`` the time until a cold target may get
+    another request.
+    """
+
+    priority: int
+    remaining: float
+    wait: float
+    completion: float
+    cold_delay: float = 0.0
+
+
+def admit(offer: Offer) -> Admission:
+    """Decide on a request for the target that suits it best."""
+    if offer.remaining <= 0:
+        return Admission(Verdict.REFUSE, MIN_RETRY_AFTER_S, "no time left")
+    share = URGENT_DEADLINE_SHARE if offer.priority <= URGENT_PRIORITY else PATIENT_DEADLINE_SHARE
+    budget = offer.remaining * share
+    if offer.cold_delay > 0:
+        if offer.cold_delay + offer.completion > budget:
+            return Admission(Verdict.REFUSE, max(MIN_RETRY_AFTER_S, offer.cold_delay), "target is cold")
+        return Admission(Verdict.WAIT, offer.cold_delay, "target is cold")
+    if offer.wait > 0 and offer.completion > budget:
+        room_in = max(MIN_RETRY_AFTER_S, min(offer.wait, offer.completion - budget))
+        return Admission(Verdict.REFUSE, room_in, "target is full")
+    return Admission(Verdict.SEND)
--- /dev/null
+++ b/cranberrylever/gateway/_dispatcher.py
@@ -0,0 +1,309 @@
+"""Runs calls at targets: choice, waiting for an owner, retries within the shared budget."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from cranberrylever.gateway._admission import MIN_RETRY_AFTER_S, Offer, Verdict, admit
+from cranberrylever.gateway._call import Call, OutcomeUnknownError, RefusedError, Served
+from cranberrylever.gateway._estimates import UsualWork
+from cranberrylever.gateway._format import AnswerHeaders, HeaderFormat
+from cranberrylever.gateway._limits import RetryWindow
+from cranberrylever.gateway._reports import ReportBook
+from cranberrylever.gateway._view import EntryView, KnownTarget
+from cranberrylever.logs import Log
+from cranberrylever.targetlink import AnswerLostError, NotSentError, TargetAnswer, TargetPool
+
+MAX_OWNER_WAIT_S = 0.6
+"""Longest time that a request waits for its key to be served; a planned move takes less."""
+
+OWNER_WAIT_SHARE = 0.5
+"""Share of a request's remaining time that it waits for its key at most."""
+
+MAX_CONNECT_TRIES = 3
+CONNECT_RETRY_DELAY_S = 0.02
+CHOICE_NOISE = 0.02
+"""Relative noise on estimates, so that entries that know the same do not all choose the same target."""
+
+_SERVER_ERROR = 500
+
+
+@attrs.define
+class _Progress:
+    """Tries of one call that reached no target."""
+
+    connect_tries: int = 0
+    rejected: set[str] = attrs.field(factory=set)
+
+
+class Dispatcher:
+    """Runs calls under the view in force.
+
+    Args:
+        view: The view.
+        pool: Connections to targets.
+        header_format: Reads and writes headers.
+        reports: Takes what control shall know.
+        report_soon: Lets the next report leave at once.
+        log: Program log.
+    """
+
+    def __init__(
+        self,
+        view: EntryView,
+        pool: TargetPool,
+        header_format: HeaderFormat,
+        reports: ReportBook,
+        report_soon: Callable[[], None],
+        log: Log,
+    ) -> None:
+        self.view = view
+        self.pool = pool
+        self.format = header_format
+        self.reports = reports
+        self.report_soon = report_soon
+        self.log = log
+        self.usual = UsualWork()
+        self.retries: dict[str, RetryWindow] = {}
+        self.rng = random.Random()
+
+    async def run(self, call: Call) -> Served:
+        """Return a target's answer.
+
+        Raises:
+            RefusedError: The call has not run and will not run.
+            OutcomeUnknownError: It may have run and there is no answer.
+        """
+        now = self._now()
+        self._retry_window(call).record_request(now)
+        if call.key is not None:
+            self.reports.record_work(call.service.name, call.key, self.usual.of(call.route.name))
+        if call.fingerprint in self.view.suspects:
+            raise RefusedError("requests like this one have crashed targets", call.route.timeout)
+        progress = _Progress()
+        while True:
+            target = await self._admitted(call, progress)
+            try:
+                served = await self._send(call, target)
+            except NotSentError as error:
+                await self._after_failed_connect(call, target, progress, error)
+                continue
+            except AnswerLostError as error:
+                self._after_loss(call, target, error)
+                continue
+            if served.did_not_run:
+                await self._after_rejection(call, target, progress)
+            elif not self._is_worth_repeating(call, target, served):
+                return served
+
+    # Choice --------------------------------------------------------------------------------------
+
+    async def _admitted(self, call: Call, progress: _Progress) -> KnownTarget:
+        """Return the target to send the call to now.
+
+        Raises:
+            RefusedError: There is none within the time left; an earlier attempt did not run either.
+            OutcomeUnknownError: There is none, and an earlier attempt may have run.
+        """
+        while True:
+            target = await self._choose(call, progress)
+            now = self._now()
+            estimate = target.estimate
+            work = self.usual.of(call.route.name)
+            offer = Offer(
+                call.route.priority,
+                call.remaining(now),
+                estimate.wait(work, now),
+                estimate.completion(work, now),
+                self._cold_delay(target, now),
+            )
+            admission = admit(offer)
+            if admission.verdict is Verdict.REFUSE:
+                self._give_up(call, f"{admission.reason} ({target.info.target_id})", admission.delay)
+            if admission.verdict is Verdict.WAIT:
+                await asyncio.sleep(admission.delay)
+                continue
+            if target.is_cold(now) and target.cold_bucket is not None and not target.cold_bucket.take(now):
+                continue
+            return target
+
+    async def _choose(self, call: Call, progress: _Progress) -> KnownTarget:
+        if call.key is not None:
+            return await self._owner(call)
+        now = self._now()
+        candidates = self.view.pool(call.service.name)
+        fresh = [target for target in candidates if target.info.target_id not in progress.rejected]
+        if not (fresh or candidates):
+            self._give_up(call, "no target is in service", 0.5)
+        work = self.usual.of(call.route.name)
+        return min(fresh or candidates, key=lambda target: self._cost(target, work, now))
+
+    def _cost(self, target: KnownTarget, work: float, now: float) -> float:
+        noise = 1.0 + CHOICE_NOISE * self.rng.random()
+        delay = min(self._cold_delay(target, now), 10.0)
+        return (target.estimate.completion(work, now) + delay) * noise
+
+    async def _owner(self, call: Call) -> KnownTarget:
+        """Return the owner of the call's key; wait a moment while the key moves."""
+        now = self._now()
+        give_up_at = now + min(MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE * call.remaining(now))
+        while True:
+            target = self.view.owner(call.service.name, call.key)
+            if target is not None:
+                return target
+            now = self._now()
+            if now >= give_up_at:
+                self._give_up(call, "the key is served by no target at the moment", 0.3)
+            await self.view.wait_for_change(give_up_at - now)
+
+    @staticmethod
+    def _cold_delay(target: KnownTarget, now: float) -> float:
+        if not target.is_cold(now) or target.cold_bucket is None:
+            return 0.0
+        return target.cold_bucket.delay(now)
+
+    # Sending -------------------------------------------------------------------------------------
+
+    async def _send(self, call: Call, target: KnownTarget) -> Served:
+        """Send the call once.
+
+        Raises:
+            NotSentError: No byte left.
+            AnswerLostError: The call may have run.
+        """
+        estimate = target.estimate
+        started = self._now()
+        request = self._encode(call, target, started)
+        estimate.outstanding += 1
+        is_lost = True
+        try:
+            answer = await self.pool.exchange(target.info.address, call.method, request, call.request_id)
+            is_lost = False
+        except NotSentError:
+            is_lost = False
+            raise
+        finally:
+            estimate.outstanding -= 1
+            if is_lost:
+                call.attempts += 1
+                call.tried.append(target.info.target_id)
+                call.may_have_run = True
+        call.attempts += 1
+        call.tried.append(target.info.target_id)
+        meta = self.format.read_answer(answer.status, answer.headers)
+        now = self._now()
+        self._learn(call, target, meta, answer, now - started, now)
+        call.reason = f"{answer.status} of {target.info.target_id}"
+        if not meta.did_not_run:
+            call.may_have_run = True
+            if not meta.is_genuine:
+                raise AnswerLostError(f"an answer with {answer.status} that the target did not mark", False)
+        return Served(answer, target.info.target_id, meta.did_not_run)
+
+    def _is_worth_repeating(self, call: Call, target: KnownTarget, served: Served) -> bool:
+        """Tell whether another target may do better than an answer that reports an error."""
+        if served.answer.status < _SERVER_ERROR or not call.route.idempotent:
+            return False
+        target.estimate.record_failure(self._now())
+        return self._may_repeat(call)
+
+    def _encode(self, call: Call, target: KnownTarget, now: float) -> bytes:
+        headers = self.format.target_headers(call.headers, target.info.target_id, call.remaining(now))
+        lines = [call.method + b" " + call.url + b" HTTP/1.1"]
+        lines.extend(name + b": " + value for name, value in headers)
+        if call.body or call.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            lines.append(b"content-length: %d" % len(call.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
+
+    def _learn(
+        self,
+        call: Call,
+        target: KnownTarget,
+        meta: AnswerHeaders,
+        answer: TargetAnswer,
+        elapsed: float,
+        now: float,
+    ) -> None:
+        """Take over the load that came with an answer, and its time when it did not queue."""
+        if meta.did_not_run:
+            target.estimate.record_failure(now)
+        load = meta.load
+        if load is None:
+            return
+        target.estimate.record_load(load, now)
+        is_unqueued = load.waiting == 0 and load.running <= load.slots and not target.is_cold(now)
+        if is_unqueued and not meta.did_not_run and answer.status < _SERVER_ERROR:
+            usual = self.usual.of(call.route.name)
+            self.reports.record_pace(target.info.target_id, target.info.started_ms, elapsed, usual)
+            self.usual.record(call.route.name, elapsed * max(0.25, target.info.speed))
+
+    # Failures ------------------------------------------------------------------------------------
+
+    async def _after_failed_connect(
+        self, call: Call, target: KnownTarget, progress: _Progress, error: NotSentError
+    ) -> None:
+        now = self._now()
+        target.estimate.record_failure(now)
+        self.pool.forget(target.info.address)
+        progress.rejected.add(target.info.target_id)
+        progress.connect_tries += 1
+        call.reason = str(error)
+        if progress.connect_tries >= MAX_CONNECT_TRIES:
+            self._give_up(call, f"{target.info.target_id} takes no connection", 0.5)
+        if call.key is not None:
+            await self.view.wait_for_change(min(CONNECT_RETRY_DELAY_S, max(0.0, call.remaining(now))))
+
+    def _after_loss(self, call: Call, target: KnownTarget, error: AnswerLostError) -> None:
+        """Let an idempotent call go on; another one ends here."""
+        target.estimate.record_failure(self._now())
+        if error.broke_off:
+            self.reports.record_crash(call.fingerprint, target.life_name)
+            self.report_soon()
+        call.reason = f"{target.info.target_id}: {error}"
+        self.log.warning(
+            "answer_lost",
+            request_id=call.request_id.decode("latin-1"),
+            target=target.info.target_id,
+            reason=str(error),
+            idempotent=call.route.idempotent,
+            attempts=call.attempts,
+        )
+        if not call.route.idempotent or not self._may_repeat(call):
+            raise OutcomeUnknownError(call.reason) from error
+
+    async def _after_rejection(self, call: Call, target: KnownTarget, progress: _Progress) -> None:
+        """Decide what follows an answer that tells that the call did not run, or that may be repeated."""
+        progress.rejected.add(target.info.target_id)
+        if not self._may_repeat(call):
+            self._give_up(call, call.reason, self._room_in(target, call))
+        if call.key is not None:
+            # The owner refused, so a newer view is on its way or the target is full.
+            await self.view.wait_for_change(0.1)
+
+    def _room_in(self, target: KnownTarget, call: Call) -> float:
+        wait = target.estimate.wait(self.usual.of(call.route.name), self._now())
+        return max(MIN_RETRY_AFTER_S, wait)
+
+    def _may_repeat(self, call: Call) -> bool:
+        """Tell whether the call may be sent once more, and take a retry from the budget if so."""
+        now = self._now()
+        if call.attempts >= call.route.attempts or call.remaining(now) < self.usual.of(call.route.name) / 2:
+            return False
+        return self._retry_window(call).take(self.view.entries, now)
+
+    def _give_up(self, call: Call, reason: str, retry_after: float) -> None:
+        if call.may_have_run:
+            raise OutcomeUnknownError(reason)
+        raise RefusedError(reason, retry_after)
+
+    def _retry_window(self, call: Call) -> RetryWindow:
+        window = self.retries.get(call.service.name)
+        if window is None:
+            window = self.retries[call.service.name] = RetryWindow(self.view.rules, self._now())
+        return window
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/cranberrylever/gateway/_estimates.py
@@ -0,0 +1,90 @@
+"""How long a target would take for one more request, between its reports of load.
+
+It answers reports that are seconds old at an entry that sends a target one request a second: what other
+entries had there fades, while this entry's own requests count exactly. The paper's rule adds each request sent
+since the last report; here those that were answered since leave the sum again.
+"""
+
+import math
+
+import attrs
+
+from cranberrylever.gateway._format import LoadSample
+
+REPORT_LIFETIME_S = 0.4
+"""Seconds after which the work of other entries in a report counts for a third."""
+
+PACE_LIFETIME_S = 0.3
+"""Seconds after which a target's momentary pace counts for a third; its machine is shared with others."""
+
+FAILURE_PENALTY_S = 0.15
+FAILURE_LIFETIME_S = 1.0
+
+
+@attrs.define
+class TargetEstimate:
+    """What one entry knows about the load of one life of a target; times are loop seconds."""
+
+    slots: int
+    speed: float = 1.0
+    outstanding: int = 0
+    others: float = 0.0
+    pace: float = 1.0
+    reported_at: float = -math.inf
+    failures: float = 0.0
+    failed_at: float = -math.inf
+
+    def record_load(self, load: LoadSample, now: float) -> None:
+        """Take over a report; the request that it came with has left the target."""
+        self.slots = max(1, load.slots)
+        self.others = max(0.0, float(load.running + load.waiting - max(0, self.outstanding - 1)))
+        self.pace = load.pace
+        self.reported_at = now
+
+    def record_failure(self, now: float) -> None:
+        """Note that a request failed; the target looks slower for a while."""
+        self.failures = self.recent_failures(now) + 1.0
+        self.failed_at = now
+
+    def recent_failures(self, now: float) -> float:
+        """Return the failures, of which old ones fade."""
+        return self.failures * math.exp(-(now - self.failed_at) / FAILURE_LIFETIME_S)
+
+    def busy(self, now: float) -> float:
+        """Return the work that is probably at the target."""
+        faded = self.others * math.exp(-(now - self.reported_at) / REPORT_LIFETIME_S)
+        return self.outstanding + faded
+
+    def slowness(self, now: float) -> float:
+        """Return how long work takes at the target relative to a usual one."""
+        weight = math.exp(-(now - self.reported_at) / PACE_LIFETIME_S)
+        return (1.0 + (self.pace - 1.0) * weight) / max(0.1, self.speed)
+
+    def wait(self, work: float, now: float) -> float:
+        """Return the seconds that one more request would queue, when each one takes ``work`` seconds."""
+        queued = max(0.0, self.busy(now) + 1.0 - self.slots)
+        return queued * work * self.slowness(now) / self.slots
+
+    def completion(self, work: float, now: float) -> float:
+        """Return the seconds until one more request of ``work`` seconds would be answered."""
+        penalty = FAILURE_PENALTY_S * self.recent_failures(now)
+        return self.wait(work, now) + work * self.slowness(now) + penalty
+
+
+class UsualWork:
+    """Usual time of each route's requests at a target without a queue, in seconds."""
+
+    FIRST_GUESS_S = 0.1
+    WEIGHT = 0.02
+
+    def __init__(self) -> None:
+        self.times: dict[str, float] = {}
+
+    def record(self, route: str, elapsed: float) -> None:
+        """Add a request that did not queue."""
+        previous = self.times.get(route, self.FIRST_GUESS_S)
+        self.times[route] = previous + self.WEIGHT * (elapsed - previous)
+
+    def of(self, route: str) -> float:
+        """Return the usual time of a route."""
+        return self.times.get(route, self.FIRST_GUESS_S)
--- /dev/null
+++ b/cranberrylever/gateway/_feed.py
@@ -0,0 +1,132 @@
+"""Stream to the control leader: reports go up, changed sections of the view come down."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from cranberrylever.errors import CodecError
+from cranberrylever.logs import Log
+from cranberrylever.settings import split_address
+from cranberrylever.wire import FeedReply, FeedReport, FeedStub, MsgpackCodec
+
+REPORT_INTERVAL_S = 0.25
+SILENCE_LIMIT_S = 0.9
+"""Seconds without a reply after which another member is asked; a cut stream gives no other sign."""
+
+CONNECT_TIMEOUT_S = 0.4
+RETRY_DELAY_S = 0.1
+HINT_DELAY_S = 0.02
+
+_STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, CodecError, TimeoutError)
+
+
+class FeedClient:
+    """Keeps one stream open, to the leader as soon as it is known.
+
+    Args:
+        contacts: Rpc addresses of control members to begin with.
+        build_report: Returns the next report by its sequence number.
+        on_reply: Takes each reply of the leader.
+        log: Program log.
+    """
+
+    def __init__(
+        self,
+        contacts: tuple[str, ...],
+        build_report: Callable[[int], FeedReport],
+        on_reply: Callable[[FeedReply], None],
+        log: Log,
+    ) -> None:
+        self.contacts = contacts
+        self.members: tuple[str, ...] = contacts
+        self.build_report = build_report
+        self.on_reply = on_reply
+        self.log = log
+        self.sequence = 0
+        self.hint = ""
+        self.position = 0
+        self.attached_to = ""
+        self.report_now = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to connect."""
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Close the stream."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            address = self._next_address()
+            try:
+                await self._attach(address)
+            except _STREAM_ERRORS as error:
+                self._note_loss(address, repr(error))
+            except Exception as error:
+                # The view stays in force; another stream is tried.
+                self.log.failure("feed_failed", error, address=address)
+            # Two members that each name the other must not be asked in a tight loop.
+            await asyncio.sleep(HINT_DELAY_S if self.hint else RETRY_DELAY_S)
+
+    def _next_address(self) -> str:
+        """Return the leader if one was named, else the next member in turn."""
+        if self.hint:
+            address, self.hint = self.hint, ""
+            return address
+        known = tuple(dict.fromkeys((*self.members, *self.contacts)))
+        self.position += 1
+        return known[self.position % len(known)]
+
+    def _note_loss(self, address: str, reason: str) -> None:
+        if self.attached_to == address:
+            self.attached_to = ""
+            self.log.warning("control_lost", address=address, reason=reason)
+
+    async def _attach(self, address: str) -> None:
+        host, port = split_address(address)
+        channel = Channel(host, port, codec=MsgpackCodec())
+        try:
+            async with FeedStub(channel).attach.open() as stream:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await stream.send_message(self._report())
+                sender = asyncio.get_running_loop().create_task(self._send_reports(stream))
+                try:
+                    await self._receive(stream, address)
+                finally:
+                    sender.cancel()
+                    with contextlib.suppress(asyncio.CancelledError, *_STREAM_ERRORS):
+                        await sender
+        finally:
+            channel.close()
+
+    async def _receive(self, stream, address: str) -> None:  # noqa: ANN001 - grpclib's generic stream type
+        while True:
+            async with asyncio.timeout(SILENCE_LIMIT_S):
+                reply = await stream.recv_message()
+            if reply is None:
+                raise ConnectionError("the member closed the stream")
+            if reply.control:
+                self.members = reply.control
+            if not reply.is_leader:
+                self.hint = reply.leader if reply.leader != address else ""
+                return
+            if self.attached_to != address:
+                self.attached_to = address
+                self.log.info("control_attached", address=address, sequence=reply.sequence)
+            self.on_reply(reply)
+
+    async def _send_reports(self, stream) -> None:  # noqa: ANN001
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            await stream.send_message(self._report())
+
+    def _report(self) -> FeedReport:
+        self.sequence += 1
+        return self.build_report(self.sequence)
--- /dev/null
+++ b/cranberrylever/gateway/_program.py
@@ -0,0 +1,154 @@
+"""The entry program that serves routes."""
+
+import asyncio
+
+import attrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from cranberrylever.callers import CallerServer
+from cranberrylever.gateway._app import GatewayApp
+from cranberrylever.gateway._dispatcher import Dispatcher
+from cranberrylever.gateway._feed import FeedClient
+from cranberrylever.gateway._format import HeaderFormat
+from cranberrylever.gateway._limits import LimitRules
+from cranberrylever.gateway._reports import ReportBook
+from cranberrylever.gateway._view import EntryView
+from cranberrylever.http_server import HttpServer
+from cranberrylever.logs import Log, install_log
+from cranberrylever.metrics import create_exposed_metrics
+from cranberrylever.settings import LogSettings
+from cranberrylever.targetlink import TargetPool
+from cranberrylever.wire import FeedReply, FeedReport
+
+
+@attrs.frozen
+class GatewayTuning:
+    """Limits of the listener for callers: counts, bytes and seconds."""
+
+    max_connections: int = 2_000
+    max_header_bytes: int = 32_768
+    keep_alive: float = 20.0
+    header_timeout: float = 20.0
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Settings of an entry that serves routes; addresses are ``host:port``, times seconds.
+
+    ``contacts`` are rpc addresses of control members. After a stop signal the entry fails its readiness for
+    ``drain_delay`` before it closes its listener, and ends requests ``finish_timeout`` later.
+    """
+
+    cluster_id: str
+    entry_id: str
+    listen: str
+    ready_listen: str
+    contacts: tuple[str, ...]
+    metrics_listen: str = ""
+    drain_delay: float = 2.2
+    finish_timeout: float = 1.6
+    rules: LimitRules = attrs.field(factory=LimitRules)
+    log: LogSettings = attrs.field(factory=LogSettings)
+    tuning: GatewayTuning = attrs.field(factory=GatewayTuning)
+
+
+class GatewayProgram:
+    """One entry: listeners for callers and for readiness, a client for targets and a stream to control."""
+
+    def __init__(self, settings: GatewaySettings, header_format: HeaderFormat) -> None:
+        self.settings = settings
+        self.format = header_format
+        self.log = Log("entry", settings.entry_id, settings.log.level)
+        self.view = EntryView(settings.rules)
+        self.reports = ReportBook()
+
+    async def start(self) -> None:
+        """Open the listeners and connect to control.
+
+        Raises:
+            SettingError: An address cannot be used.
+        """
+        settings = self.settings
+        self.installed_log = install_log(settings.log)
+        self.metrics = create_exposed_metrics()
+        self.pool = TargetPool(self.format.id_header)
+        self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
+        self.dispatcher = Dispatcher(self.view, self.pool, self.format, self.reports, lambda: None, self.log)
+        self.app = GatewayApp(self.view, self.dispatcher, self.format, self.metrics, self.log)
+        self.server = CallerServer(self.app, settings.listen, settings.tuning)
+        self.ready = HttpServer(self._ready_app(), settings.ready_listen)
+        self.exposition = (
+            HttpServer(self.metrics.app(), settings.metrics_listen) if settings.metrics_listen else None
+        )
+        await self.server.start()
+        await self.ready.start()
+        if self.exposition is not None:
+            await self.exposition.start()
+        self.feed.start()
+        self.log.info("entry_started", listen=settings.listen, contacts=settings.contacts)
+
+    async def close(self) -> None:
+        """Stop without a broken request: fail readiness, wait for the balancer, finish, close."""
+        self.app.draining = True
+        self.log.info("entry_draining", requests=self.app.requests)
+        await asyncio.sleep(self.settings.drain_delay)
+        self.server.stop_accepting()
+        await self.server.wait_finished(self.settings.finish_timeout)
+        await self.feed.close()
+        self.pool.close()
+        if self.exposition is not None:
+            await self.exposition.close()
+        await self.ready.close()
+        self.log.info("entry_stopped", requests=self.app.requests)
+        self.installed_log.close()
+
+    def reload(self, contacts: tuple[str, ...]) -> None:
+        """Take over changed settings: the control members to ask when all known ones are silent."""
+        self.feed.contacts = contacts
+        self.log.info("settings_reloaded", contacts=contacts)
+
+    def _ready_app(self) -> Starlette:
+        return Starlette(routes=[Route("/readyz", self._readyz, methods=["GET"])])
+
+    async def _readyz(self, request: Request) -> Response:
+        if self.app.draining:
+            return JSONResponse({"error": "this entry is stopping"}, 503)
+        if not self.view.is_complete:
+            return JSONResponse({"error": "no routes yet"}, 503)
+        return JSONResponse({"status": "ready", "plan": self.view.plan_version})
+
+    def _build_report(self, sequence: int) -> FeedReport:
+        return FeedReport(
+            self.settings.cluster_id,
+            self.settings.entry_id,
+            sequence,
+            self.view.plan_version,
+            self.view.fleet_version,
+            self.view.ranges_version,
+            self.reports.take_work(),
+            self.reports.take_paces(),
+            self.reports.take_crashes(),
+        )
+
+    def _on_reply(self, reply: FeedReply) -> None:
+        before = {target.info.address for target in self.view.targets.values()}
+        if not self.view.apply(reply, asyncio.get_running_loop().time()):
+            return
+        after = {target.info.address for target in self.view.targets.values()}
+        for address in before - after:
+            self.pool.forget(address)
+        self.log.info(
+            "view_applied",
+            plan=self.view.plan_version,
+            fleet=self.view.fleet_version,
+            ranges=self.view.ranges_version,
+            targets=len(self.view.targets),
+        )
+
+
+def create_gateway(settings: GatewaySettings, header_format: HeaderFormat) -> GatewayProgram:
+    """Return an entry that is not started yet."""
+    return GatewayProgram(settings, header_format)
--- /dev/null
+++ b/cranberrylever/gateway/_view.py
@@ -0,0 +1,145 @@
+"""The view in force at an entry: routes, targets and who owns which keys."""
+
+import asyncio
+import bisect
+
+import attrs
+
+from cranberrylever.gateway._estimates import TargetEstimate
+from cranberrylever.gateway._limits import ColdBucket, LimitRules
+from cranberrylever.routes import RouteMatcher
+from cranberrylever.wire import FeedReply, FleetView, RangesView, RoutedTarget
+
+
+@attrs.define(eq=False)
+class KnownTarget:
+    """One life of a target; ``cold_until`` is a loop time, 0 while it is warm."""
+
+    info: RoutedTarget
+    estimate: TargetEstimate
+    cold_until: float = 0.0
+    cold_bucket: ColdBucket | None = None
+
+    @property
+    def life_name(self) -> str:
+        """Id and start in one text."""
+        return f"{self.info.target_id}@{self.info.started_ms}"
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the target is in cold start."""
+        return now < self.cold_until
+
+
+class KeyOwners:
+    """Owners of one service's keys."""
+
+    def __init__(self, firsts: list[int], owners: list[str]) -> None:
+        self.firsts = firsts
+        self.owners = owners
+
+    def of(self, key: int) -> str:
+        """Return the target that owns a key, empty while nobody serves it."""
+        position = bisect.bisect_right(self.firsts, key) - 1
+        return self.owners[position] if position >= 0 else ""
+
+
+class EntryView:
+    """Sections of the view with their versions, which never fall.
+
+    Args:
+        rules: Limits that all entries keep together.
+    """
+
+    def __init__(self, rules: LimitRules) -> None:
+        self.rules = rules
+        self.plan_version = -1
+        self.fleet_version = -1
+        self.ranges_version = -1
+        self.matcher: RouteMatcher | None = None
+        self.targets: dict[str, KnownTarget] = {}
+        self.by_service: dict[str, list[KnownTarget]] = {}
+        self.owners: dict[str, KeyOwners] = {}
+        self.entries = 1
+        self.suspects: frozenset[str] = frozenset()
+        self.received_at = 0.0
+        self._changed = asyncio.Event()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether requests can be served."""
+        return self.matcher is not None and self.fleet_version >= 0
+
+    def apply(self, reply: FeedReply, now: float) -> bool:
+        """Take over the sections of a reply that are newer; returns whether there were any."""
+        changed = False
+        self.received_at = now
+        if reply.plan is not None and reply.plan_version > self.plan_version:
+            self.plan_version = reply.plan_version
+            self.matcher = RouteMatcher(reply.plan)
+            changed = True
+        if reply.fleet is not None and reply.fleet_version > self.fleet_version:
+            self.fleet_version = reply.fleet_version
+            self._apply_fleet(reply.fleet, now)
+            changed = True
+        if reply.ranges is not None and reply.ranges_version > self.ranges_version:
+            self.ranges_version = reply.ranges_version
+            self._apply_ranges(reply.ranges)
+            changed = True
+        if changed:
+            self._changed.set()
+            self._changed = asyncio.Event()
+        return changed
+
+    async def wait_for_change(self, timeout: float) -> None:
+        """Wait until a section changes, ``timeout`` seconds at most."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def owner(self, service: str, key: int) -> KnownTarget | None:
+        """Return the usable target that owns a key, ``None`` while there is none."""
+        owners = self.owners.get(service)
+        target = self.targets.get(owners.of(key)) if owners is not None else None
+        return target if target is not None and target.info.usable else None
+
+    def pool(self, service: str) -> list[KnownTarget]:
+        """Return the usable targets of a service."""
+        return [target for target in self.by_service.get(service, ()) if target.info.usable]
+
+    def _apply_fleet(self, fleet: FleetView, now: float) -> None:
+        self.entries = fleet.entries
+        self.suspects = frozenset(fleet.suspects)
+        targets: dict[str, KnownTarget] = {}
+        for info in fleet.targets:
+            known = self.targets.get(info.target_id)
+            if known is None or known.info.started_ms != info.started_ms:
+                known = KnownTarget(info, TargetEstimate(max(1, info.slots)))
+            known.info = info
+            known.estimate.speed = info.speed
+            self._set_warmth(known, info, now)
+            targets[info.target_id] = known
+        self.targets = targets
+        self.by_service = {}
+        for target in targets.values():
+            self.by_service.setdefault(target.info.service, []).append(target)
+
+    def _set_warmth(self, known: KnownTarget, info: RoutedTarget, now: float) -> None:
+        if info.cold_for <= 0:
+            known.cold_until = 0.0
+            known.cold_bucket = None
+            return
+        known.cold_until = now + info.cold_for
+        if known.cold_bucket is None and self.matcher is not None:
+            service = self.matcher.services.get(info.service)
+            rate = service.cold_rate if service is not None else 0.0
+            known.cold_bucket = ColdBucket(rate, self.entries, self.rules, now)
+
+    def _apply_ranges(self, ranges: RangesView) -> None:
+        self.owners = {
+            service.service: KeyOwners(
+                [item.first for item in service.ranges], [item.owner for item in service.ranges]
+            )
+            for service in ranges.services
+        }
--- /dev/null
+++ b/cranberrylever/keyspace/_loads.py
@@ -0,0 +1,45 @@
+"""Work per part of a key space, as entries report it, with recent work counting most."""
+
+import math
+from collections.abc import Iterable
+
+from cranberrylever.keyspace._ranges import KEYS
+
+KEYS_PER_PART = 4
+"""Keys counted together; a part is the smallest piece that is moved."""
+
+PARTS = KEYS // KEYS_PER_PART
+
+MEMORY_TIME = 2.0
+"""Seconds after which work counts for a third; hot keys stay hot for a few seconds."""
+
+
+def part_of(key: int) -> int:
+    """Return the part that a key belongs to."""
+    return key // KEYS_PER_PART
+
+
+class KeyLoads:
+    """Recent work of each part in seconds of work per second."""
+
+    def __init__(self, now: float) -> None:
+        self.work = [0.0] * PARTS
+        self.updated_at = now
+
+    def record(self, parts: Iterable[tuple[int, float]], now: float) -> None:
+        """Add work in seconds to parts."""
+        self._fade(now)
+        for part, seconds in parts:
+            if 0 <= part < PARTS:
+                self.work[part] += seconds / MEMORY_TIME
+
+    def advance(self, now: float) -> None:
+        """Let old work fade."""
+        self._fade(now)
+
+    def _fade(self, now: float) -> None:
+        if now - self.updated_at < 0.1:
+            return
+        factor = math.exp(-(now - self.updated_at) / MEMORY_TIME)
+        self.work = [value * factor for value in self.work]
+        self.updated_at = now
--- /dev/null
+++ b/cranberrylever/keyspace/_planner.py
@@ -0,0 +1,268 @@
+"""The planner of key ranges: a pure function from owners and work to edits.
+
+It answers two load patterns: busy keys that lie close together, so that equal ranges carry unequal work, and
+hot keys that appear within seconds. Narrow ranges move where the work is, wide idle ones stay.
+"""
+
+from collections.abc import Sequence
+
+import attrs
+
+from cranberrylever.keyspace._loads import KEYS_PER_PART, PARTS
+from cranberrylever.keyspace._ranges import FREE, HELD, RELEASING, KeyRange, RangeEdit
+
+IDLE_WORK = 0.02
+"""Work in seconds per second that all parts together count for without any request."""
+
+MOVE_ABOVE = 1.25
+"""A target gives work away when its share is this much above its fair one."""
+
+BUSY_FROM = 0.35
+"""Share of its capacity from which a target gives work away; below it no caller waits."""
+
+MAX_MOVES = 6
+"""Moves that may be under way at once, since callers of moving keys wait."""
+
+MAX_RANGES_PER_TARGET = 8
+
+
+@attrs.frozen
+class PlanOwner:
+    """A target that may own keys; ``capacity`` is in seconds of work per second."""
+
+    life: tuple[str, int]
+    capacity: float
+
+
+@attrs.frozen
+class KeyPlan:
+    """Edits to propose: free ranges to assign, and held ones to release for a better balance."""
+
+    assignments: tuple[RangeEdit, ...]
+    releases: tuple[RangeEdit, ...]
+
+
+class _Share:
+    """A target with its work while a plan is made."""
+
+    def __init__(self, owner: PlanOwner, fair: float) -> None:
+        self.life = owner.life
+        self.capacity = owner.capacity
+        self.fair = fair
+        self.work = 0.0
+        self.ranges = 0
+
+    @property
+    def ratio(self) -> float:
+        return self.work / self.fair
+
+    @property
+    def room(self) -> float:
+        return self.fair - self.work
+
+
+def plan_keys(
+    ranges: Sequence[KeyRange],
+    owners: Sequence[PlanOwner],
+    work: Sequence[float],
+    under_way: int,
+    may_balance: bool,
+) -> KeyPlan:
+    """Assign free ranges and choose parts to move from busy targets to idle ones.
+
+    Args:
+        ranges: The table of one service in key order.
+        owners: Targets that may receive keys; others give theirs away elsewhere.
+        work: Recent work of each part.
+        under_way: Moves that have not ended.
+        may_balance: Whether ranges may be released for balance.
+    """
+    if not owners:
+        return KeyPlan((), ())
+    sums = _prefix_sums(work)
+    shares = _make_shares(ranges, owners, sums)
+    assignments = _assign(ranges, shares, sums)
+    releases: list[RangeEdit] = []
+    if may_balance:
+        releases = _balance(ranges, shares, sums, MAX_MOVES - under_way)
+    return KeyPlan(tuple(assignments), tuple(releases))
+
+
+def merges(ranges: Sequence[KeyRange], limit: int) -> list[RangeEdit]:
+    """Return assignments that join neighbouring ranges of one owner, so that one grant serves both."""
+    edits: list[RangeEdit] = []
+    index = 0
+    while index < len(ranges) and len(edits) < limit:
+        end = index
+        while end + 1 < len(ranges) and _are_joinable(ranges[index], ranges[end + 1]):
+            end += 1
+        if end > index:
+            first = ranges[index]
+            edits.append(RangeEdit(first.first, ranges[end].last, HELD, first.target_id, first.started_ms))
+        index = end + 1
+    return edits
+
+
+def _are_joinable(left: KeyRange, right: KeyRange) -> bool:
+    return left.phase == HELD and right.phase == HELD and left.life == right.life
+
+
+def _prefix_sums(work: Sequence[float]) -> list[float]:
+    """Return the work before each part; each counts a little so that idle keys are divided too."""
+    base = IDLE_WORK / PARTS
+    sums = [0.0]
+    total = 0.0
+    for value in work:
+        total += value + base
+        sums.append(total)
+    return sums
+
+
+def _work_of(first: int, last: int, sums: Sequence[float]) -> float:
+    """Return the work of a range of keys, with a share of the parts that it holds only a part of."""
+    return _work_before(last + 1, sums) - _work_before(first, sums)
+
+
+def _work_before(key: int, sums: Sequence[float]) -> float:
+    part, rest = divmod(key, KEYS_PER_PART)
+    if rest == 0:
+        return sums[part]
+    return sums[part] + (sums[part + 1] - sums[part]) * rest / KEYS_PER_PART
+
+
+def _make_shares(
+    ranges: Sequence[KeyRange], owners: Sequence[PlanOwner], sums: Sequence[float]
+) -> dict[tuple[str, int], _Share]:
+    capacity = sum(owner.capacity for owner in owners)
+    shares = {
+        owner.life: _Share(owner, sums[-1] * owner.capacity / capacity)
+        for owner in sorted(owners, key=lambda owner: owner.life)
+    }
+    for item in ranges:
+        share = shares.get(item.life)
+        if item.phase == HELD and share is not None:
+            share.work += _work_of(item.first, item.last, sums)
+            share.ranges += 1
+    return shares
+
+
+def _assign(
+    ranges: Sequence[KeyRange], shares: dict[tuple[str, int], _Share], sums: Sequence[float]
+) -> list[RangeEdit]:
+    """Divide the free ranges among the targets with most room, in pieces that fit."""
+    edits: list[RangeEdit] = []
+    for item in ranges:
+        first = item.first
+        while item.phase == FREE and first <= item.last:
+            share = max(shares.values(), key=lambda share: (share.room / share.fair, share.life))
+            last = _fitting_end(first, item.last, share.room, sums)
+            share.work += _work_of(first, last, sums)
+            share.ranges += 1
+            edits.append(RangeEdit(first, last, HELD, *share.life))
+            first = last + 1
+    return edits
+
+
+def _fitting_end(first: int, last: int, room: float, sums: Sequence[float]) -> int:
+    """Return the last key of the longest piece from ``first`` whose work fits, at least one part long."""
+    if _work_of(first, last, sums) <= room:
+        return last
+    low = min(last, (first // KEYS_PER_PART + 1) * KEYS_PER_PART - 1)
+    high = last
+    while low < high:
+        middle = (low + high + 1) // 2
+        middle = middle // KEYS_PER_PART * KEYS_PER_PART + KEYS_PER_PART - 1
+        middle = min(middle, high)
+        if _work_of(first, middle, sums) <= room:
+            low = middle
+            if middle == high:
+                break
+        else:
+            high = min(middle - KEYS_PER_PART, high - 1)
+    return max(low, min(last, (first // KEYS_PER_PART + 1) * KEYS_PER_PART - 1))
+
+
+def _balance(
+    ranges: Sequence[KeyRange], shares: dict[tuple[str, int], _Share], sums: Sequence[float], limit: int
+) -> list[RangeEdit]:
+    """Release parts of the busiest targets; the next plan assigns them to those with most room."""
+    releases: list[RangeEdit] = []
+    available = [item for item in ranges if item.phase == HELD and item.life in shares]
+    while len(releases) < limit:
+        receiver = min(shares.values(), key=lambda share: share.ratio)
+        donors = [share for share in shares.values() if _gives(share, receiver)]
+        donors.sort(key=lambda share: -share.ratio)
+        found = next(filter(None, (_move(donor, receiver, available, sums) for donor in donors)), None)
+        if found is None:
+            break
+        releases.append(found)
+        available = _without(available, found)
+    return releases
+
+
+def _gives(donor: _Share, receiver: _Share) -> bool:
+    """Tell whether a target has more than its share and callers gain when it gives some away."""
+    is_busy = donor.work > BUSY_FROM * donor.capacity and donor.ratio > MOVE_ABOVE
+    return donor is not receiver and donor.work > donor.fair and (is_busy or receiver.ranges == 0)
+
+
+def _move(
+    donor: _Share, receiver: _Share, available: Sequence[KeyRange], sums: Sequence[float]
+) -> RangeEdit | None:
+    """Return the piece that moves from one target to another, with the work of both brought up to date."""
+    wanted = min(donor.work - donor.fair, receiver.room)
+    piece = _edge_piece([item for item in available if item.life == donor.life], wanted, sums)
+    if piece is None:
+        return None
+    moved = _work_of(piece.first, piece.last, sums)
+    if receiver.ratio + moved / receiver.fair > donor.ratio:
+        return None
+    donor.work -= moved
+    receiver.work += moved
+    receiver.ranges += 1
+    return piece
+
+
+def _edge_piece(items: Sequence[KeyRange], wanted: float, sums: Sequence[float]) -> RangeEdit | None:
+    """Return the piece at the end of a range whose work comes closest to ``wanted`` from below.
+
+    The narrowest such piece is taken, because idle keys gain nothing by moving.
+    """
+    candidates = []
+    for item in items:
+        for piece in (_head(item, wanted, sums), _tail(item, wanted, sums)):
+            if piece is not None:
+                moved = _work_of(piece.first, piece.last, sums)
+                closeness = moved / wanted if moved <= wanted else wanted / moved
+                candidates.append((closeness, piece.first - piece.last, piece))
+    if not candidates:
+        return None
+    return max(candidates, key=lambda candidate: candidate[:2])[2]
+
+
+def _head(item: KeyRange, wanted: float, sums: Sequence[float]) -> RangeEdit | None:
+    last = _fitting_end(item.first, item.last, wanted, sums)
+    if last >= item.last:
+        return None
+    return RangeEdit(item.first, last, RELEASING)
+
+
+def _tail(item: KeyRange, wanted: float, sums: Sequence[float]) -> RangeEdit | None:
+    total = _work_of(item.first, item.last, sums)
+    kept_end = _fitting_end(item.first, item.last, max(0.0, total - wanted), sums)
+    if kept_end >= item.last:
+        return None
+    return RangeEdit(kept_end + 1, item.last, RELEASING)
+
+
+def _without(items: Sequence[KeyRange], piece: RangeEdit) -> list[KeyRange]:
+    """Return the ranges less a piece at the end of one of them."""
+    rest: list[KeyRange] = []
+    for item in items:
+        if not item.overlaps(piece.first, piece.last):
+            rest.append(item)
+        elif item.first < piece.first:
+            rest.append(attrs.evolve(item, last=piece.first - 1))
+        elif piece.last < item.last:
+            rest.append(attrs.evolve(item, first=piece.last + 1))
+    return rest
--- a/cranberrylever/logs.py
+++ b/cranberrylever/logs.py
@@ -19,6 +19,7 @@
 MAX_BUFFERED_LINES = 20_000
 """Lines kept for a slow reader; later lines are dropped and counted."""
 
+STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
 
 _LEVELS = {"debug": 0, "info": 1, "warning": 2, "error": 3}
@@ -107,6 +108,8 @@
     """
     if settings.destination == "-":
         return BufferedLogWriter(_file_writer(STANDARD_ERROR))
+    if settings.destination == "stdout":
+        return BufferedLogWriter(_file_writer(STANDARD_OUTPUT))
     try:
         descriptor = os.open(settings.destination, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
     except OSError as error:
--- a/cranberrylever/metrics.py
+++ b/cranberrylever/metrics.py
@@ -1,8 +1,13 @@
-"""Metrics over statsd behind an abstract class, with a twin that does nothing."""
+"""Metrics behind an abstract class: sent by statsd, read over HTTP, or a twin that does nothing."""
 
 import abc
 
+import prometheus_client
 import statsd
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
 
 from cranberrylever.errors import SettingError
 
@@ -68,6 +73,51 @@
         self.client.close()
 
 
+class ExposedMetrics(Metrics):
+    """Metrics that are read over HTTP in the text format of Prometheus; timings are histograms."""
+
+    BUCKETS_MS = (5, 10, 25, 50, 100, 200, 300, 400, 600, 800, 1_000, 1_500, 3_000)
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.items: dict[str, object] = {}
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add ``value`` to the counter ``name``."""
+        self._get(name, prometheus_client.Counter).inc(value)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set the gauge ``name``."""
+        self._get(name, prometheus_client.Gauge).set(value)
+
+    def timing(self, name: str, milliseconds: float) -> None:
+        """Record a duration."""
+        self._get(name, prometheus_client.Histogram, buckets=self.BUCKETS_MS).observe(milliseconds)
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    def app(self) -> Starlette:
+        """Return the application that shows the metrics."""
+        return Starlette(routes=[Route("/metrics", self._show, methods=["GET"])])
+
+    async def _show(self, request: Request) -> Response:
+        text = prometheus_client.generate_latest(self.registry)
+        return Response(text, media_type="text/plain; version=0.0.4")
+
+    def _get(self, name: str, kind: type, **options: object):  # noqa: ANN202 - one of three classes
+        item = self.items.get(name)
+        if item is None:
+            item = kind(f"{_PREFIX}_{name}", name.replace("_", " "), registry=self.registry, **options)
+            self.items[name] = item
+        return item
+
+
+def create_exposed_metrics() -> ExposedMetrics:
+    """Return metrics that are read over HTTP."""
+    return ExposedMetrics()
+
+
 def create_metrics(address: str, program: str) -> Metrics:
     """Return metrics sent to ``address`` (``host:port``), or ones that do nothing when it is empty.
 
--- a/cranberrylever/settings/_programs.py
+++ b/cranberrylever/settings/_programs.py
@@ -58,7 +58,11 @@
     """Log destination (a path, ``-`` for standard error) and the lowest level written."""
 
     destination: str = setting(
-        "Log file, or - for standard error.", required_text, "-", flag="--log", environment="LOG"
+        "Log file, - for standard error or stdout for standard output.",
+        required_text,
+        "-",
+        flag="--log",
+        environment="LOG",
     )
     level: str = setting("Lowest level written: debug, info, warning or error.", log_level, "info")
 
--- a/cranberrylever/state/_commands.py
+++ b/cranberrylever/state/_commands.py
@@ -2,9 +2,8 @@
 
 import attrs
 
-from cranberrylever.errors import CodecError
 from cranberrylever.membership import Announcement
-from cranberrylever.wire import ClaimAnswer, decode, encode
+from cranberrylever.wire import ClaimAnswer, CommandCodec
 
 
 @attrs.frozen
@@ -164,20 +163,12 @@
     | ExpireClaims
 )
 
-_KINDS: dict[str, type] = {kind.__name__: kind for kind in Command.__args__}
-
-
-@attrs.frozen
-class _CommandFrame:
-    """A command's class name and encoded body."""
-
-    kind: str
-    body: bytes
+_codec = CommandCodec(Command)
 
 
 def encode_command(command: Command) -> bytes:
     """Return ``command`` as the payload of a log entry."""
-    return encode(_CommandFrame(type(command).__name__, encode(command)))
+    return _codec.encode(command)
 
 
 def decode_command(data: bytes) -> Command:
@@ -186,8 +177,4 @@
     Raises:
         CodecError: The payload is damaged or its kind is unknown to this version.
     """
-    frame = decode(data, _CommandFrame)
-    kind = _KINDS.get(frame.kind)
-    if kind is None:
-        raise CodecError(f"unknown command {frame.kind!r} in the log", "upgrade this control member")
-    return decode(frame.body, kind)
+    return _codec.decode(data)
--- /dev/null
+++ b/cranberrylever/steering/_commands.py
@@ -0,0 +1,70 @@
+"""Commands of the log that holds routes, targets and key ranges."""
+
+import attrs
+
+from cranberrylever.fleet import TargetNotice
+from cranberrylever.keyspace import RangeEdit
+from cranberrylever.routes import RoutePlan
+from cranberrylever.wire import CommandCodec
+
+
+@attrs.frozen
+class SubmitPlan:
+    """Put a plan in force that builds on the plan numbered ``base``."""
+
+    plan: RoutePlan
+    base: int
+
+
+@attrs.frozen
+class SetDomainState:
+    """Withdraw a failure domain, or restore it."""
+
+    failure_domain: str
+    withdrawn: bool
+
+
+@attrs.frozen
+class RecordTarget:
+    """Take over a target's notice."""
+
+    notice: TargetNotice
+
+
+@attrs.frozen
+class EndTarget:
+    """A life of a target has said that it ends."""
+
+    target_id: str
+    started_ms: int
+
+
+@attrs.frozen
+class ForgetTarget:
+    """A life of a target has been silent for long."""
+
+    target_id: str
+    started_ms: int
+
+
+@attrs.frozen
+class RecordEntry:
+    """An entry that shares limits with the others was met for the first time."""
+
+    entry_id: str
+
+
+@attrs.frozen
+class EditRanges:
+    """Change the key ranges of a service as they were at ``base_version``."""
+
+    service: str
+    base_version: int
+    edits: tuple[RangeEdit, ...]
+
+
+SteeringCommand = (
+    SubmitPlan | SetDomainState | RecordTarget | EndTarget | ForgetTarget | RecordEntry | EditRanges
+)
+
+command_codec = CommandCodec(SteeringCommand)
--- /dev/null
+++ b/cranberrylever/steering/_leader.py
@@ -0,0 +1,353 @@
+"""Duties of the leader that steers routes: targets, key ranges and the view of entries."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from cranberrylever.consensus import RaftDriver
+from cranberrylever.errors import NotLeaderError, ProposalLostError
+from cranberrylever.fleet import FleetContacts, FleetTarget, TargetNotice
+from cranberrylever.keyspace import (
+    FREE,
+    HELD,
+    RELEASING,
+    KeyLoads,
+    KeyRange,
+    PlanOwner,
+    RangeEdit,
+    RangeTable,
+    merges,
+    plan_keys,
+)
+from cranberrylever.logs import Log
+from cranberrylever.routes import RoutedService
+from cranberrylever.steering._commands import (
+    EditRanges,
+    ForgetTarget,
+    RecordEntry,
+    SteeringCommand,
+    command_codec,
+)
+from cranberrylever.steering._granter import Granter
+from cranberrylever.steering._paces import PaceBook
+from cranberrylever.steering._state import SteeringState
+from cranberrylever.wire import FeedReport
+
+STEP_INTERVAL_S = 0.05
+PLAN_INTERVAL_S = 0.25
+
+EDIT_TIMEOUT_S = 1.0
+"""Seconds after which edits that did not show are proposed again."""
+
+FORMATION_WAIT_S = 1.0
+"""Seconds that the first assignment waits for targets, so that the first one does not get every key."""
+
+FORGET_AFTER_S = 12.0
+"""Silence after which a target without keys is forgotten; it may announce itself again."""
+
+MERGES_AT_ONCE = 2
+MAX_EDITS = 64
+SILENT_BEATS = 3.0
+USUAL_WORK_S = 0.1
+
+
+@attrs.define
+class _Editing:
+    """Edits of one service that were proposed and have not shown yet."""
+
+    base_version: int
+    proposed_at: float
+
+
+class SteeringLeader:
+    """Runs the steps of the leader while this member holds its lease.
+
+    Args:
+        driver: Consensus driver of this member.
+        state: The replicated state.
+        granter: Sends grants and releases.
+        notice_interval: Seconds between two notices of a target.
+        log: Program log.
+    """
+
+    def __init__(
+        self,
+        driver: RaftDriver,
+        state: SteeringState,
+        granter: Granter,
+        notice_interval: float,
+        log: Log,
+    ) -> None:
+        self.driver = driver
+        self.state = state
+        self.granter = granter
+        self.silent_after = SILENT_BEATS * notice_interval
+        self.log = log
+        self.term = 0
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+        self.proposals: set[asyncio.Task[None]] = set()
+        self.after_step: Callable[[], None] = lambda: None
+        self._begin(0.0)
+
+    def _begin(self, now: float) -> None:
+        self.contacts = FleetContacts(now)
+        self.loads: dict[str, KeyLoads] = {}
+        self.paces = PaceBook()
+        self.editing: dict[str, _Editing] = {}
+        self.plan_at = now
+        self.formed_at: dict[str, float] = {}
+        self.forgetting: dict[tuple[str, int], float] = {}
+        self.first_fence = self.state.next_fence
+        self.fleet_serial = 0
+        self.ranges_serial = 0
+        self.shown_fleet: tuple = ()
+        self.granter.start_term(now)
+
+    def start(self) -> None:
+        """Start the loop."""
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop the loop and what it has proposed."""
+        tasks = [*self.proposals, *([self.task] if self.task else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def on_applied(self, index: int, command: object, result: object) -> None:
+        """Run the next step at once after a change."""
+        self.wake.set()
+
+    def is_serving(self) -> bool:
+        """Tell whether this member leads, holds its lease and has taken up its duties."""
+        return self._leads(asyncio.get_running_loop().time()) and self.term == self.driver.term
+
+    async def propose(self, command: SteeringCommand) -> object:
+        """Commit a command and return the result of applying it.
+
+        Raises:
+            NotLeaderError: This member does not lead.
+            ProposalLostError: The command may or may not be committed.
+        """
+        return await self.driver.propose(command_codec.encode(command))
+
+    def record_notice(self, notice: TargetNotice) -> None:
+        """Take note of when a target was heard and how long it stays cold."""
+        if self.state.fleet.is_outdated(notice):
+            return
+        if self.contacts.record(notice, asyncio.get_running_loop().time()):
+            self.log.info(
+                "target_warmth", target=notice.target_id, cold_for=notice.cold_for, sequence=notice.sequence
+            )
+            self.wake.set()
+
+    def record_report(self, report: FeedReport) -> None:
+        """Take over the figures of an entry."""
+        now = asyncio.get_running_loop().time()
+        if report.entry_id not in self.state.entries:
+            self._propose_quietly(RecordEntry(report.entry_id))
+        for service in report.work:
+            parts = ((item.part, item.seconds) for item in service.parts)
+            self.loads.setdefault(service.service, KeyLoads(now)).record(parts, now)
+        for pace in report.paces:
+            self.paces.record(pace)
+
+    def is_silent(self, target: FleetTarget, now: float) -> bool:
+        """Tell whether a target has missed its notices."""
+        return self.contacts.silence(target, now) > self.silent_after
+
+    def owner_shown(self, item: KeyRange) -> str:
+        """Return the target that serves a range, empty while nobody does.
+
+        An assignment of this leader is shown once its target has acknowledged it; those before it are served.
+        """
+        if item.phase != HELD:
+            return ""
+        if item.fence >= self.first_fence and not self.granter.is_granted(item):
+            return ""
+        target = self.state.fleet.targets.get(item.target_id)
+        return item.target_id if target is not None and target.life == item.life else ""
+
+    def _leads(self, now: float) -> bool:
+        return self.driver.leader_since is not None and self.driver.has_lease(now)
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            self.wake.clear()
+            now = loop.time()
+            try:
+                if self._leads(now):
+                    self._step(now)
+            except Exception as error:
+                # The next step starts from the replicated state again.
+                self.log.failure("step_failed", error)
+            self.after_step()
+            try:
+                async with asyncio.timeout(STEP_INTERVAL_S):
+                    await self.wake.wait()
+            except TimeoutError:
+                continue
+
+    def _step(self, now: float) -> None:
+        if self.term != self.driver.term:
+            self.term = self.driver.term
+            self._begin(now)
+            self.log.info("leadership_started", term=self.term, plan=self.state.plans.number)
+        may_plan = now >= self.plan_at
+        if may_plan:
+            self.plan_at = now + PLAN_INTERVAL_S
+        targets = {target.life: target for target in self.state.fleet.targets.values()}
+        places = set()
+        for name, table in self.state.tables.items():
+            service = self._service(name)
+            if service is None:
+                continue
+            self._edit(service, table, targets, now, may_plan)
+            self.granter.step(table.ranges, targets, service.health_path, now)
+            places.update((item.life, item.first, item.last, item.fence) for item in table.ranges)
+        if may_plan:
+            self.granter.forget_others(places, now)
+            self._tidy(targets, now)
+
+    def _service(self, name: str) -> RoutedService | None:
+        plan = self.state.plans.current
+        return plan.service(name) if plan is not None else None
+
+    # Key ranges ----------------------------------------------------------------------------------
+
+    def _edit(
+        self,
+        service: RoutedService,
+        table: RangeTable,
+        targets: dict[tuple[str, int], FleetTarget],
+        now: float,
+        may_plan: bool,
+    ) -> None:
+        """Propose the next edits of one service; one proposal at a time."""
+        editing = self.editing.get(service.name)
+        is_pending = editing is not None and editing.base_version == table.version
+        if is_pending and now - editing.proposed_at < EDIT_TIMEOUT_S:
+            return
+        edits = self._required_edits(table, targets, now)
+        edits.extend(self._assignments(service, table, now, may_plan and not edits))
+        if not edits and may_plan:
+            edits = merges(table.ranges, MERGES_AT_ONCE)
+        if not edits:
+            return
+        edits = edits[:MAX_EDITS]
+        self.editing[service.name] = _Editing(table.version, now)
+        self._log_edits(service.name, table, edits)
+        self._propose_quietly(EditRanges(service.name, table.version, tuple(edits)))
+
+    def _required_edits(
+        self, table: RangeTable, targets: dict[tuple[str, int], FleetTarget], now: float
+    ) -> list[RangeEdit]:
+        """Return the edits that do not depend on load: releases, freed ranges and refused fences."""
+        edits = []
+        for item in table.ranges:
+            target = targets.get(item.life)
+            if item.phase == FREE:
+                continue
+            is_gone = target is None or self.granter.is_suspect(item.life)
+            if (item.phase == RELEASING or is_gone) and self.granter.is_released(item, now):
+                edits.append(RangeEdit(item.first, item.last, FREE))
+            elif item.phase == HELD and target is not None and not self.state.may_receive_work(target):
+                edits.append(RangeEdit(item.first, item.last, RELEASING))
+            elif (
+                item.phase == HELD and (item.life, item.first, item.last, item.fence) in self.granter.refused
+            ):
+                edits.append(RangeEdit(item.first, item.last, HELD, *item.life))
+        return edits
+
+    def _assignments(
+        self, service: RoutedService, table: RangeTable, now: float, may_balance: bool
+    ) -> list[RangeEdit]:
+        free = [item for item in table.ranges if item.phase == FREE]
+        if not free and not may_balance:
+            return []
+        owners = self._owners(service, now)
+        if not owners or not self._is_formed(service.name, table, now):
+            return []
+        blocked = {item for item in free if self._may_still_be_held(item, now)}
+        ranges = [attrs.evolve(item, phase=RELEASING) if item in blocked else item for item in table.ranges]
+        load = self.loads.setdefault(service.name, KeyLoads(now))
+        load.advance(now)
+        under_way = sum(
+            item.phase != HELD or (item.fence >= self.first_fence and not self.granter.is_granted(item))
+            for item in table.ranges
+        )
+        may_balance = may_balance and now >= self.granter.ledger.inherited_until
+        plan = plan_keys(ranges, owners, load.work, under_way, may_balance)
+        return [*plan.assignments, *plan.releases]
+
+    def _may_still_be_held(self, item: KeyRange, now: float) -> bool:
+        """Tell whether a call that was on its way as the range was freed may still grant it."""
+        calls = self.granter.ledger.calls.get(item.life, ())
+        return any(
+            not call.answered and item.overlaps(call.first, call.last) and call.ends_by > now
+            for call in calls
+        )
+
+    def _is_formed(self, name: str, table: RangeTable, now: float) -> bool:
+        if table.version > 0:
+            return True
+        return now >= self.formed_at.setdefault(name, now) + FORMATION_WAIT_S
+
+    def _owners(self, service: RoutedService, now: float) -> list[PlanOwner]:
+        return [
+            PlanOwner(target.life, self._capacity(target, service, now))
+            for target in self.state.fleet.targets.values()
+            if target.service == service.name
+            and self.state.may_receive_work(target)
+            and not self.is_silent(target, now)
+            and not self.granter.is_suspect(target.life)
+        ]
+
+    def _capacity(self, target: FleetTarget, service: RoutedService, now: float) -> float:
+        capacity = target.slots * self.paces.speed(target.life)
+        if self.contacts.cold_for(target, now) > 0:
+            return max(0.05, min(capacity / 2, service.cold_rate * USUAL_WORK_S / 2))
+        return capacity
+
+    def _log_edits(self, service: str, table: RangeTable, edits: list[RangeEdit]) -> None:
+        for edit in edits:
+            self.log.info(
+                "range_edit",
+                service=service,
+                first=edit.first,
+                last=edit.last,
+                phase=edit.phase,
+                target=edit.target_id,
+                before=table.find(edit.first).target_id,
+                table_version=table.version,
+            )
+
+    # Targets -------------------------------------------------------------------------------------
+
+    def _tidy(self, targets: dict[tuple[str, int], FleetTarget], now: float) -> None:
+        """Forget targets that are silent for long and hold no keys."""
+        self.contacts.keep_only(set(targets))
+        self.paces.keep_only(set(targets))
+        holders = {
+            item.life for table in self.state.tables.values() for item in table.ranges if item.phase != FREE
+        }
+        for life, target in targets.items():
+            is_long = self.contacts.silence(target, now) > FORGET_AFTER_S
+            if is_long and life not in holders and now - self.forgetting.get(life, 0.0) > EDIT_TIMEOUT_S:
+                self.forgetting[life] = now
+                self.log.info("target_forgotten", target=target.target_id, silence=FORGET_AFTER_S)
+                self._propose_quietly(ForgetTarget(*life))
+
+    def _propose_quietly(self, command: SteeringCommand) -> None:
+        task = asyncio.create_task(self._propose_and_log(command))
+        self.proposals.add(task)
+        task.add_done_callback(self.proposals.discard)
+
+    async def _propose_and_log(self, command: SteeringCommand) -> None:
+        try:
+            await self.propose(command)
+        except (NotLeaderError, ProposalLostError) as error:
+            self.log.warning("proposal_lost", command=type(command).__name__, error=str(error))
--- /dev/null
+++ b/cranberrylever/steering/_program.py
@@ -0,0 +1,205 @@
+"""The control program that steers routes: one member of the control group."""
+
+import asyncio
+import shutil
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+import grpclib.server
+from starlette.applications import Starlette
+
+from cranberrylever.consensus import ConsensusConfig, create_driver, open_disk_storage
+from cranberrylever.control import ClusterMachine, LeaderForwarder, PeerTransport
+from cranberrylever.errors import CranberryleverError, StorageError
+from cranberrylever.http_server import HttpServer
+from cranberrylever.logs import Log, install_log
+from cranberrylever.metrics import create_exposed_metrics
+from cranberrylever.settings import LogSettings, split_address
+from cranberrylever.steering._commands import command_codec
+from cranberrylever.steering._feed import FeedService
+from cranberrylever.steering._granter import Granter
+from cranberrylever.steering._leader import SteeringLeader
+from cranberrylever.steering._orders import TargetOrders
+from cranberrylever.steering._service import LeaderSteeringService, SteeringService
+from cranberrylever.steering._state import SteeringState
+from cranberrylever.wire import MsgpackCodec
+
+RPC_CLOSE_TIMEOUT_S = 0.5
+HANDOVER_WAIT_S = 0.3
+"""Time in which a successor is elected before this member closes its connections."""
+
+AppFactory = Callable[[SteeringService, LeaderForwarder], Starlette]
+
+
+@attrs.frozen
+class SteeringSettings:
+    """Settings of a control member; addresses are ``host:port``, times seconds.
+
+    ``rpc`` is the address for other members and entries and names the member. ``founders`` are the members
+    that form the group when ``bootstrap`` is set and the data folder is empty; ``contacts`` are members to
+    ask otherwise. All members serve operators and targets on the port of ``http``.
+    """
+
+    cluster_id: str
+    rpc: str
+    http: str
+    data_dir: str
+    contacts: tuple[str, ...]
+    founders: tuple[str, ...] = ()
+    bootstrap: bool = False
+    notice_interval: float = 1.0
+    forward_timeout: float = 0.9
+    metrics_listen: str = ""
+    log: LogSettings = attrs.field(factory=LogSettings)
+
+
+class SteeringProgram:
+    """One control member: replicated state, duties of the leader, streams and the HTTP interface.
+
+    Args:
+        settings: Settings.
+        orders: Calls to targets.
+        create_app: Makes the HTTP interface for operators and targets.
+        passed_headers: Headers that go on to the leader with a forwarded request.
+    """
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        orders: TargetOrders,
+        create_app: AppFactory,
+        passed_headers: tuple[str, ...],
+    ) -> None:
+        self.settings = settings
+        self.orders = orders
+        self.create_app = create_app
+        self.log = Log("control", settings.rpc, settings.log.level)
+        self.forwarder = LeaderForwarder(self._http_of, passed_headers, settings.forward_timeout)
+        self.stopping = False
+        self.failed = asyncio.Event()
+        self.error: CranberryleverError | None = None
+        self.watcher: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Open the data folder, join the group and listen.
+
+        Raises:
+            StorageError: The data folder cannot be used.
+            OSError: An address cannot be bound.
+        """
+        self.installed_log = install_log(self.settings.log)
+        self.metrics = create_exposed_metrics()
+        await self._start_member()
+        self.watcher = asyncio.get_running_loop().create_task(self._watch())
+
+    async def wait_failure(self) -> None:
+        """Wait until this member stops by itself.
+
+        Raises:
+            CranberryleverError: What stopped it.
+        """
+        await self.failed.wait()
+        if self.error is not None:
+            raise self.error
+
+    async def close(self) -> None:
+        """Hand leadership over, then close the listeners and the data folder."""
+        self.stopping = True
+        if self.watcher is None:
+            return
+        self.watcher.cancel()
+        if self.driver.leader_since is not None:
+            self.log.info("leadership_handed_over", term=self.driver.term)
+            self.driver.lead_elsewhere()
+            await asyncio.sleep(HANDOVER_WAIT_S)
+        await self._close_member()
+        await self.forwarder.close()
+        self.log.info("control_stopped", applied=self.driver.applied_index)
+        self.installed_log.close()
+
+    async def _start_member(self) -> None:
+        settings = self.settings
+        is_founder = settings.rpc in settings.founders
+        has_data = Path(settings.data_dir).is_dir() and any(Path(settings.data_dir).iterdir())
+        founds = settings.bootstrap and is_founder and not has_data
+        storage = open_disk_storage(settings.data_dir, settings.cluster_id, founds)
+        members = {member: member for member in settings.founders} if is_founder else {}
+        contacts = tuple(dict.fromkeys((*settings.contacts, *settings.founders)))
+        config = ConsensusConfig(settings.cluster_id, settings.rpc, members, contacts=contacts)
+        self.state = SteeringState()
+        machine = ClusterMachine(self.state, command_codec.decode)
+        self.transport = PeerTransport(settings.cluster_id, settings.rpc, {}, ids_are_addresses=True)
+        self.driver = create_driver(config, storage, self.transport, machine)
+        self.granter = Granter(self.orders, self._is_serving, self._wake, self.log)
+        self.leader = SteeringLeader(
+            self.driver, self.state, self.granter, settings.notice_interval, self.log
+        )
+        self.feed = FeedService(settings.cluster_id, self.driver, self.leader, self.state, self.log)
+        self.leader.after_step = self.feed.push
+        machine.callbacks.append(self.leader.on_applied)
+        service = LeaderSteeringService(self.driver, self.leader, self.state, self.log)
+        self.http = HttpServer(self.create_app(service, self.forwarder), settings.http)
+        self.rpc = grpclib.server.Server([self.transport, self.feed], codec=MsgpackCodec())
+        await self.rpc.start(*split_address(settings.rpc))
+        await self.transport.start()
+        await self.driver.start()
+        self.leader.start()
+        await self.http.start()
+        self.log.info(
+            "control_started",
+            folder_id=self.driver.folder_id,
+            founds=founds,
+            applied=self.driver.applied_index,
+            contacts=contacts,
+        )
+
+    async def _close_member(self) -> None:
+        await self.leader.close()
+        await self.granter.close()
+        await self.driver.close()
+        await self.http.close()
+        self.rpc.close()
+        try:
+            async with asyncio.timeout(RPC_CLOSE_TIMEOUT_S):
+                await self.rpc.wait_closed()
+        except TimeoutError:
+            self.log.warning("rpc_close_timeout", seconds=RPC_CLOSE_TIMEOUT_S)
+        await self.transport.close()
+
+    async def _watch(self) -> None:
+        """Start again as a learner on an empty folder when the group has replaced this member."""
+        while True:
+            error = await self.driver.wait_stopped()
+            if self.stopping:
+                return
+            if not isinstance(error, StorageError) or not self.driver.is_retired:
+                self.error = error
+                self.failed.set()
+                return
+            self.log.warning("member_retired", error=str(error), folder_id=self.driver.folder_id)
+            await self._close_member()
+            shutil.rmtree(self.settings.data_dir, ignore_errors=True)
+            await self._start_member()
+
+    def _is_serving(self) -> bool:
+        return self.leader.is_serving()
+
+    def _wake(self) -> None:
+        self.leader.wake.set()
+
+    def _http_of(self, member_id: str) -> str | None:
+        """Return the HTTP address of a member, whose id is its rpc address."""
+        host, _ = split_address(member_id)
+        _, port = split_address(self.settings.http)
+        return f"{host}:{port}"
+
+
+def create_steering(
+    settings: SteeringSettings,
+    orders: TargetOrders,
+    create_app: AppFactory,
+    passed_headers: tuple[str, ...] = (),
+) -> SteeringProgram:
+    """Return a control member that is not started yet."""
+    return SteeringProgram(settings, orders, create_app, passed_headers)
--- /dev/null
+++ b/cranberrylever/steering/_state.py
@@ -0,0 +1,167 @@
+"""The replicated state behind routes: plans, failure domains, targets and key ranges."""
+
+from collections.abc import Callable
+
+import attrs
+
+from cranberrylever.fleet import FleetDirectory, FleetRecord, FleetTarget
+from cranberrylever.keyspace import FREE, RangeEdit, RangeTable, RangeTableRecord
+from cranberrylever.routes import PlanOutcome, PlanRegistry, PlanRegistryRecord
+from cranberrylever.steering._commands import (
+    EditRanges,
+    EndTarget,
+    ForgetTarget,
+    RecordEntry,
+    RecordTarget,
+    SetDomainState,
+    SteeringCommand,
+    SubmitPlan,
+)
+from cranberrylever.wire import decode, encode
+
+MAX_ENTRIES = 4_096
+
+
+@attrs.frozen
+class SteeringRecord:
+    """Content of a snapshot."""
+
+    plans: PlanRegistryRecord
+    withdrawn: tuple[str, ...]
+    fleet: FleetRecord
+    tables: dict[str, RangeTableRecord]
+    next_fence: int
+    entries: tuple[str, ...]
+    plan_version: int
+    fleet_version: int
+    ranges_version: int
+
+
+class SteeringState:
+    """Plans, withdrawn failure domains, targets and key ranges; ``apply`` reads no clock.
+
+    Attributes:
+        plan_version: Log index of the last plan that was accepted.
+        fleet_version: Log index of the last change of targets, domains or entries.
+        ranges_version: Log index of the last change of a range.
+    """
+
+    def __init__(self) -> None:
+        self.plans = PlanRegistry()
+        self.withdrawn: set[str] = set()
+        self.fleet = FleetDirectory()
+        self.tables: dict[str, RangeTable] = {}
+        self.next_fence = 1
+        self.entries: dict[str, None] = {}
+        self.plan_version = 0
+        self.fleet_version = 0
+        self.ranges_version = 0
+        self._handlers: dict[type, Callable[[int, object], object]] = {
+            SubmitPlan: self._submit_plan,
+            SetDomainState: self._set_domain_state,
+            RecordTarget: self._record_target,
+            EndTarget: self._end_target,
+            ForgetTarget: self._forget_target,
+            RecordEntry: self._record_entry,
+            EditRanges: self._edit_ranges,
+        }
+
+    def apply(self, index: int, command: SteeringCommand) -> object:
+        """Apply one committed command; returns a ``PlanOutcome`` for a plan."""
+        return self._handlers[type(command)](index, command)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+        record = SteeringRecord(
+            self.plans.to_record(),
+            tuple(sorted(self.withdrawn)),
+            self.fleet.to_record(),
+            {name: table.to_record() for name, table in sorted(self.tables.items())},
+            self.next_fence,
+            tuple(self.entries),
+            self.plan_version,
+            self.fleet_version,
+            self.ranges_version,
+        )
+        return encode(record)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot.
+
+        Raises:
+            CodecError: ``data`` is not a snapshot.
+        """
+        record = decode(data, SteeringRecord)
+        self.plans = PlanRegistry(record.plans)
+        self.withdrawn = set(record.withdrawn)
+        self.fleet = FleetDirectory(record.fleet)
+        self.tables = {name: RangeTable(table) for name, table in record.tables.items()}
+        self.next_fence = record.next_fence
+        self.entries = dict.fromkeys(record.entries)
+        self.plan_version = record.plan_version
+        self.fleet_version = record.fleet_version
+        self.ranges_version = record.ranges_version
+
+    def may_receive_work(self, target: FleetTarget) -> bool:
+        """Tell whether new work may go to a target."""
+        return not target.leaving and target.failure_domain not in self.withdrawn
+
+    def _submit_plan(self, index: int, command: SubmitPlan) -> PlanOutcome:
+        outcome = self.plans.accept(command.plan, command.base)
+        if outcome.accepted and not outcome.repeated:
+            self.plan_version = index
+            for service in command.plan.services:
+                if service.keyed and service.name not in self.tables:
+                    self.tables[service.name] = RangeTable()
+                    self.ranges_version = index
+        return outcome
+
+    def _set_domain_state(self, index: int, command: SetDomainState) -> None:
+        if command.withdrawn:
+            self.withdrawn.add(command.failure_domain)
+        else:
+            self.withdrawn.discard(command.failure_domain)
+        self.fleet_version = index
+
+    def _record_target(self, index: int, command: RecordTarget) -> None:
+        if not self.fleet.is_change(command.notice):
+            return
+        for ended in self.fleet.record(command.notice):
+            self._free_ranges(index, ended)
+        self.fleet_version = index
+
+    def _end_target(self, index: int, command: EndTarget) -> None:
+        # The process still serves for a while, so its ranges are released like those of any leaving target.
+        if self.fleet.leave(command.target_id, command.started_ms):
+            self.fleet_version = index
+
+    def _forget_target(self, index: int, command: ForgetTarget) -> None:
+        if self.fleet.forget(command.target_id, command.started_ms) is not None:
+            self.fleet_version = index
+
+    def _record_entry(self, index: int, command: RecordEntry) -> None:
+        if command.entry_id in self.entries or len(self.entries) >= MAX_ENTRIES:
+            return
+        self.entries[command.entry_id] = None
+        self.fleet_version = index
+
+    def _edit_ranges(self, index: int, command: EditRanges) -> None:
+        table = self.tables.get(command.service)
+        if table is None or table.version != command.base_version:
+            return
+        self.next_fence = table.apply(command.base_version, command.edits, self.next_fence)
+        self.ranges_version = index
+
+    def _free_ranges(self, index: int, ended: FleetTarget) -> None:
+        """Free what a process held that is proved to have ended."""
+        table = self.tables.get(ended.service)
+        if table is None:
+            return
+        edits = tuple(
+            RangeEdit(item.first, item.last, FREE)
+            for item in table.ranges
+            if item.phase != FREE and item.life == ended.life
+        )
+        if edits:
+            self.next_fence = table.apply(table.version, edits, self.next_fence)
+            self.ranges_version = index
--- a/cranberrylever/wire/__init__.py
+++ b/cranberrylever/wire/__init__.py
@@ -1,6 +1,21 @@
 """Messages, codec and stream services between the processes of the system."""
 
 from cranberrylever.wire._codec import MsgpackCodec, decode, encode
+from cranberrylever.wire._commands import CommandCodec
+from cranberrylever.wire._feed import (
+    FeedBase,
+    FeedReply,
+    FeedReport,
+    FeedStub,
+    FleetView,
+    PartWork,
+    RangesView,
+    RangeView,
+    RoutedTarget,
+    ServiceRanges,
+    ServiceWork,
+    TargetPace,
+)
 from cranberrylever.wire._messages import (
     ClaimAnswer,
     ClaimResult,
@@ -28,6 +43,7 @@
 __all__ = [
     "ClaimAnswer",
     "ClaimResult",
+    "CommandCodec",
     "CompleteClaim",
     "EntryControlBase",
     "EntryControlStub",
@@ -35,16 +51,28 @@
     "EntryHello",
     "EntryReply",
     "EntryReport",
+    "FeedBase",
+    "FeedReply",
+    "FeedReport",
+    "FeedStub",
+    "FleetView",
     "HotKey",
     "MsgpackCodec",
     "NotLeader",
     "OpenClaim",
+    "PartWork",
     "PeerBase",
     "PeerFrame",
     "PeerStub",
+    "RangeView",
+    "RangesView",
+    "RoutedTarget",
+    "ServiceRanges",
+    "ServiceWork",
     "ShardCount",
     "SuspectRecord",
     "TargetLoad",
+    "TargetPace",
     "ViewAnswer",
     "decode",
     "encode",
--- /dev/null
+++ b/cranberrylever/wire/_feed.py
@@ -0,0 +1,151 @@
+"""Messages of the stream between an entry that serves routes and control."""
+
+import abc
+
+import attrs
+import grpclib.client
+import grpclib.const
+import grpclib.server
+
+from cranberrylever.routes import RoutePlan
+
+_FEED_ATTACH = "/cranberrylever.Feed/Attach"
+
+
+@attrs.frozen
+class PartWork:
+    """Work in seconds that arrived for one part of a key space since the last report."""
+
+    part: int
+    seconds: float
+
+
+@attrs.frozen
+class ServiceWork:
+    """Work by part of one keyed service."""
+
+    service: str
+    parts: tuple[PartWork, ...]
+
+
+@attrs.frozen
+class TargetPace:
+    """Requests that a target ran without queueing: the time that they took and the usual time of their kind."""
+
+    target_id: str
+    started_ms: int
+    elapsed: float
+    usual: float
+
+
+@attrs.frozen
+class FeedReport:
+    """What an entry tells control; the versions are those of the view sections that it holds.
+
+    ``crashed`` names fingerprints of requests during which a target's connection broke, with that target.
+    """
+
+    cluster_id: str
+    entry_id: str
+    sequence: int
+    plan_version: int
+    fleet_version: int
+    ranges_version: int
+    work: tuple[ServiceWork, ...] = ()
+    paces: tuple[TargetPace, ...] = ()
+    crashed: tuple[tuple[str, str], ...] = ()
+
+
+@attrs.frozen
+class RoutedTarget:
+    """A target as entries see it.
+
+    ``usable`` tells whether new work may go there. ``cold_for`` is how much longer it stays cold, in seconds
+    from the sending of the view. ``speed`` is relative to the usual target of its service.
+    """
+
+    target_id: str
+    started_ms: int
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    usable: bool
+    cold_for: float
+    speed: float
+
+
+@attrs.frozen
+class FleetView:
+    """All targets, the number of entries that share limits, and requests that crash targets."""
+
+    targets: tuple[RoutedTarget, ...]
+    entries: int
+    suspects: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class RangeView:
+    """Keys from ``first`` on, up to the next range; ``owner`` is a target id, empty while nobody serves them."""
+
+    first: int
+    owner: str
+
+
+@attrs.frozen
+class ServiceRanges:
+    """The key space of one service, in key order."""
+
+    service: str
+    ranges: tuple[RangeView, ...]
+
+
+@attrs.frozen
+class RangesView:
+    """The key spaces of all keyed services."""
+
+    services: tuple[ServiceRanges, ...]
+
+
+@attrs.frozen
+class FeedReply:
+    """Sections of the view that an entry does not hold yet, or the leader to ask.
+
+    ``control`` lists the rpc addresses of the control members. ``is_leader`` is false on a member that does
+    not lead; only ``leader`` and ``control`` count then.
+    """
+
+    cluster_id: str
+    sequence: int
+    is_leader: bool
+    leader: str
+    control: tuple[str, ...] = ()
+    plan_version: int = -1
+    plan: RoutePlan | None = None
+    fleet_version: int = -1
+    fleet: FleetView | None = None
+    ranges_version: int = -1
+    ranges: RangesView | None = None
+
+
+class FeedBase(abc.ABC):
+    """Server side of the stream between an entry and a control member."""
+
+    @abc.abstractmethod
+    async def attach(self, stream: "grpclib.server.Stream[FeedReport, FeedReply]") -> None:
+        """Serve one entry's stream until it closes."""
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:  # noqa: PLW3201
+        """Return the handlers by path, as grpclib expects."""
+        return {
+            _FEED_ATTACH: grpclib.const.Handler(
+                self.attach, grpclib.const.Cardinality.STREAM_STREAM, FeedReport, FeedReply
+            )
+        }
+
+
+class FeedStub:
+    """Client side of the stream."""
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.attach = grpclib.client.StreamStreamMethod(channel, _FEED_ATTACH, FeedReport, FeedReply)
--- a/tests/control/test_operator.py
+++ b/tests/control/test_operator.py
@@ -115,7 +115,7 @@
     def test_unknown_outcome_and_missing_leader_answer_503(self):
         """Guards against a ticket that may be committed but is answered as refused."""
         service = FakeService(is_leader=False)
-        app = create_operator_app(service, "", LeaderForwarder({"c2": "127.0.0.1:1"}))
+        app = create_operator_app(service, "", LeaderForwarder({"c2": "127.0.0.1:1"}.get))
         answers = self.requests(app, ("POST", "/v1/tickets", TICKET), ("GET", "/readyz"))
 
         async def lose(text):
@@ -133,7 +133,7 @@
         async def main():
             leader = FakeService()
             async with serve(create_operator_app(leader, "secret")) as address:
-                forwarder = LeaderForwarder({"c1": address})
+                forwarder = LeaderForwarder({"c1": address}.get)
                 app = create_operator_app(FakeService("c1", is_leader=False), "secret", forwarder)
                 accepted = await call(app, "POST", "/v1/tickets", TICKET, TOKEN)
                 refused = await call(app, "POST", "/v1/tickets", OTHER, TOKEN)
@@ -153,7 +153,7 @@
         async def main():
             addresses = {}
             services = [FakeService("c2", is_leader=False), FakeService("c1", is_leader=False)]
-            forwarders = [LeaderForwarder(addresses) for _ in services]
+            forwarders = [LeaderForwarder(addresses.get) for _ in services]
             apps = [create_operator_app(services[n], "", forwarders[n]) for n in (0, 1)]
             async with serve(apps[0]) as first, serve(apps[1]) as second:
                 for forwarder in forwarders:
@@ -173,7 +173,7 @@
         async def main():
             async with serve(create_operator_app(FakeService(), "")) as address:
                 pass
-            forwarder = LeaderForwarder({"c1": address})
+            forwarder = LeaderForwarder({"c1": address}.get)
             app = create_operator_app(FakeService("c1", is_leader=False), "", forwarder)
             answer = await call(app, "POST", "/v1/tickets", TICKET)
             await forwarder.close()
