Send entries only what changed of the view, and weigh work by speed and load

Change: sections of the view keep the last versions and send changes; ranges of one owner are joined; speeds are relative to the mean of the service; fast targets get more while there is room; the load of other entries is expected from the own one; less urgent requests are turned away earlier. Ruled out: sending views less often: entries that learn of a move late send to an owner that refuses.

--- a/cranberrylever/fleet/_directory.py
+++ b/cranberrylever/fleet/_directory.py
@@ -11,7 +11,8 @@
     """What a target says about itself at one moment.
 
     ``started_ms`` is the time of its start in Unix milliseconds and names its life together with the id.
-    ``sequence`` grows with each notice of one life. ``cold_for`` is how much longer it stays cold, in seconds.
+    ``sequence`` grows with each notice of one life. ``cold_for`` is how much longer it stays cold, in
+    seconds.
     """
 
     target_id: str
--- a/cranberrylever/gateway/_admission.py
+++ b/cranberrylever/gateway/_admission.py
@@ -1,8 +1,8 @@
 """Whether a request is sent now, waits or is turned away: a pure decision on estimates.
 
-It answers an overload of keyed targets, where a request that no target can answer in time would only delay the
-others: it is turned away at once with the time at which room is expected. Less urgent requests are turned away
-first, so that those of high priority find room.
+It answers an overload of keyed targets, where a request that no target can answer in time would only delay
+the others: it is turned away at once with the time at which room is expected. Less urgent requests are turned
+away first, so that those of high priority find room.
 """
 
 import enum
@@ -27,14 +27,11 @@
     reason: str = ""
 
 
-URGENT_PRIORITY = 0
 MIN_RETRY_AFTER_S = 0.05
 
-URGENT_DEADLINE_SHARE = 0.9
-"""Share of its remaining time that an urgent request may be expected to take."""
-
-PATIENT_DEADLINE_SHARE = 0.75
-"""The same for less urgent requests, which leave room at a target that is nearly full."""
+DEADLINE_SHARES = (0.9, 0.7, 0.55)
+"""Share of its remaining time that a request may be expected to take, by priority; the last one holds for all
+others too. Less urgent requests leave room at a target that is nearly full."""
 
 
 @attrs.frozen
@@ -56,8 +53,7 @@
     """Decide on a request for the target that suits it best."""
     if offer.remaining <= 0:
         return Admission(Verdict.REFUSE, MIN_RETRY_AFTER_S, "no time left")
-    share = URGENT_DEADLINE_SHARE if offer.priority <= URGENT_PRIORITY else PATIENT_DEADLINE_SHARE
-    budget = offer.remaining * share
+    budget = offer.remaining * DEADLINE_SHARES[min(offer.priority, len(DEADLINE_SHARES) - 1)]
     if offer.cold_delay > 0:
         if offer.cold_delay + offer.completion > budget:
             return Admission(Verdict.REFUSE, max(MIN_RETRY_AFTER_S, offer.cold_delay), "target is cold")
--- a/cranberrylever/gateway/_app.py
+++ b/cranberrylever/gateway/_app.py
@@ -21,7 +21,7 @@
 GUARD_DELAY_S = 0.01
 NO_VIEW_RETRY_AFTER_S = 0.5
 FINAL_MARGIN_S = 0.02
-"""Time before the caller's deadline at which a request without an answer ends, so that the caller hears it."""
+"""Time before the caller's deadline at which a request without an answer ends, for the caller to hear it."""
 
 _HOP_BY_HOP = frozenset(
     {
--- a/cranberrylever/gateway/_dispatcher.py
+++ b/cranberrylever/gateway/_dispatcher.py
@@ -24,6 +24,9 @@
 
 MAX_CONNECT_TRIES = 3
 CONNECT_RETRY_DELAY_S = 0.02
+CROSSING_COST_S = 0.01
+"""What a target in another failure domain must be faster by, since bytes between domains cost."""
+
 CHOICE_NOISE = 0.02
 """Relative noise on estimates, so that entries that know the same do not all choose the same target."""
 
@@ -47,6 +50,7 @@
         header_format: Reads and writes headers.
         reports: Takes what control shall know.
         report_soon: Lets the next report leave at once.
+        failure_domain: Failure domain of this entry; targets in it are preferred a little.
         log: Program log.
     """
 
@@ -57,6 +61,7 @@
         header_format: HeaderFormat,
         reports: ReportBook,
         report_soon: Callable[[], None],
+        failure_domain: str,
         log: Log,
     ) -> None:
         self.view = view
@@ -64,6 +69,7 @@
         self.format = header_format
         self.reports = reports
         self.report_soon = report_soon
+        self.failure_domain = failure_domain
         self.log = log
         self.usual = UsualWork()
         self.retries: dict[str, RetryWindow] = {}
@@ -143,7 +149,8 @@
     def _cost(self, target: KnownTarget, work: float, now: float) -> float:
         noise = 1.0 + CHOICE_NOISE * self.rng.random()
         delay = min(self._cold_delay(target, now), 10.0)
-        return (target.estimate.completion(work, now) + delay) * noise
+        crossing = 0.0 if target.info.failure_domain == self.failure_domain else CROSSING_COST_S
+        return (target.estimate.completion(work, now) + delay + crossing) * noise
 
     async def _owner(self, call: Call) -> KnownTarget:
         """Return the owner of the call's key; wait a moment while the key moves."""
@@ -176,7 +183,7 @@
         estimate = target.estimate
         started = self._now()
         request = self._encode(call, target, started)
-        estimate.outstanding += 1
+        estimate.begin(started)
         is_lost = True
         try:
             answer = await self.pool.exchange(target.info.address, call.method, request, call.request_id)
@@ -185,7 +192,7 @@
             is_lost = False
             raise
         finally:
-            estimate.outstanding -= 1
+            estimate.end(self._now())
             if is_lost:
                 call.attempts += 1
                 call.tried.append(target.info.target_id)
--- a/cranberrylever/gateway/_estimates.py
+++ b/cranberrylever/gateway/_estimates.py
@@ -1,8 +1,9 @@
 """How long a target would take for one more request, between its reports of load.
 
-It answers reports that are seconds old at an entry that sends a target one request a second: what other
-entries had there fades, while this entry's own requests count exactly. The paper's rule adds each request sent
-since the last report; here those that were answered since leave the sum again.
+It answers reports that are seconds old at an entry that sends a target one request a second. What other
+entries had there fades towards what this entry has there on average, since callers are spread over the
+entries, while its own requests count exactly. The paper's rule adds each request sent since the last report;
+here those that were answered since leave the sum again.
 """
 
 import math
@@ -17,6 +18,9 @@
 PACE_LIFETIME_S = 0.3
 """Seconds after which a target's momentary pace counts for a third; its machine is shared with others."""
 
+AVERAGE_TIME_S = 1.0
+"""Time over which an entry's own requests at a target are averaged."""
+
 FAILURE_PENALTY_S = 0.15
 FAILURE_LIFETIME_S = 1.0
 
@@ -31,6 +35,9 @@
     others: float = 0.0
     pace: float = 1.0
     reported_at: float = -math.inf
+    entries: int = 1
+    average: float = 0.0
+    averaged_at: float = 0.0
     failures: float = 0.0
     failed_at: float = -math.inf
 
@@ -41,6 +48,21 @@
         self.pace = load.pace
         self.reported_at = now
 
+    def begin(self, now: float) -> None:
+        """Count a request that is sent."""
+        self._average(now)
+        self.outstanding += 1
+
+    def end(self, now: float) -> None:
+        """Count a request that is over."""
+        self._average(now)
+        self.outstanding -= 1
+
+    def _average(self, now: float) -> None:
+        weight = 1.0 - math.exp(-(now - self.averaged_at) / AVERAGE_TIME_S)
+        self.average += weight * (self.outstanding - self.average)
+        self.averaged_at = now
+
     def record_failure(self, now: float) -> None:
         """Note that a request failed; the target looks slower for a while."""
         self.failures = self.recent_failures(now) + 1.0
@@ -52,8 +74,9 @@
 
     def busy(self, now: float) -> float:
         """Return the work that is probably at the target."""
-        faded = self.others * math.exp(-(now - self.reported_at) / REPORT_LIFETIME_S)
-        return self.outstanding + faded
+        weight = math.exp(-(now - self.reported_at) / REPORT_LIFETIME_S)
+        usual = (self.entries - 1) * self.average
+        return self.outstanding + weight * self.others + (1.0 - weight) * usual
 
     def slowness(self, now: float) -> float:
         """Return how long work takes at the target relative to a usual one."""
--- a/cranberrylever/gateway/_format.py
+++ b/cranberrylever/gateway/_format.py
@@ -9,8 +9,9 @@
 
 @attrs.frozen
 class CallHeaders:
-    """What a caller's headers say; ``deadline`` is how long it waits in seconds, ``None`` when it does not say.
+    """What a caller's headers say.
 
+    ``deadline`` is how long it waits in seconds, ``None`` when it does not say.
     ``key`` is the number of the key that the request is about, ``None`` without one.
     """
 
--- a/cranberrylever/gateway/_limits.py
+++ b/cranberrylever/gateway/_limits.py
@@ -1,7 +1,7 @@
 """Shares of the limits that all entries keep together without asking each other.
 
-They answer a returning failure domain, whose cold targets every entry would send its usual share to, and callers
-that repeat at once, whose retries must not add up over the entries.
+They answer a returning failure domain, whose cold targets every entry would send its usual share to, and
+callers that repeat at once, whose retries must not add up over the entries.
 """
 
 import attrs
@@ -11,8 +11,9 @@
 class LimitRules:
     """Limits over all entries.
 
-    In any second a cold target gets at most its rate times ``cold_factor`` plus ``cold_extra`` requests. In any
-    ``retry_window`` seconds a service gets at most ``retry_ratio`` of its requests plus ``retry_extra`` again.
+    In any second a cold target gets at most its rate times ``cold_factor`` plus ``cold_extra`` requests. In
+    any ``retry_window`` seconds a service gets at most ``retry_ratio`` of its requests plus ``retry_extra``
+    again.
     """
 
     cold_factor: float = 1.5
--- a/cranberrylever/gateway/_program.py
+++ b/cranberrylever/gateway/_program.py
@@ -47,6 +47,7 @@
     listen: str
     ready_listen: str
     contacts: tuple[str, ...]
+    failure_domain: str = ""
     metrics_listen: str = ""
     drain_delay: float = 2.2
     finish_timeout: float = 1.6
@@ -76,7 +77,9 @@
         self.metrics = create_exposed_metrics()
         self.pool = TargetPool(self.format.id_header)
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
-        self.dispatcher = Dispatcher(self.view, self.pool, self.format, self.reports, lambda: None, self.log)
+        self.dispatcher = Dispatcher(
+            self.view, self.pool, self.format, self.reports, lambda: None, settings.failure_domain, self.log
+        )
         self.app = GatewayApp(self.view, self.dispatcher, self.format, self.metrics, self.log)
         self.server = CallerServer(self.app, settings.listen, settings.tuning)
         self.ready = HttpServer(self._ready_app(), settings.ready_listen)
--- a/cranberrylever/gateway/_view.py
+++ b/cranberrylever/gateway/_view.py
@@ -33,9 +33,17 @@
 class KeyOwners:
     """Owners of one service's keys."""
 
-    def __init__(self, firsts: list[int], owners: list[str]) -> None:
-        self.firsts = firsts
-        self.owners = owners
+    def __init__(self) -> None:
+        self.firsts = [0]
+        self.owners = [""]
+
+    def set(self, first: int, last: int, owner: str) -> None:
+        """Give the keys ``first`` to ``last`` another owner."""
+        after = self.of(last + 1)
+        start = bisect.bisect_left(self.firsts, first)
+        stop = bisect.bisect_right(self.firsts, last + 1)
+        self.firsts[start:stop] = [first, last + 1]
+        self.owners[start:stop] = [owner, after]
 
     def of(self, key: int) -> str:
         """Return the target that owns a key, empty while nobody serves it."""
@@ -77,11 +85,11 @@
             self.plan_version = reply.plan_version
             self.matcher = RouteMatcher(reply.plan)
             changed = True
-        if reply.fleet is not None and reply.fleet_version > self.fleet_version:
+        if self._fits(reply.fleet, reply.fleet_version, self.fleet_version):
             self.fleet_version = reply.fleet_version
             self._apply_fleet(reply.fleet, now)
             changed = True
-        if reply.ranges is not None and reply.ranges_version > self.ranges_version:
+        if self._fits(reply.ranges, reply.ranges_version, self.ranges_version):
             self.ranges_version = reply.ranges_version
             self._apply_ranges(reply.ranges)
             changed = True
@@ -90,6 +98,11 @@
             self._changed = asyncio.Event()
         return changed
 
+    @staticmethod
+    def _fits(section: FleetView | RangesView | None, version: int, held: int) -> bool:
+        """Tell whether a section is newer and, when it lists only changes, builds on the version held."""
+        return section is not None and version > held and section.base_version in (-1, held)
+
     async def wait_for_change(self, timeout: float) -> None:
         """Wait until a section changes, ``timeout`` seconds at most."""
         try:
@@ -111,13 +124,16 @@
     def _apply_fleet(self, fleet: FleetView, now: float) -> None:
         self.entries = fleet.entries
         self.suspects = frozenset(fleet.suspects)
-        targets: dict[str, KnownTarget] = {}
+        targets = {} if fleet.base_version < 0 else dict(self.targets)
+        for target_id in fleet.removed:
+            targets.pop(target_id, None)
         for info in fleet.targets:
             known = self.targets.get(info.target_id)
             if known is None or known.info.started_ms != info.started_ms:
                 known = KnownTarget(info, TargetEstimate(max(1, info.slots)))
             known.info = info
             known.estimate.speed = info.speed
+            known.estimate.entries = self.entries
             self._set_warmth(known, info, now)
             targets[info.target_id] = known
         self.targets = targets
@@ -137,9 +153,9 @@
             known.cold_bucket = ColdBucket(rate, self.entries, self.rules, now)
 
     def _apply_ranges(self, ranges: RangesView) -> None:
-        self.owners = {
-            service.service: KeyOwners(
-                [item.first for item in service.ranges], [item.owner for item in service.ranges]
-            )
-            for service in ranges.services
-        }
+        if ranges.base_version < 0:
+            self.owners = {}
+        for service in ranges.services:
+            owners = self.owners.setdefault(service.service, KeyOwners())
+            for item in service.ranges:
+                owners.set(item.first, item.last, item.owner)
--- a/cranberrylever/keyspace/__init__.py
+++ b/cranberrylever/keyspace/__init__.py
@@ -2,7 +2,7 @@
 
 from cranberrylever.keyspace._leases import GrantCall, LeaseLedger
 from cranberrylever.keyspace._loads import KEYS_PER_PART, PARTS, KeyLoads, part_of
-from cranberrylever.keyspace._planner import KeyPlan, PlanOwner, merges, plan_keys
+from cranberrylever.keyspace._planner import KeyPlan, PlanOwner, fair_weight, merges, plan_keys
 from cranberrylever.keyspace._ranges import (
     FREE,
     HELD,
@@ -30,6 +30,7 @@
     "RangeEdit",
     "RangeTable",
     "RangeTableRecord",
+    "fair_weight",
     "merges",
     "part_of",
     "plan_keys",
--- a/cranberrylever/keyspace/_loads.py
+++ b/cranberrylever/keyspace/_loads.py
@@ -10,7 +10,7 @@
 
 PARTS = KEYS // KEYS_PER_PART
 
-MEMORY_TIME = 2.0
+MEMORY_TIME = 2.5
 """Seconds after which work counts for a third; hot keys stay hot for a few seconds."""
 
 
@@ -33,6 +33,10 @@
             if 0 <= part < PARTS:
                 self.work[part] += seconds / MEMORY_TIME
 
+    def total(self) -> float:
+        """Return the work of all parts."""
+        return sum(self.work)
+
     def advance(self, now: float) -> None:
         """Let old work fade."""
         self._fade(now)
--- a/cranberrylever/keyspace/_planner.py
+++ b/cranberrylever/keyspace/_planner.py
@@ -14,24 +14,33 @@
 IDLE_WORK = 0.02
 """Work in seconds per second that all parts together count for without any request."""
 
-MOVE_ABOVE = 1.25
+MOVE_ABOVE = 1.4
 """A target gives work away when its share is this much above its fair one."""
 
-BUSY_FROM = 0.35
+BUSY_FROM = 0.2
 """Share of its capacity from which a target gives work away; below it no caller waits."""
 
-MAX_MOVES = 6
-"""Moves that may be under way at once, since callers of moving keys wait."""
+FULL_UTILIZATION = 0.8
+"""Share of all capacity from which work is divided by capacity alone."""
+
+FAST_PREFERENCE = 1.5
+"""Exponent of a target's speed in its share while nothing is used."""
 
-MAX_RANGES_PER_TARGET = 8
+MAX_MOVES = 12
+"""Moves that may be under way at once, since callers of moving keys wait."""
 
 
 @attrs.frozen
 class PlanOwner:
-    """A target that may own keys; ``capacity`` is in seconds of work per second."""
+    """A target that may own keys.
+
+    ``capacity`` is in seconds of work per second; ``weight`` is its fair share of the work relative to the
+    others.
+    """
 
     life: tuple[str, int]
     capacity: float
+    weight: float
 
 
 @attrs.frozen
@@ -88,6 +97,16 @@
     return KeyPlan(tuple(assignments), tuple(releases))
 
 
+def fair_weight(capacity: float, speed: float, utilization: float) -> float:
+    """Return a target's share of the work.
+
+    With room to spare fast targets get more than their capacity asks for, because each request is answered
+    sooner there; the more is used, the closer shares come to capacities.
+    """
+    spare = max(0.0, 1.0 - utilization / FULL_UTILIZATION)
+    return capacity * speed ** (FAST_PREFERENCE * spare)
+
+
 def merges(ranges: Sequence[KeyRange], limit: int) -> list[RangeEdit]:
     """Return assignments that join neighbouring ranges of one owner, so that one grant serves both."""
     edits: list[RangeEdit] = []
@@ -133,9 +152,9 @@
 def _make_shares(
     ranges: Sequence[KeyRange], owners: Sequence[PlanOwner], sums: Sequence[float]
 ) -> dict[tuple[str, int], _Share]:
-    capacity = sum(owner.capacity for owner in owners)
+    weight = sum(owner.weight for owner in owners)
     shares = {
-        owner.life: _Share(owner, sums[-1] * owner.capacity / capacity)
+        owner.life: _Share(owner, sums[-1] * owner.weight / weight)
         for owner in sorted(owners, key=lambda owner: owner.life)
     }
     for item in ranges:
--- a/cranberrylever/steering/_feed.py
+++ b/cranberrylever/steering/_feed.py
@@ -6,8 +6,11 @@
 import grpclib.server
 
 from cranberrylever.consensus import RaftDriver
+from cranberrylever.fleet import FleetTarget
+from cranberrylever.keyspace import RangeTable
 from cranberrylever.logs import Log
 from cranberrylever.steering._leader import SteeringLeader
+from cranberrylever.steering._sections import Section, is_same_fleet
 from cranberrylever.steering._state import SteeringState
 from cranberrylever.steering._suspects import SuspectBook
 from cranberrylever.wire import (
@@ -21,19 +24,8 @@
     ServiceRanges,
 )
 
-SPEED_STEP = 0.1
-"""Smallest change of a target's speed that is worth sending."""
-
-_TERM_FACTOR = 1 << 24
-"""Views of one term are numbered below this, so that a later term's view always counts as newer."""
-
-
-@attrs.frozen
-class _Section:
-    """Content of one section of the view and its version, which never falls."""
-
-    version: int = -1
-    content: object = None
+SPEED_CHANGE = 0.2
+"""Smallest relative change of a target's speed that is worth sending."""
 
 
 @attrs.define(eq=False)
@@ -71,9 +63,9 @@
         self.log = log
         self.streams: set[_Stream] = set()
         self.suspects = SuspectBook()
-        self.fleet = _Section()
-        self.ranges = _Section()
-        self.term = 0
+        self.fleet = Section()
+        self.ranges = Section()
+        self.speeds: dict[tuple[str, int], float] = {}
 
     async def attach(self, stream: "grpclib.server.Stream[FeedReport, FeedReply]") -> None:
         """Serve one entry until its stream closes or names another cluster."""
@@ -135,8 +127,7 @@
             plan_version = self.state.plan_version
             plan = self.state.plans.current
             needs_plan = plan is not None and entry.plan_version < plan_version
-            fleet = self.fleet if entry.fleet_version < self.fleet.version else _Section()
-            ranges = self.ranges if entry.ranges_version < self.ranges.version else _Section()
+            fleet_version, ranges_version = self.fleet.version, self.ranges.version
             reply = FeedReply(
                 self.cluster_id,
                 entry.sequence,
@@ -145,16 +136,16 @@
                 self.driver.group(),
                 plan_version if needs_plan else -1,
                 attrs.evolve(plan, source=b"") if needs_plan else None,
-                fleet.version,
-                fleet.content,
-                ranges.version,
-                ranges.content,
+                fleet_version,
+                self.fleet.since(entry.fleet_version),
+                ranges_version,
+                self.ranges.since(entry.ranges_version),
             )
             await entry.stream.send_message(reply)
             if needs_plan:
                 entry.plan_version = plan_version
-            entry.fleet_version = max(entry.fleet_version, fleet.version)
-            entry.ranges_version = max(entry.ranges_version, ranges.version)
+            entry.fleet_version = fleet_version
+            entry.ranges_version = ranges_version
 
     def _is_behind(self, entry: _Stream) -> bool:
         return (
@@ -166,14 +157,12 @@
     def _refresh(self) -> None:
         """Build the sections anew and number them when they differ."""
         term = self.leader.term
-        now = asyncio.get_running_loop().time()
-        fleet = self._fleet_view(now)
-        if self.term != term or _comparable(fleet) != _comparable(self.fleet.content):
-            self.fleet = _Section(_next_version(self.fleet.version, term), fleet)
+        fleet = self._fleet_view(asyncio.get_running_loop().time())
+        if self.fleet.term != term or not is_same_fleet(self.fleet.content, fleet):
+            self.fleet.update(fleet, term)
         ranges = self._ranges_view()
-        if self.term != term or ranges != self.ranges.content:
-            self.ranges = _Section(_next_version(self.ranges.version, term), ranges)
-        self.term = term
+        if self.ranges.term != term or ranges != self.ranges.content:
+            self.ranges.update(ranges, term)
 
     def _fleet_view(self, now: float) -> FleetView:
         leader = self.leader
@@ -187,31 +176,32 @@
                 target.slots,
                 self.state.may_receive_work(target) and not leader.is_silent(target, now),
                 leader.contacts.cold_for(target, now),
-                round(leader.paces.speed(target.life) / SPEED_STEP) * SPEED_STEP,
+                self._speed(target),
             )
             for target in self.state.fleet.targets.values()
         )
         return FleetView(targets, max(1, len(self.state.entries)), self.suspects.blocked(now))
 
+    def _speed(self, target: FleetTarget) -> float:
+        """Return the speed that entries were told, or the present one when it differs much."""
+        present = self.leader.speed(target)
+        told = self.speeds.get(target.life, 1.0)
+        if abs(present - told) > SPEED_CHANGE * told:
+            told = self.speeds[target.life] = round(present, 2)
+        return told
+
     def _ranges_view(self) -> RangesView:
         return RangesView(
-            tuple(
-                ServiceRanges(
-                    name,
-                    tuple(RangeView(item.first, self.leader.owner_shown(item)) for item in table.ranges),
-                )
-                for name, table in self.state.tables.items()
-            )
+            tuple(ServiceRanges(name, self._shown_ranges(table)) for name, table in self.state.tables.items())
         )
 
-
-def _next_version(version: int, term: int) -> int:
-    return max(version + 1, term * _TERM_FACTOR)
-
-
-def _comparable(fleet: FleetView | None) -> object:
-    """Return what must differ for a fleet to be sent again; the time left cold runs by itself."""
-    if fleet is None:
-        return None
-    targets = tuple(attrs.evolve(target, cold_for=float(target.cold_for > 0)) for target in fleet.targets)
-    return attrs.evolve(fleet, targets=targets)
+    def _shown_ranges(self, table: RangeTable) -> tuple[RangeView, ...]:
+        """Return the ranges with neighbours of one owner joined."""
+        shown: list[RangeView] = []
+        for item in table.ranges:
+            owner = self.leader.owner_shown(item)
+            if shown and shown[-1].owner == owner:
+                shown[-1] = RangeView(shown[-1].first, item.last, owner)
+            else:
+                shown.append(RangeView(item.first, item.last, owner))
+        return tuple(shown)
--- a/cranberrylever/steering/_leader.py
+++ b/cranberrylever/steering/_leader.py
@@ -17,6 +17,7 @@
     PlanOwner,
     RangeEdit,
     RangeTable,
+    fair_weight,
     merges,
     plan_keys,
 )
@@ -100,9 +101,6 @@
         self.formed_at: dict[str, float] = {}
         self.forgetting: dict[tuple[str, int], float] = {}
         self.first_fence = self.state.next_fence
-        self.fleet_serial = 0
-        self.ranges_serial = 0
-        self.shown_fleet: tuple = ()
         self.granter.start_term(now)
 
     def start(self) -> None:
@@ -170,6 +168,11 @@
         target = self.state.fleet.targets.get(item.target_id)
         return item.target_id if target is not None and target.life == item.life else ""
 
+    def speed(self, target: FleetTarget) -> float:
+        """Return the speed of a target relative to the others of its service."""
+        peers = [peer.life for peer in self.state.fleet.targets.values() if peer.service == target.service]
+        return self.paces.speed(target.life, peers)
+
     def _leads(self, now: float) -> bool:
         return self.driver.leader_since is not None and self.driver.has_lease(now)
 
@@ -268,13 +271,13 @@
         free = [item for item in table.ranges if item.phase == FREE]
         if not free and not may_balance:
             return []
-        owners = self._owners(service, now)
+        load = self.loads.setdefault(service.name, KeyLoads(now))
+        load.advance(now)
+        owners = self._owners(service, load.total(), now)
         if not owners or not self._is_formed(service.name, table, now):
             return []
         blocked = {item for item in free if self._may_still_be_held(item, now)}
         ranges = [attrs.evolve(item, phase=RELEASING) if item in blocked else item for item in table.ranges]
-        load = self.loads.setdefault(service.name, KeyLoads(now))
-        load.advance(now)
         under_way = sum(
             item.phase != HELD or (item.fence >= self.first_fence and not self.granter.is_granted(item))
             for item in table.ranges
@@ -296,18 +299,28 @@
             return True
         return now >= self.formed_at.setdefault(name, now) + FORMATION_WAIT_S
 
-    def _owners(self, service: RoutedService, now: float) -> list[PlanOwner]:
-        return [
-            PlanOwner(target.life, self._capacity(target, service, now))
+    def _owners(self, service: RoutedService, work: float, now: float) -> list[PlanOwner]:
+        targets = [
+            target
             for target in self.state.fleet.targets.values()
             if target.service == service.name
             and self.state.may_receive_work(target)
             and not self.is_silent(target, now)
             and not self.granter.is_suspect(target.life)
         ]
+        capacities = {target.life: self._capacity(target, service, now) for target in targets}
+        utilization = work / max(sum(capacities.values()), 0.001)
+        return [
+            PlanOwner(
+                target.life,
+                capacities[target.life],
+                fair_weight(capacities[target.life], self.speed(target), utilization),
+            )
+            for target in targets
+        ]
 
     def _capacity(self, target: FleetTarget, service: RoutedService, now: float) -> float:
-        capacity = target.slots * self.paces.speed(target.life)
+        capacity = target.slots * self.speed(target)
         if self.contacts.cold_for(target, now) > 0:
             return max(0.05, min(capacity / 2, service.cold_rate * USUAL_WORK_S / 2))
         return capacity
--- a/cranberrylever/steering/_orders.py
+++ b/cranberrylever/steering/_orders.py
@@ -38,7 +38,10 @@
 
     @abc.abstractmethod
     async def release(self, address: str, first: int, last: int, fence: int) -> str | None:
-        """Take keys back; returns the handover token once their work has ended, ``None`` without an answer."""
+        """Take keys back; returns the handover token once their work has ended.
+
+        Without an answer it returns ``None``; an empty token says that there is none.
+        """
 
     @abc.abstractmethod
     async def probe(self, address: str, health_path: str) -> str | None:
--- a/cranberrylever/steering/_paces.py
+++ b/cranberrylever/steering/_paces.py
@@ -1,5 +1,7 @@
 """How fast targets are, from requests that they ran without queueing."""
 
+from collections.abc import Sequence
+
 from cranberrylever.wire import TargetPace
 
 WEIGHT = 0.15
@@ -24,9 +26,14 @@
         previous = self.slowness.get(life, 1.0)
         self.slowness[life] = previous + WEIGHT * (ratio - previous)
 
-    def speed(self, life: tuple[str, int]) -> float:
-        """Return the speed of a life, 1 for a usual one."""
-        return 1.0 / self.slowness.get(life, 1.0)
+    def speed(self, life: tuple[str, int], peers: Sequence[tuple[str, int]]) -> float:
+        """Return the speed of a life relative to the mean of its peers.
+
+        Entries learn the usual time of a route from these speeds, so without the mean both could drift.
+        """
+        values = [self.slowness.get(peer, 1.0) for peer in peers]
+        mean = sum(values) / len(values) if values else 1.0
+        return mean / self.slowness.get(life, 1.0)
 
     def keep_only(self, lives: set[tuple[str, int]]) -> None:
         """Forget all other lives."""
--- a/cranberrylever/steering/_program.py
+++ b/cranberrylever/steering/_program.py
@@ -121,8 +121,7 @@
     async def _start_member(self) -> None:
         settings = self.settings
         is_founder = settings.rpc in settings.founders
-        has_data = Path(settings.data_dir).is_dir() and any(Path(settings.data_dir).iterdir())
-        founds = settings.bootstrap and is_founder and not has_data
+        founds = settings.bootstrap and is_founder and not _has_data(Path(settings.data_dir))
         storage = open_disk_storage(settings.data_dir, settings.cluster_id, founds)
         members = {member: member for member in settings.founders} if is_founder else {}
         contacts = tuple(dict.fromkeys((*settings.contacts, *settings.founders)))
@@ -195,6 +194,11 @@
         return f"{host}:{port}"
 
 
+def _has_data(folder: Path) -> bool:
+    """Tell whether a data folder is in use."""
+    return folder.is_dir() and any(folder.iterdir())
+
+
 def create_steering(
     settings: SteeringSettings,
     orders: TargetOrders,
--- /dev/null
+++ b/cranberrylever/steering/_sections.py
@@ -0,0 +1,93 @@
+"""Sections of the view with their versions, and what changed between two of them."""
+
+import collections
+
+import attrs
+
+from cranberrylever.wire import FleetView, RangesView, RangeView, RoutedTarget, ServiceRanges
+
+MAX_VERSIONS = 128
+"""Versions kept to send only changes; an entry that is further behind gets a whole section."""
+
+_TERM_FACTOR = 1 << 24
+"""Views of one term are numbered below this, so that a later term's view always counts as newer."""
+
+
+class Section:
+    """One section of the view; its version grows with each change and never falls."""
+
+    def __init__(self) -> None:
+        self.version = -1
+        self.term = 0
+        self.content: FleetView | RangesView | None = None
+        self.history: collections.OrderedDict[int, FleetView | RangesView] = collections.OrderedDict()
+
+    def update(self, content: FleetView | RangesView, term: int) -> None:
+        """Take over new content of a term; the versions of an earlier term can't be built upon."""
+        if term != self.term:
+            self.history.clear()
+        self.version = max(self.version + 1, term * _TERM_FACTOR)
+        self.term = term
+        self.content = content
+        self.history[self.version] = content
+        while len(self.history) > MAX_VERSIONS:
+            self.history.popitem(last=False)
+
+    def since(self, version: int) -> FleetView | RangesView | None:
+        """Return what an entry lacks that holds ``version``, ``None`` when it lacks nothing."""
+        if version >= self.version or self.content is None:
+            return None
+        base = self.history.get(version)
+        if base is None:
+            return self.content
+        if isinstance(self.content, FleetView):
+            return fleet_changes(base, self.content, version)
+        return range_changes(base, self.content, version)
+
+
+def fleet_changes(before: FleetView, after: FleetView, base_version: int) -> FleetView:
+    """Return the targets that differ."""
+    known = {target.target_id: _comparable(target) for target in before.targets}
+    changed = tuple(target for target in after.targets if known.get(target.target_id) != _comparable(target))
+    removed = tuple(known.keys() - {target.target_id for target in after.targets})
+    return attrs.evolve(after, targets=changed, removed=removed, base_version=base_version)
+
+
+def is_same_fleet(before: FleetView | None, after: FleetView) -> bool:
+    """Tell whether two fleets differ in nothing but how long targets stay cold, which runs by itself."""
+    if before is None or before.entries != after.entries or before.suspects != after.suspects:
+        return False
+    return tuple(map(_comparable, before.targets)) == tuple(map(_comparable, after.targets))
+
+
+def _comparable(target: RoutedTarget) -> RoutedTarget:
+    return attrs.evolve(target, cold_for=float(target.cold_for > 0))
+
+
+def range_changes(before: RangesView, after: RangesView, base_version: int) -> RangesView:
+    """Return the ranges whose owner differs."""
+    known = {service.service: service.ranges for service in before.services}
+    services = []
+    for service in after.services:
+        changed = _changed_ranges(known.get(service.service, ()), service.ranges)
+        if changed:
+            services.append(ServiceRanges(service.service, changed))
+    return RangesView(tuple(services), base_version)
+
+
+def _changed_ranges(before: tuple[RangeView, ...], after: tuple[RangeView, ...]) -> tuple[RangeView, ...]:
+    changed: list[RangeView] = []
+    position = 0
+    for item in after:
+        first = item.first
+        while position < len(before) and before[position].last < first:
+            position += 1
+        place = position
+        while first <= item.last:
+            old = before[place] if place < len(before) else None
+            last = min(item.last, old.last) if old is not None else item.last
+            if old is None or old.owner != item.owner:
+                changed.append(RangeView(first, last, item.owner))
+            first = last + 1
+            place += 1
+    return tuple(changed)
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class TargetPace:
-    """Requests that a target ran without queueing: the time that they took and the usual time of their kind."""
+    """Requests that a target ran without queueing: the time they took and the usual time of their kind."""
 
     target_id: str
     started_ms: int
@@ -77,18 +77,25 @@
 
 @attrs.frozen
 class FleetView:
-    """All targets, the number of entries that share limits, and requests that crash targets."""
+    """Targets, the number of entries that share limits, and requests that crash targets.
+
+    With a ``base_version`` the targets are those that changed since that version of the section and
+    ``removed`` names those that are gone; without one (-1) they are all targets.
+    """
 
     targets: tuple[RoutedTarget, ...]
     entries: int
     suspects: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+    base_version: int = -1
 
 
 @attrs.frozen
 class RangeView:
-    """Keys from ``first`` on, up to the next range; ``owner`` is a target id, empty while nobody serves them."""
+    """Keys ``first`` to ``last`` and the target that serves them, empty while nobody does."""
 
     first: int
+    last: int
     owner: str
 
 
@@ -102,9 +109,14 @@
 
 @attrs.frozen
 class RangesView:
-    """The key spaces of all keyed services."""
+    """The key spaces of keyed services.
+
+    With a ``base_version`` the ranges are those whose owner changed since that version of the section;
+    without one (-1) they cover all keys of all keyed services.
+    """
 
     services: tuple[ServiceRanges, ...]
+    base_version: int = -1
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/gateway/test_decisions.py
@@ -0,0 +1,111 @@
+"""Replays of loads through the estimates and the admission of requests."""
+
+import random
+
+import testtools
+
+from cranberrylever.gateway import LoadSample
+from cranberrylever.gateway._admission import Offer, Verdict, admit
+from cranberrylever.gateway._estimates import TargetEstimate, UsualWork
+
+
+class AdmissionTest(testtools.TestCase):
+    def test_idle_target_gets_the_request(self):
+        """Guards against refusals while there is room."""
+        assert admit(Offer(2, 0.8, 0.0, 0.1)).verdict is Verdict.SEND
+
+    def test_long_work_without_a_queue_is_sent(self):
+        """Guards against refusing what only takes long by itself."""
+        assert admit(Offer(2, 0.2, 0.0, 0.3)).verdict is Verdict.SEND
+
+    def test_full_target_refuses_the_less_urgent_first(self):
+        """Guards against urgent requests that wait behind less urgent ones."""
+        assert admit(Offer(2, 0.8, 0.4, 0.5)).verdict is Verdict.REFUSE
+        assert admit(Offer(0, 0.8, 0.4, 0.5)).verdict is Verdict.SEND
+
+    def test_refusal_names_the_time_at_which_room_is_expected(self):
+        """Guards against callers that all come back at once and are refused again."""
+        admission = admit(Offer(2, 0.8, 0.9, 1.0))
+        assert 0.3 < admission.delay <= 0.9
+
+    def test_cold_target_is_waited_for_when_there_is_time(self):
+        """Guards against a cold target that gets more than it bears, and against needless refusals."""
+        assert admit(Offer(1, 1.0, 0.0, 0.1, cold_delay=0.2)).verdict is Verdict.WAIT
+        assert admit(Offer(1, 1.0, 0.0, 0.1, cold_delay=3.0)).verdict is Verdict.REFUSE
+
+    def test_no_time_left_is_refused_at_once(self):
+        """Guards against work that nobody waits for."""
+        assert admit(Offer(0, 0.0, 0.0, 0.1)).verdict is Verdict.REFUSE
+
+
+class EstimateTest(testtools.TestCase):
+    def test_own_requests_count_at_once(self):
+        """Guards against a burst of one entry that all goes to one target."""
+        estimate = TargetEstimate(3)
+        for _ in range(6):
+            estimate.begin(1.0)
+        assert estimate.wait(0.1, 1.0) > 0.1
+
+    def test_slow_machine_shows_and_fades(self):
+        """Guards against a straggler of a moment that stays avoided, or is not avoided."""
+        estimate = TargetEstimate(3)
+        estimate.record_load(LoadSample(1, 0, 3, 3.0), 1.0)
+        assert estimate.completion(0.1, 1.0) > 0.25
+        assert estimate.completion(0.1, 5.0) < 0.12
+
+    def test_load_of_other_entries_is_expected_without_a_report(self):
+        """Guards against eight entries that each take a full target for idle."""
+        alone, shared = TargetEstimate(3), TargetEstimate(3, entries=8)
+        for estimate in (alone, shared):
+            for step in range(40):
+                estimate.begin(step * 0.1)
+                estimate.end(step * 0.1 + 0.09)
+        assert shared.wait(0.1, 4.0) > alone.wait(0.1, 4.0)
+
+    def test_choice_by_estimate_beats_taking_turns_under_stragglers(self):
+        """Replay of a pool in which one machine in five is three times slower for 0.4 s."""
+
+        def replay(choose, seed):
+            rng = random.Random(seed)
+            free_at = [[0.0] * 3 for _ in range(6)]
+            estimates = [TargetEstimate(3) for _ in range(6)]
+            slow_until = [0.0] * 6
+            ends, late, now = [], 0, 0.0
+            for number in range(4_000):
+                now += rng.expovariate(70)
+                for target in range(6):
+                    if now > slow_until[target] and rng.random() < 0.004:
+                        slow_until[target] = now + 0.4
+                for end, target in [item for item in ends if item[0] <= now]:
+                    pace = 3.0 if now < slow_until[target] else 1.0
+                    estimates[target].record_load(
+                        LoadSample(sum(at > now for at in free_at[target]), 0, 3, pace), now
+                    )
+                    estimates[target].end(now)
+                ends = [item for item in ends if item[0] > now]
+                target = choose(number, estimates, now)
+                slot = min(range(3), key=lambda place: free_at[target][place])
+                work = rng.lognormvariate(-2.9, 0.5) * (3.0 if now < slow_until[target] else 1.0)
+                begin = max(now, free_at[target][slot])
+                free_at[target][slot] = begin + work
+                estimates[target].begin(now)
+                ends.append((begin + work, target))
+                late += begin + work - now > 0.2
+            return late
+
+        def in_turn(number, estimates, now):
+            return number % 6
+
+        def by_estimate(number, estimates, now):
+            return min(range(6), key=lambda target: estimates[target].completion(0.06, now))
+
+        naive = sum(replay(in_turn, seed) for seed in range(3))
+        estimated = sum(replay(by_estimate, seed) for seed in range(3))
+        assert estimated < 0.75 * naive, (estimated, naive)
+
+    def test_usual_work_follows(self):
+        """Guards against a first guess that stays."""
+        usual = UsualWork()
+        for _ in range(300):
+            usual.record("r", 0.3)
+        assert 0.28 < usual.of("r") < 0.31
--- /dev/null
+++ b/tests/keyspace/test_planner.py
@@ -0,0 +1,110 @@
+"""Replay of skewed loads through the planner of key ranges, beside equal ranges."""
+
+import random
+
+import testtools
+
+from cranberrylever.keyspace import (
+    FREE,
+    PARTS,
+    RELEASING,
+    PlanOwner,
+    RangeEdit,
+    RangeTable,
+    fair_weight,
+    merges,
+    plan_keys,
+)
+
+TARGETS = 21
+
+
+def make_owners(rng):
+    owners = []
+    for number in range(TARGETS):
+        speed = rng.choice((0.5, 1.0, 1.0, 1.5))
+        owners.append(PlanOwner((f"t{number}", 1), 3 * speed, fair_weight(3 * speed, speed, 0.7)))
+    return owners
+
+
+def busy_work(rng, center, spread, total):
+    """Work of keys that lie close together, as the users' busy keys do."""
+    work = [0.0] * PARTS
+    for _ in range(2_000):
+        work[int(center + rng.gauss(0, spread)) % PARTS] += total / 2_000
+    return work
+
+
+def utilizations(table, owners, work):
+    held = {owner.life: 0.0 for owner in owners}
+    for part, value in enumerate(work):
+        held[table.find(part * 4).life] += value
+    return [held[owner.life] / owner.capacity for owner in owners]
+
+
+def settle(table, owners, work, rounds=12):
+    fence = max(item.fence for item in table.ranges) + 1
+    for _ in range(rounds):
+        plan = plan_keys(table.ranges, owners, work, 0, True)
+        fence = table.apply(table.version, plan.releases, fence)
+        freed = tuple(RangeEdit(r.first, r.last, FREE) for r in table.ranges if r.phase == RELEASING)
+        fence = table.apply(table.version, freed, fence)
+        plan = plan_keys(table.ranges, owners, work, 0, False)
+        fence = table.apply(table.version, plan.assignments, fence)
+        fence = table.apply(table.version, tuple(merges(table.ranges, 4)), fence)
+    return table
+
+
+class PlannerTest(testtools.TestCase):
+    def test_busy_keys_side_by_side_are_spread(self):
+        """Guards against one target that gets all busy keys: equal ranges overload it several times over."""
+        for seed in range(3):
+            rng = random.Random(seed)
+            owners = make_owners(rng)
+            work = busy_work(rng, 5_000, 400, 30.0)
+            idle = settle(RangeTable(), owners, [0.0] * PARTS, rounds=1)
+            naive = max(utilizations(idle, owners, work))
+            planned = max(utilizations(settle(idle, owners, work), owners, work))
+            assert naive > 2.0, naive
+            assert planned < 1.0, planned
+
+    def test_hot_spot_that_moves_is_followed(self):
+        """Guards against a plan that stays with yesterday's busy keys."""
+        rng = random.Random(7)
+        owners = make_owners(rng)
+        table = settle(RangeTable(), owners, busy_work(rng, 3_000, 300, 30.0))
+        later = busy_work(rng, 12_000, 300, 30.0)
+        before = max(utilizations(table, owners, later))
+        after = max(utilizations(settle(table, owners, later), owners, later))
+        assert after < 1.0 < before
+
+    def test_every_key_is_assigned_and_only_to_owners(self):
+        """Guards against keys that nobody serves."""
+        rng = random.Random(1)
+        owners = make_owners(rng)[:3]
+        table = settle(RangeTable(), owners, busy_work(rng, 100, 50, 5.0))
+        assert {item.life for item in table.ranges} <= {owner.life for owner in owners}
+        assert all(item.phase == "held" for item in table.ranges)
+
+    def test_idle_keys_do_not_move(self):
+        """Guards against moves that cost and gain nothing."""
+        rng = random.Random(1)
+        owners = make_owners(rng)
+        table = settle(RangeTable(), owners, [0.0] * PARTS)
+        assert plan_keys(table.ranges, owners, [0.0] * PARTS, 0, True).releases == ()
+
+    def test_newcomer_gets_keys(self):
+        """Guards against a target that joins and serves nobody."""
+        rng = random.Random(1)
+        owners = make_owners(rng)
+        work = busy_work(rng, 5_000, 2_000, 10.0)
+        table = settle(RangeTable(), owners, work)
+        newcomer = PlanOwner(("new", 1), 3.0, 3.0)
+        settle(table, [*owners, newcomer], work, rounds=3)
+        assert any(item.life == newcomer.life for item in table.ranges)
+
+    def test_fast_targets_are_preferred_while_there_is_room(self):
+        """Guards against slow targets that serve as much as fast ones on a calm day."""
+        calm = fair_weight(1.5, 0.5, 0.2) / fair_weight(4.5, 1.5, 0.2)
+        full = fair_weight(1.5, 0.5, 0.9) / fair_weight(4.5, 1.5, 0.9)
+        assert calm < full == 1.5 / 4.5
--- /dev/null
+++ b/tests/keyspace/test_ranges.py
@@ -0,0 +1,119 @@
+"""Tests of the range table against a table of single keys, and of the lease ledger."""
+
+import random
+
+import testtools
+
+from cranberrylever.errors import InvariantError
+from cranberrylever.keyspace import FREE, HELD, KEYS, RELEASING, LeaseLedger, RangeEdit, RangeTable
+
+STEP = KEYS // 64
+
+
+class NaiveTable:
+    """One record per group of keys: the obvious way, with nothing to split or join."""
+
+    def __init__(self):
+        self.cells = [(FREE, ("", 0), 0)] * 64
+
+    def apply(self, edit, fence):
+        cells = range(edit.first // STEP, (edit.last + 1) // STEP)
+        pieces = [self.cells[cell] for cell in cells]
+        if edit.phase == HELD:
+            is_free = all(phase == FREE for phase, _, _ in pieces)
+            if not is_free and not all(phase == HELD and life == edit.life for phase, life, _ in pieces):
+                return fence
+            for cell in cells:
+                self.cells[cell] = (HELD, edit.life, fence)
+            return fence + 1
+        wanted = {RELEASING: lambda phase: phase == HELD, FREE: lambda phase: phase != FREE}[edit.phase]
+        if all(wanted(phase) for phase, _, _ in pieces):
+            for cell in cells:
+                _, life, held = self.cells[cell]
+                self.cells[cell] = (edit.phase, life, held)
+        return fence
+
+
+class RangeTableTest(testtools.TestCase):
+    def test_random_edits_match_a_table_of_single_keys(self):
+        """Guards against splits and joins that give a key another owner or fence."""
+        for seed in range(40):
+            rng = random.Random(seed)
+            table, naive = RangeTable(), NaiveTable()
+            fence = naive_fence = 1
+            for _ in range(120):
+                cells = sorted(rng.sample(range(65), 2))
+                edit = RangeEdit(
+                    cells[0] * STEP,
+                    cells[1] * STEP - 1,
+                    rng.choice((HELD, HELD, RELEASING, FREE)),
+                    rng.choice("abc"),
+                    1,
+                )
+                fence = table.apply(table.version, (edit,), fence)
+                naive_fence = naive.apply(edit, naive_fence)
+                assert fence == naive_fence
+                for cell, (phase, life, held) in enumerate(naive.cells):
+                    item = table.find(cell * STEP + STEP // 2)
+                    assert (item.phase, item.fence) == (phase, held)
+                    assert phase == FREE or item.life == life
+
+    def test_edits_of_a_replaced_leader_have_no_effect(self):
+        """Guards against two leaders that edit one table."""
+        table = RangeTable()
+        table.apply(0, (RangeEdit(0, 99, HELD, "a", 1),), 1)
+        assert table.apply(0, (RangeEdit(100, 199, HELD, "b", 1),), 2) == 2
+        assert table.find(150).phase == FREE
+
+    def test_held_keys_are_not_assigned_to_another_target(self):
+        """Guards against two owners of one key."""
+        table = RangeTable()
+        table.apply(0, (RangeEdit(0, 99, HELD, "a", 1),), 1)
+        table.apply(1, (RangeEdit(50, 120, HELD, "b", 1),), 2)
+        assert table.find(60).target_id == "a"
+
+    def test_fences_only_grow(self):
+        """Guards against a fence that a target has seen before."""
+        table = RangeTable()
+        table.apply(0, (RangeEdit(0, 99, HELD, "a", 1),), 7)
+        self.assertRaises(InvariantError, table.apply, 1, (RangeEdit(0, 99, HELD, "a", 1),), 7)
+
+    def test_record_round_trip(self):
+        """Guards against a snapshot that loses a range."""
+        table = RangeTable()
+        table.apply(0, (RangeEdit(10, 99, HELD, "a", 1),), 1)
+        assert RangeTable(table.to_record()).ranges == table.ranges
+
+
+class LeaseLedgerTest(testtools.TestCase):
+    LIFE = ("a", 1)
+
+    def test_call_on_its_way_may_hold_for_ever(self):
+        """Guards against keys that are assigned while a grant for them is on its way."""
+        ledger = LeaseLedger(2.0, now=0.0)
+        call = ledger.begin(self.LIFE, 0, 99)
+        assert ledger.held_until(self.LIFE, 50, 60) == float("inf")
+        assert ledger.is_call_running(self.LIFE, 50, 60)
+        ledger.finish(call, 10.0, answered=False)
+        assert 12.0 < ledger.held_until(self.LIFE, 50, 60) < 13.0
+        assert ledger.uncertain_until(self.LIFE, 50, 60) == ledger.held_until(self.LIFE, 50, 60)
+
+    def test_answered_call_is_no_uncertainty(self):
+        """Guards against a planned move that waits out a lease."""
+        ledger = LeaseLedger(2.0, now=0.0)
+        ledger.finish(ledger.begin(self.LIFE, 0, 99), 10.0, answered=True)
+        assert ledger.uncertain_until(self.LIFE, 0, 99) < 3.0
+        assert ledger.held_until(self.LIFE, 0, 99) > 12.0
+        assert ledger.held_until(self.LIFE, 100, 199) < 3.0
+
+    def test_new_leader_waits_one_lease(self):
+        """Guards against a new leader that assigns keys which the one before has just granted."""
+        ledger = LeaseLedger(2.0, now=100.0)
+        assert ledger.held_until(("b", 1), 0, 99) > 102.0
+
+    def test_refused_and_unsent_calls_grant_nothing(self):
+        """Guards against waiting for leases that were never given."""
+        ledger = LeaseLedger(2.0, now=0.0)
+        ledger.refuse(ledger.begin(self.LIFE, 0, 99))
+        ledger.cancel(ledger.begin(self.LIFE, 0, 99))
+        assert ledger.held_until(self.LIFE, 0, 99) < 3.0
--- /dev/null
+++ b/tests/targetlink/test_connection.py
@@ -0,0 +1,149 @@
+"""Tests of the client for targets against a server that misbehaves on demand."""
+
+import asyncio
+import struct
+
+import testtools
+
+from cranberrylever.targetlink import AnswerLostError, NotSentError, TargetPool
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+def answer(request_id, body=b"ok", extra=b""):
+    head = b"HTTP/1.1 200 OK\r\nx-id: %s\r\ncontent-length: %d\r\n%s\r\n" % (request_id, len(body), extra)
+    return head + body
+
+
+class ScriptedServer:
+    """Answers the requests of all connections by a script of functions of the writer."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.connections = 0
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while self.script:
+                await reader.readuntil(b"\r\n\r\n")
+                if await self.script.pop(0)(writer) is False:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+
+def sends(*parts, close=False):
+    async def step(writer):
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        return not close
+
+    return step
+
+
+async def resets(writer):
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(1, 13, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+    return False
+
+
+def exchange_with(*script, ids=(b"1",)):
+    """Return what each request of a sequence ends with, and the number of connections."""
+
+    async def main():
+        results = []
+        async with ScriptedServer(*script) as server:
+            pool = TargetPool(b"x-id")
+            for request_id in ids:
+                try:
+                    async with asyncio.timeout(2.0):
+                        result = await pool.exchange(server.address, b"GET", REQUEST, request_id)
+                    results.append(result.body)
+                except (AnswerLostError, NotSentError) as error:
+                    results.append(type(error))
+                await asyncio.sleep(0.05)
+            pool.close()
+            return results, server.connections
+
+    return asyncio.run(main())
+
+
+class TargetConnectionTest(testtools.TestCase):
+    def test_connection_is_used_again(self):
+        """Guards against a new connection for each request."""
+        results, connections = exchange_with(sends(answer(b"1")), sends(answer(b"2")), ids=(b"1", b"2"))
+        assert (results, connections) == ([b"ok", b"ok"], 1)
+
+    def test_second_answer_to_an_earlier_request_is_passed_over(self):
+        """Guards against an answer that belongs to another request."""
+        late = answer(b"1", b"late")
+        results, _ = exchange_with(sends(answer(b"1")), sends(late + answer(b"2", b"own")), ids=(b"1", b"2"))
+        assert results == [b"ok", b"own"]
+
+    def test_bytes_after_a_whole_answer_end_the_connection(self):
+        """Guards against left-over bytes that become the answer to the next request."""
+        results, connections = exchange_with(
+            sends(answer(b"1"), b"HTTP/1.1 200 OK\r\ncontent-le"), sends(answer(b"2")), ids=(b"1", b"2")
+        )
+        assert (results, connections) == ([b"ok", b"ok"], 2)
+
+    def test_truncated_answer_is_lost(self):
+        """Guards against half an answer that looks whole."""
+        results, _ = exchange_with(sends(answer(b"1", b"whole")[:-2], close=True))
+        assert results == [AnswerLostError]
+
+    def test_answer_without_a_length_ends_with_its_connection(self):
+        """Guards against losing an answer whose end is that of the connection."""
+        results, _ = exchange_with(sends(b"HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\nbody", close=True))
+        assert results == [b"body"]
+
+    def test_reset_answer_without_a_length_is_lost(self):
+        """Guards against a reset taken for the end of an answer without a length."""
+
+        async def begins_and_resets(writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\nbo")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            return await resets(writer)
+
+        results, _ = exchange_with(begins_and_resets)
+        assert results == [AnswerLostError]
+
+    def test_bytes_that_are_no_answer_are_lost(self):
+        """Guards against garbage that is passed on or waited for."""
+        results, _ = exchange_with(sends(b"\x00\x01garbage\r\n\r\n"))
+        assert results == [AnswerLostError]
+
+    def test_connection_that_the_target_closed_is_not_used(self):
+        """Guards against a request that is lost on a connection closed long before."""
+        results, connections = exchange_with(
+            sends(answer(b"1"), close=True), sends(answer(b"2")), ids=(b"1", b"2")
+        )
+        assert (results, connections) == ([b"ok", b"ok"], 2)
+
+    def test_refused_connection_is_not_sent(self):
+        """Guards against a request that counts as run though nobody listens."""
+
+        async def main():
+            pool = TargetPool(b"x-id")
+            try:
+                await pool.exchange("127.0.0.1:1", b"GET", REQUEST, b"1")
+            except NotSentError:
+                return True
+            return False
+
+        assert asyncio.run(main())
