Start control without the parts it does not need

Cause: after a loss of power of all machines control needed 1.6 s to start, half of it imports of aiohttp and of the modules of the other control program. Ruled out: importing aiohttp at the first forwarded call: that would stall a member for 0.3 s at its first beat.

--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -25,7 +25,7 @@
     StateMachine,
     create_driver,
 )
-from cranberrylever.control._peers import PeerTransport
+from cranberrylever.group import PeerTransport
 from cranberrylever.wire import MsgpackCodec
 
 CLUSTER = "bench"
--- a/cranberrylever/control/_program.py
+++ b/cranberrylever/control/_program.py
@@ -6,21 +6,19 @@
 
 from cranberrylever.consensus import ConsensusConfig, RaftDriver, create_driver, open_disk_storage
 from cranberrylever.control._entries import EntryService
-from cranberrylever.control._forwarding import LeaderForwarder
 from cranberrylever.control._grants import GrantSender
 from cranberrylever.control._leader import LeaderLoop
-from cranberrylever.control._machine import ClusterMachine
 from cranberrylever.control._metrics import ControlMetrics
 from cranberrylever.control._operator import create_operator_app
-from cranberrylever.control._peers import PeerTransport
 from cranberrylever.control._placement import PlacementLog
 from cranberrylever.control._service import ControlService
+from cranberrylever.group import ClusterMachine, LeaderForwarder, PeerTransport
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_metrics
 from cranberrylever.ownership import Coordinator
 from cranberrylever.settings import ControlSettings, split_address
-from cranberrylever.state import ClusterState
+from cranberrylever.state import ClusterState, decode_command
 from cranberrylever.wire import MsgpackCodec
 
 RPC_CLOSE_TIMEOUT_S = 1.0
@@ -34,7 +32,7 @@
         self.address = settings.own_address
         self.log = Log("control", settings.member_id, settings.log.level)
         self.state = ClusterState()
-        self.machine = ClusterMachine(self.state)
+        self.machine = ClusterMachine(self.state, decode_command)
         self.coordinator = Coordinator(self.state)
         self.forwarder = LeaderForwarder({peer.member_id: peer.http for peer in settings.peers}.get)
         self.driver: RaftDriver | None = None
--- a/cranberrylever/control/_forwarding.py
+++ b/cranberrylever/group/_forwarding.py
@@ -1,12 +1,13 @@
-"""Passes operator requests and announcements from a follower to the leader."""
+"""Passes calls of operators and targets from a follower to the leader."""
 
+import asyncio
 from collections.abc import Callable, Sequence
 
-import aiohttp
 from starlette.requests import Request
 from starlette.responses import Response
 
 from cranberrylever.errors import ControlUnavailableError, NotLeaderError
+from cranberrylever.targetlink import AnswerLostError, NotSentError, TargetAnswer, TargetPool
 
 FORWARDED_HEADER = "Cranberrylever-Forwarded"
 FORWARD_TIMEOUT_S = 4.0
@@ -35,13 +36,11 @@
         self.address_of = address_of
         self.passed_headers = tuple(passed_headers)
         self.timeout = timeout
-        self._session: aiohttp.ClientSession | None = None
+        self.pool = TargetPool()
 
     async def close(self) -> None:
         """Close the connections to other members."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        self.pool.close()
 
     async def forward(self, request: Request, body: bytes, leader_id: str | None) -> Response:
         """Return the leader's answer to a request.
@@ -58,26 +57,24 @@
         address = self.address_of(leader_id) if leader_id else None
         if address is None or FORWARDED_HEADER in request.headers:
             raise NotLeaderError(leader_id)
-        url = f"http://{address}{request.url.path}"
         try:
-            async with self._open_session().request(
-                request.method, url, data=body, headers=self._headers(request), allow_redirects=False
-            ) as answer:
-                return Response(await answer.read(), answer.status, media_type=answer.content_type)
-        except (aiohttp.ClientError, TimeoutError) as error:
+            async with asyncio.timeout(self.timeout):
+                answer = await self._send(request, body, address)
+        except (NotSentError, AnswerLostError, TimeoutError) as error:
             raise ControlUnavailableError(
                 f"the leader {leader_id} did not answer: {type(error).__name__}", _REMEDY
             ) from error
+        media_type = (answer.header(b"content-type") or b"application/json").decode("latin-1")
+        return Response(answer.body, answer.status, media_type=media_type)
 
-    def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=self.timeout)
-            self._session = aiohttp.ClientSession(timeout=timeout)
-        return self._session
-
-    def _headers(self, request: Request) -> dict[str, str]:
-        headers = {FORWARDED_HEADER: "1"}
-        for name in self.passed_headers:
-            if name in request.headers:
-                headers[name] = request.headers[name]
-        return headers
+    async def _send(self, request: Request, body: bytes, address: str) -> TargetAnswer:
+        method = request.method.encode()
+        lines = [method + b" " + request.scope["raw_path"] + b" HTTP/1.1", b"host: " + address.encode()]
+        lines.append(FORWARDED_HEADER.encode() + b": 1")
+        lines.extend(
+            f"{name}: {request.headers[name]}".encode("latin-1")
+            for name in self.passed_headers
+            if name in request.headers
+        )
+        lines.append(b"content-length: %d" % len(body))
+        return await self.pool.exchange(address, method, b"\r\n".join(lines) + b"\r\n\r\n" + body)
--- a/cranberrylever/control/_machine.py
+++ b/cranberrylever/group/_machine.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from cranberrylever.consensus import StateMachine
-from cranberrylever.state import decode_command
 
 AppliedCallback = Callable[[int, object, object], None]
 
@@ -30,7 +29,7 @@
         decode: Returns the command in a payload.
     """
 
-    def __init__(self, state: ReplicatedState, decode: Callable[[bytes], object] = decode_command) -> None:
+    def __init__(self, state: ReplicatedState, decode: Callable[[bytes], object]) -> None:
         self.state = state
         self.decode = decode
         self.callbacks: list[AppliedCallback] = []
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -76,7 +76,7 @@
                 for target in range(6):
                     if now > slow_until[target] and rng.random() < 0.004:
                         slow_until[target] = now + 0.4
-                for end, target in [item for item in ends if item[0] <= now]:
+                for _end, target in [item for item in ends if item[0] <= now]:
                     pace = 3.0 if now < slow_until[target] else 1.0
                     estimates[target].record_load(
                         LoadSample(sum(at > now for at in free_at[target]), 0, 3, pace), now
--- a/tests/control/test_peers.py
+++ b/tests/group/test_peers.py
@@ -5,8 +5,7 @@
 import grpclib.server
 import testtools
 
-from cranberrylever.control import _peers
-from cranberrylever.control._peers import PeerTransport
+from cranberrylever.group import PeerTransport, _peers
 from cranberrylever.wire import MsgpackCodec, PeerFrame
 from tests.consensus.cluster import wait_for
 
--- a/tests/targetlink/test_connection.py
+++ b/tests/targetlink/test_connection.py
@@ -24,7 +24,7 @@
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         return self
 
     async def __aexit__(self, *exc_info):
