Give a hot key a fast target of its own

Change: a part that fills a target goes to the fastest one that is free of such parts; whole ranges may move; the end of a range is searched from its end. Ruled out: splitting one key: it has one owner.

--- a/cranberrylever/keyspace/_planner.py
+++ b/cranberrylever/keyspace/_planner.py
@@ -20,6 +20,12 @@
 BUSY_FROM = 0.2
 """Share of its capacity from which a target gives work away; below it no caller waits."""
 
+HOT_SHARE = 0.6
+"""Share of a target's capacity from which one part alone decides where it should be."""
+
+HOT_GAIN = 0.75
+"""A hot part moves to a faster target when its own has less than this share of that one's capacity."""
+
 FULL_UTILIZATION = 0.8
 """Share of all capacity from which work is divided by capacity alone."""
 
@@ -175,6 +181,8 @@
         while item.phase == FREE and first <= item.last:
             share = max(shares.values(), key=lambda share: (share.room / share.fair, share.life))
             last = _fitting_end(first, item.last, share.room, sums)
+            if _work_of(first, last, sums) > share.capacity * HOT_SHARE:
+                share = max(shares.values(), key=_worth_for_hot_part)
             share.work += _work_of(first, last, sums)
             share.ranges += 1
             edits.append(RangeEdit(first, last, HELD, *share.life))
@@ -182,6 +190,36 @@
     return edits
 
 
+def _worth_for_hot_part(share: _Share) -> tuple[float, tuple[str, int]]:
+    """Rank a target for a part that fills one alone: by capacity, less what it holds above its share.
+
+    Its other ranges are given away afterwards, since it is then the busiest.
+    """
+    return share.capacity - max(0.0, share.work - share.fair), share.life
+
+
+def _misplaced_hot_part(
+    available: Sequence[KeyRange], shares: dict[tuple[str, int], _Share], sums: Sequence[float]
+) -> RangeEdit | None:
+    """Return a part that fills its target while a much faster one is free of such parts."""
+    best = max(shares.values(), key=_worth_for_hot_part)
+    for share in shares.values():
+        is_overloaded = share.work > share.capacity and share.capacity < HOT_GAIN * best.capacity
+        if not is_overloaded or best.work > best.capacity:
+            continue
+        parts = [
+            part
+            for item in available
+            if item.life == share.life
+            for part in range(item.first // KEYS_PER_PART, item.last // KEYS_PER_PART + 1)
+        ]
+        hottest = max(parts, key=lambda part: sums[part + 1] - sums[part])
+        if sums[hottest + 1] - sums[hottest] > HOT_SHARE * share.capacity:
+            first = hottest * KEYS_PER_PART
+            return RangeEdit(first, first + KEYS_PER_PART - 1, RELEASING)
+    return None
+
+
 def _fitting_end(first: int, last: int, room: float, sums: Sequence[float]) -> int:
     """Return the last key of the longest piece from ``first`` whose work fits, at least one part long."""
     if _work_of(first, last, sums) <= room:
@@ -207,6 +245,9 @@
     """Release parts of the busiest targets; the next plan assigns them to those with most room."""
     releases: list[RangeEdit] = []
     available = [item for item in ranges if item.phase == HELD and item.life in shares]
+    hot = _misplaced_hot_part(available, shares, sums) if limit > 0 else None
+    if hot is not None:
+        return [hot]
     while len(releases) < limit:
         receiver = min(shares.values(), key=lambda share: share.ratio)
         donors = [share for share in shares.values() if _gives(share, receiver)]
@@ -245,14 +286,18 @@
 def _edge_piece(items: Sequence[KeyRange], wanted: float, sums: Sequence[float]) -> RangeEdit | None:
     """Return the piece at the end of a range whose work comes closest to ``wanted`` from below.
 
-    The narrowest such piece is taken, because idle keys gain nothing by moving.
+    Without one it is the piece with least work. Of equal ones the narrowest is taken, because idle keys gain
+    nothing by moving.
     """
     candidates = []
     for item in items:
-        for piece in (_head(item, wanted, sums), _tail(item, wanted, sums)):
+        whole = RangeEdit(item.first, item.last, RELEASING) if len(items) > 1 else None
+        if whole is not None and _work_of(whole.first, whole.last, sums) > wanted:
+            whole = None
+        for piece in (whole, _head(item, wanted, sums), _tail(item, wanted, sums)):
             if piece is not None:
                 moved = _work_of(piece.first, piece.last, sums)
-                closeness = moved / wanted if moved <= wanted else wanted / moved
+                closeness = moved / wanted if moved <= wanted else -moved / wanted
                 candidates.append((closeness, piece.first - piece.last, piece))
     if not candidates:
         return None
@@ -267,11 +312,18 @@
 
 
 def _tail(item: KeyRange, wanted: float, sums: Sequence[float]) -> RangeEdit | None:
-    total = _work_of(item.first, item.last, sums)
-    kept_end = _fitting_end(item.first, item.last, max(0.0, total - wanted), sums)
-    if kept_end >= item.last:
+    """Return the longest piece at the end whose work fits, at least one part long."""
+    low = item.first // KEYS_PER_PART + 1
+    high = item.last // KEYS_PER_PART
+    while low < high:
+        middle = (low + high) // 2
+        if _work_of(middle * KEYS_PER_PART, item.last, sums) <= wanted:
+            high = middle
+        else:
+            low = middle + 1
+    if high * KEYS_PER_PART <= item.first:
         return None
-    return RangeEdit(kept_end + 1, item.last, RELEASING)
+    return RangeEdit(high * KEYS_PER_PART, item.last, RELEASING)
 
 
 def _without(items: Sequence[KeyRange], piece: RangeEdit) -> list[KeyRange]:
--- a/tests/keyspace/test_planner.py
+++ b/tests/keyspace/test_planner.py
@@ -78,6 +78,20 @@
         after = max(utilizations(settle(table, owners, later), owners, later))
         assert after < 1.0 < before
 
+    def test_one_hot_key_gets_a_fast_target_of_its_own(self):
+        """Guards against a hot key that fills a slow target together with thousands of other keys."""
+        rng = random.Random(5)
+        owners = make_owners(rng)
+        work = busy_work(rng, 9_000, 1_500, 14.0)
+        table = settle(RangeTable(), owners, work)
+        work[2_471] += 11.0
+        settle(table, owners, work, rounds=20)
+        life = table.find(2_471 * 4).life
+        others = [part for part in range(PARTS) if part != 2_471 and table.find(part * 4).life == life]
+        capacity = {owner.life: owner.capacity for owner in owners}
+        assert capacity[life] == max(capacity.values())
+        assert sum(work[part] for part in others) < 0.3
+
     def test_every_key_is_assigned_and_only_to_owners(self):
         """Guards against keys that nobody serves."""
         rng = random.Random(1)
