Reset the connection of a call that is given up, and favour callers that return

Change: connections to targets end with a reset; a grant is not sent after the process stood still; a caller with less time than its route gives is admitted before new ones; only what may have run counts as an attempt; a release waits 20 ms for entries to learn of it.

--- a/cranberrylever/gateway/_admission.py
+++ b/cranberrylever/gateway/_admission.py
@@ -29,9 +29,12 @@
 
 MIN_RETRY_AFTER_S = 0.05
 
-DEADLINE_SHARES = (0.9, 0.7, 0.55)
-"""Share of its remaining time that a request may be expected to take, by priority; the last one holds for all
-others too. Less urgent requests leave room at a target that is nearly full."""
+FRESH_SHARES = (0.9, 0.6, 0.42)
+"""Share of its remaining time that a request may be expected to take, by priority; the last one holds for
+all others too. Less urgent requests leave room at a target that is nearly full."""
+
+RETURNED_SHARES = (0.95, 0.85, 0.85)
+"""The same for a request that was turned away before: it finds room before new ones, or it came back in vain."""
 
 
 @attrs.frozen
@@ -39,7 +42,7 @@
     """One request at one target, in seconds.
 
     ``remaining`` is the time until its caller gives up, ``cold_delay`` the time until a cold target may get
-    another request.
+    another request. ``has_returned`` tells whether the caller was turned away before.
     """
 
     priority: int
@@ -47,13 +50,15 @@
     wait: float
     completion: float
     cold_delay: float = 0.0
+    has_returned: bool = False
 
 
 def admit(offer: Offer) -> Admission:
     """Decide on a request for the target that suits it best."""
     if offer.remaining <= 0:
         return Admission(Verdict.REFUSE, MIN_RETRY_AFTER_S, "no time left")
-    budget = offer.remaining * DEADLINE_SHARES[min(offer.priority, len(DEADLINE_SHARES) - 1)]
+    shares = RETURNED_SHARES if offer.has_returned else FRESH_SHARES
+    budget = offer.remaining * shares[min(offer.priority, len(shares) - 1)]
     if offer.cold_delay > 0:
         if offer.cold_delay + offer.completion > budget:
             return Admission(Verdict.REFUSE, max(MIN_RETRY_AFTER_S, offer.cold_delay), "target is cold")
--- a/cranberrylever/gateway/_app.py
+++ b/cranberrylever/gateway/_app.py
@@ -20,6 +20,9 @@
 
 GUARD_DELAY_S = 0.01
 NO_VIEW_RETRY_AFTER_S = 0.5
+RETURNED_SHARE = 0.93
+"""A caller with less than this share of its route's time has waited elsewhere before."""
+
 FINAL_MARGIN_S = 0.02
 """Time before the caller's deadline at which a request without an answer ends, for the caller to hear it."""
 
@@ -159,6 +162,7 @@
             key=meta.key if service.keyed else None,
             arrived=now,
             deadline=now + waits,
+            has_returned=waits < RETURNED_SHARE * route.timeout,
         )
 
     async def _read_body(self, headers: Headers, receive: Receive, deadline: float) -> bytes | None:
--- a/cranberrylever/gateway/_call.py
+++ b/cranberrylever/gateway/_call.py
@@ -13,8 +13,9 @@
 class Call:
     """A request as read from its caller; times are loop seconds.
 
-    ``attempts`` counts the targets that it was sent to and ``may_have_run`` whether one of them may have run
-    it. ``offered`` tells whether it reached a target at all.
+    ``sends`` counts the targets that it was sent to and ``attempts`` those that may have run it;
+    ``may_have_run`` tells whether there was one. ``has_returned`` tells whether its caller has waited before:
+    it has less time left than the route gives.
     """
 
     request_id: bytes
@@ -28,9 +29,11 @@
     arrived: float
     deadline: float
     attempts: int = 0
+    sends: int = 0
     may_have_run: bool = False
     tried: list[str] = attrs.field(factory=list)
     reason: str = ""
+    has_returned: bool = False
     _fingerprint: str = ""
 
     @property
--- a/cranberrylever/gateway/_dispatcher.py
+++ b/cranberrylever/gateway/_dispatcher.py
@@ -22,6 +22,9 @@
 OWNER_WAIT_SHARE = 0.5
 """Share of a request's remaining time that it waits for its key at most."""
 
+EXTRA_SENDS = 1
+"""Targets beyond a route's attempts that a request may be sent to when others did not run it."""
+
 MAX_CONNECT_TRIES = 3
 CONNECT_RETRY_DELAY_S = 0.02
 CROSSING_COST_S = 0.01
@@ -124,6 +127,7 @@
                 estimate.wait(work, now),
                 estimate.completion(work, now),
                 self._cold_delay(target, now),
+                call.has_returned,
             )
             admission = admit(offer)
             if admission.verdict is Verdict.REFUSE:
@@ -194,21 +198,23 @@
         finally:
             estimate.end(self._now())
             if is_lost:
-                call.attempts += 1
-                call.tried.append(target.info.target_id)
-                call.may_have_run = True
-        call.attempts += 1
-        call.tried.append(target.info.target_id)
+                self._note_send(call, target, may_have_run=True)
         meta = self.format.read_answer(answer.status, answer.headers)
         now = self._now()
         self._learn(call, target, meta, answer, now - started, now)
         call.reason = f"{answer.status} of {target.info.target_id}"
-        if not meta.did_not_run:
-            call.may_have_run = True
-            if not meta.is_genuine:
-                raise AnswerLostError(f"an answer with {answer.status} that the target did not mark", False)
+        self._note_send(call, target, may_have_run=not meta.did_not_run)
+        if not (meta.did_not_run or meta.is_genuine):
+            raise AnswerLostError(f"an answer with {answer.status} that the target did not mark", False)
         return Served(answer, target.info.target_id, meta.did_not_run)
 
+    @staticmethod
+    def _note_send(call: Call, target: KnownTarget, may_have_run: bool) -> None:
+        call.sends += 1
+        call.tried.append(target.info.target_id)
+        call.attempts += may_have_run
+        call.may_have_run = call.may_have_run or may_have_run
+
     def _is_worth_repeating(self, call: Call, target: KnownTarget, served: Served) -> bool:
         """Tell whether another target may do better than an answer that reports an error."""
         if served.answer.status < _SERVER_ERROR or not call.route.idempotent:
@@ -296,7 +302,8 @@
     def _may_repeat(self, call: Call) -> bool:
         """Tell whether the call may be sent once more, and take a retry from the budget if so."""
         now = self._now()
-        if call.attempts >= call.route.attempts or call.remaining(now) < self.usual.of(call.route.name) / 2:
+        is_spent = call.attempts >= call.route.attempts or call.sends >= call.route.attempts + EXTRA_SENDS
+        if is_spent or call.remaining(now) < self.usual.of(call.route.name) / 2:
             return False
         return self._retry_window(call).take(self.view.entries, now)
 
--- a/cranberrylever/steering/_granter.py
+++ b/cranberrylever/steering/_granter.py
@@ -17,6 +17,9 @@
 """Seconds between renewals; two may fail before the lease ends."""
 
 RETRY_INTERVAL_S = 0.25
+RELEASE_DELAY_S = 0.02
+"""Time for entries to learn that a range moves, so that few requests meet an owner that has given it up."""
+
 FAILURES_TO_SUSPECT = 2
 PROBE_INTERVAL_S = 1.0
 TOKEN_LIFETIME_S = 4.0
@@ -151,6 +154,10 @@
         answer = GrantAnswer.LOST
         ledger = self.ledger
         try:
+            if not self.is_serving():
+                # The process stood still since the call was begun; another member may lead by now.
+                answer = GrantAnswer.NOT_SENT
+                return
             answer = await self.orders.grant(target.address, grant)
         finally:
             now = loop.time()
@@ -198,7 +205,7 @@
         self.failures[life] = self.failures.get(life, 0) + 1
 
     def _release(self, item: KeyRange, target: FleetTarget, now: float) -> None:
-        release = self.releases.setdefault(_place(item), _Release())
+        release = self.releases.setdefault(_place(item), _Release(retry_at=now + RELEASE_DELAY_S))
         if release.is_running or release.is_confirmed or now < release.retry_at:
             return
         # A renewal that arrives after the release would give the keys back to the target.
--- a/cranberrylever/targetlink/_connection.py
+++ b/cranberrylever/targetlink/_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 import attrs
 import httptools
@@ -12,7 +13,7 @@
 SILENCE_LIMIT_MS = 3_000
 """Time for which sent bytes may stay unacknowledged before the system ends the connection."""
 
-_NO_BODY = frozenset({204, 304})
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class NotSentError(Exception):
@@ -109,6 +110,8 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
+            # Without this the system would go on to deliver what was sent before an abort, even seconds later.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; bytes that belong to no request end the connection."""
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -23,6 +23,11 @@
         assert admit(Offer(2, 0.8, 0.4, 0.5)).verdict is Verdict.REFUSE
         assert admit(Offer(0, 0.8, 0.4, 0.5)).verdict is Verdict.SEND
 
+    def test_returned_request_finds_room_before_a_new_one(self):
+        """Guards against callers that come back as told and are turned away again."""
+        assert admit(Offer(2, 0.8, 0.3, 0.4)).verdict is Verdict.REFUSE
+        assert admit(Offer(2, 0.6, 0.3, 0.4, has_returned=True)).verdict is Verdict.SEND
+
     def test_refusal_names_the_time_at_which_room_is_expected(self):
         """Guards against callers that all come back at once and are refused again."""
         admission = admit(Offer(2, 0.8, 0.9, 1.0))
--- a/tests/targetlink/test_connection.py
+++ b/tests/targetlink/test_connection.py
@@ -135,6 +135,35 @@
         )
         assert (results, connections) == ([b"ok", b"ok"], 2)
 
+    def test_abandoned_request_resets_its_connection(self):
+        """Guards against bytes that the system goes on to deliver after their sender has given them up.
+
+        A grant that was held up by a cut reached its target 6 s later, when another target owned the keys.
+        """
+        ends = []
+
+        async def main():
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                try:
+                    ends.append(await reader.read())
+                except ConnectionResetError as error:
+                    ends.append(type(error))
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            pool = TargetPool(b"x-id")
+            try:
+                async with asyncio.timeout(0.1):
+                    await pool.exchange(address, b"GET", REQUEST, b"1")
+            except TimeoutError:
+                await asyncio.sleep(0.1)
+            server.close()
+
+        asyncio.run(main())
+        assert ends == [ConnectionResetError]
+
     def test_refused_connection_is_not_sent(self):
         """Guards against a request that counts as run though nobody listens."""
 
