Prefer fast targets more while there is room, and follow hot keys sooner

Change: the share of fast targets grows with the cube of their speed while nothing is used; work counts for 1.5 s; narrow pieces move before wide ones. Ruled out: hedging: only the owner of a key may run it.

--- a/cranberrylever/gateway/_admission.py
+++ b/cranberrylever/gateway/_admission.py
@@ -30,8 +30,10 @@
 MIN_RETRY_AFTER_S = 0.05
 
 FRESH_SHARES = (0.9, 0.6, 0.42)
-"""Share of its remaining time that a request may be expected to take, by priority; the last one holds for
-all others too. Less urgent requests leave room at a target that is nearly full."""
+"""Share of its remaining time that a request may be expected to take, by priority.
+
+The last one holds for all others too. Less urgent requests leave room at a target that is nearly full.
+"""
 
 RETURNED_SHARES = (0.95, 0.85, 0.85)
 """The same for a request that was turned away before: it finds room before new ones, or it came back in vain."""
--- a/cranberrylever/keyspace/_loads.py
+++ b/cranberrylever/keyspace/_loads.py
@@ -10,7 +10,7 @@
 
 PARTS = KEYS // KEYS_PER_PART
 
-MEMORY_TIME = 2.5
+MEMORY_TIME = 1.5
 """Seconds after which work counts for a third; hot keys stay hot for a few seconds."""
 
 
--- a/cranberrylever/keyspace/_planner.py
+++ b/cranberrylever/keyspace/_planner.py
@@ -9,12 +9,12 @@
 import attrs
 
 from cranberrylever.keyspace._loads import KEYS_PER_PART, PARTS
-from cranberrylever.keyspace._ranges import FREE, HELD, RELEASING, KeyRange, RangeEdit
+from cranberrylever.keyspace._ranges import FREE, HELD, KEYS, RELEASING, KeyRange, RangeEdit
 
 IDLE_WORK = 0.02
 """Work in seconds per second that all parts together count for without any request."""
 
-MOVE_ABOVE = 1.4
+MOVE_ABOVE = 1.5
 """A target gives work away when its share is this much above its fair one."""
 
 BUSY_FROM = 0.2
@@ -26,12 +26,15 @@
 HOT_GAIN = 0.75
 """A hot part moves to a faster target when its own has less than this share of that one's capacity."""
 
-FULL_UTILIZATION = 0.8
+FULL_UTILIZATION = 0.75
 """Share of all capacity from which work is divided by capacity alone."""
 
-FAST_PREFERENCE = 1.5
+FAST_PREFERENCE = 3.0
 """Exponent of a target's speed in its share while nothing is used."""
 
+WIDTH_COST = 4.0
+"""What a piece of all keys would lose against a narrow one that carries as much work."""
+
 MAX_MOVES = 12
 """Moves that may be under way at once, since callers of moving keys wait."""
 
@@ -286,8 +289,8 @@
 def _edge_piece(items: Sequence[KeyRange], wanted: float, sums: Sequence[float]) -> RangeEdit | None:
     """Return the piece at the end of a range whose work comes closest to ``wanted`` from below.
 
-    Without one it is the piece with least work. Of equal ones the narrowest is taken, because idle keys gain
-    nothing by moving.
+    Without one it is the piece with least work. Narrow pieces are preferred, because idle keys gain nothing by
+    moving.
     """
     candidates = []
     for item in items:
@@ -298,10 +301,11 @@
             if piece is not None:
                 moved = _work_of(piece.first, piece.last, sums)
                 closeness = moved / wanted if moved <= wanted else -moved / wanted
-                candidates.append((closeness, piece.first - piece.last, piece))
+                width = (piece.last - piece.first + 1) / KEYS
+                candidates.append((closeness - WIDTH_COST * width, piece))
     if not candidates:
         return None
-    return max(candidates, key=lambda candidate: candidate[:2])[2]
+    return max(candidates, key=lambda candidate: candidate[0])[1]
 
 
 def _head(item: KeyRange, wanted: float, sums: Sequence[float]) -> RangeEdit | None:
--- a/cranberrylever/targetlink/_connection.py
+++ b/cranberrylever/targetlink/_connection.py
@@ -110,7 +110,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
-            # Without this the system would go on to deliver what was sent before an abort, even seconds later.
+            # Without this the system would deliver what was sent before an abort, even seconds later.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def data_received(self, data: bytes) -> None:
