--- a/cranberrylever/gateway/_admission.py
+++ b/cranberrylever/gateway/_admission.py
@@ -36,7 +36,7 @@
 """
 
 RETURNED_SHARES = (0.95, 0.85, 0.85)
-"""The same for a request that was turned away before: it finds room before new ones, or it came back in vain."""
+"""The same for a request that was turned away before: it finds room first, or it came back in vain."""
 
 
 @attrs.frozen
--- a/cranberrylever/keyspace/_planner.py
+++ b/cranberrylever/keyspace/_planner.py
@@ -289,8 +289,8 @@
 def _edge_piece(items: Sequence[KeyRange], wanted: float, sums: Sequence[float]) -> RangeEdit | None:
     """Return the piece at the end of a range whose work comes closest to ``wanted`` from below.
 
-    Without one it is the piece with least work. Narrow pieces are preferred, because idle keys gain nothing by
-    moving.
+    Without one it is the piece with least work. Narrow pieces are preferred, because idle keys gain nothing
+    by moving.
     """
     candidates = []
     for item in items:
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,206 @@
+"""Tests of what the adapter reads: settings, configurations, heartbeats and headers."""
+
+import importlib
+import json
+import sys
+
+import testtools
+
+from cranberrylever.errors import SettingError
+from cranberrylever.gateway import LoadSample
+from tests.platform import ROOT
+from tests.platform.standin import configuration
+
+config_document = importlib.import_module("config_document")
+settings_file = importlib.import_module("settings_file")
+target_calls = importlib.import_module("target_calls")
+
+ENTRY_FILE = """node=edge-puget-1
+ip=10.1.0.10
+zone=puget
+zones.puget=cascadia
+zones.olympic=cascadia
+listen.front=10.1.0.10:8161
+listen.ready=10.1.0.10:8167
+port_range=7720,7735
+seeds=10.1.0.13:8166,10.2.0.43:8166
+bounds=grace_s=6,retry_ratio=0.2,retry_window_s=10,retry_slack=56,warmup_excess=1.5,warmup_slack=5
+a.field.of.tomorrow=x
+"""
+CONTROL_FILE = """node=core-1
+ip=10.1.0.13
+listen.control=10.1.0.13:8166
+port_range=7720,7735
+seeds=10.1.0.13:8166,10.2.0.43:8166
+bootstrap=true
+data_dir=/data/x
+heartbeat_s=0.87
+"""
+BEAT = {
+    "service": "s",
+    "addr": "10.0.0.1:80",
+    "zone": "puget",
+    "version": "v1",
+    "max_concurrency": 3,
+    "state": "ready",
+    "warmup_s_time": 0.5,
+    "seq": 4,
+    "born": 1767250972000,
+}
+DOMAINS = frozenset({"puget"})
+
+
+class SettingsFileTest(testtools.TestCase):
+    def read(self, text):
+        path = f"{self.useFixtureDir()}/settings.conf"
+        with open(path, "w") as file:
+            file.write(text)
+        return settings_file.read_fields(path)
+
+    def useFixtureDir(self):  # noqa: N802 - named like the methods of testtools
+        import tempfile
+
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return folder.name
+
+    def test_entry(self):
+        """Guards against bounds or addresses that are read wrongly."""
+        settings = settings_file.entry_settings(self.read(ENTRY_FILE))
+        assert settings.listen == "10.1.0.10:8161"
+        assert settings.contacts == ("10.1.0.13:7720", "10.2.0.43:7720")
+        assert (settings.rules.cold_factor, settings.rules.retry_extra) == (1.5, 56.0)
+        assert settings.failure_domain == "puget"
+
+    def test_control(self):
+        """Guards against a founder that does not know that it is one."""
+        settings = settings_file.control_settings(self.read(CONTROL_FILE))
+        assert settings.rpc in settings.founders
+        assert settings.bootstrap
+
+    def test_missing_field_is_named(self):
+        """Guards against a program that starts without an address."""
+        error = self.assertRaises(SettingError, settings_file.control_settings, {"ip": "10.0.0.1"})
+        assert "port_range" in str(error) or "listen.control" in str(error)
+
+    def test_standard_module_is_not_shadowed(self):
+        """Guards against the folder taking the place of the standard module of its name."""
+        assert not (ROOT / "platform" / "__init__.py").exists()
+        assert "python" in sys.modules.get("platform", importlib.import_module("platform")).__file__
+
+
+class ConfigurationTest(testtools.TestCase):
+    def test_configuration(self):
+        """Guards against fields that are mixed up."""
+        body = json.dumps(configuration(7, "ledger", "desk")).encode()
+        plan = config_document.read_plan(body)
+        assert (plan.number, plan.source) == (7, body)
+        assert [route.idempotent for route in plan.routes] == [True, False]
+        assert plan.routes[0].objective == 0.5
+        assert [service.keyed for service in plan.services] == [True, False]
+        assert plan.services[0].cold_rate == 9.9
+
+    def test_split(self):
+        """Guards against a split whose weights are lost."""
+        document = configuration(7, "ledger", "desk")
+        del document["routes"][0]["service"]
+        document["routes"][0]["split"] = [
+            {"service": "ledger", "weight": 90},
+            {"service": "desk", "weight": 10},
+        ]
+        plan = config_document.read_plan(json.dumps(document).encode())
+        assert [(share.service, share.weight) for share in plan.routes[0].shares] == [
+            ("ledger", 90.0),
+            ("desk", 10.0),
+        ]
+
+    def test_what_cannot_be_read_is_refused(self):
+        """Guards against a configuration that is accepted in part."""
+        whole = json.dumps(configuration(7, "ledger", "desk")).encode()
+        bad = [whole[: len(whole) // 2], b"[]", b"", b"\xff"]
+        for change in ({"version": 7}, {"version": "7x"}, {"routes": {}}, {"limits": 3}):
+            bad.append(json.dumps({**configuration(7, "ledger", "desk"), **change}).encode())
+        for body in bad:
+            self.assertRaises(config_document.UnreadableError, config_document.read_plan, body)
+
+    def test_version(self):
+        """Guards against versions compared as text."""
+        assert config_document.read_version("r12", "x") > config_document.read_version("r9", "x")
+        assert config_document.read_version("0", "x") == 0
+
+
+class HeartbeatTest(testtools.TestCase):
+    def test_heartbeat(self):
+        """Guards against the time left cold being read as a duration of the past."""
+        notice = config_document.read_notice("i-1", json.dumps(BEAT).encode(), DOMAINS)
+        assert (notice.target_id, notice.started_ms, notice.cold_for) == ("i-1", 1767250972000, 0.5)
+        assert not notice.draining
+
+    def test_forged_heartbeats_name_no_target(self):
+        """Guards against a target taken from another writer's bytes."""
+        changes = [
+            {"service": None},
+            {"addr": "nowhere"},
+            {"zone": "mars"},
+            {"state": "asleep"},
+            {"max_concurrency": "3"},
+            {"max_concurrency": 0},
+            {"seq": True},
+            {"born": 1.5},
+            {"born": None},
+            {"warmup_s_time": "0"},
+            {"version": 1},
+        ]
+        bodies = [json.dumps({**BEAT, **change}).encode() for change in changes]
+        for body in [*bodies, b"", b"{", b"[1]", b"\xff\xfe"]:
+            self.assertRaises(
+                config_document.UnreadableError, config_document.read_notice, "i-1", body, DOMAINS
+            )
+
+
+class HeaderTest(testtools.TestCase):
+    FORMAT = target_calls.PlatformFormat()
+
+    def test_call(self):
+        """Guards against a deadline in the wrong unit."""
+        call = self.FORMAT.read_call(
+            [
+                (b"cranberrylever-request-id", b"9c41"),
+                (b"cranberrylever-deadline-ms", b"1200"),
+                (b"cranberrylever-shard-key", b"65535"),
+            ]
+        )
+        assert (call.request_id, call.deadline, call.key) == (b"9c41", 1.2, 65_535)
+
+    def test_unreadable_values_count_as_missing(self):
+        """Guards against a request that fails on a header of its caller."""
+        call = self.FORMAT.read_call(
+            [(b"cranberrylever-deadline-ms", b"-1"), (b"cranberrylever-shard-key", b"70000")]
+        )
+        assert (call.request_id, call.deadline, call.key) == (b"", None, None)
+
+    def test_target_headers_carry_what_is_left(self):
+        """Guards against a target that works longer than its caller waits."""
+        headers = dict(
+            self.FORMAT.target_headers([(b"cranberrylever-deadline-ms", b"1200"), (b"x", b"y")], "i-1", 0.7)
+        )
+        assert headers[b"cranberrylever-deadline-ms"] == b"700"
+        assert headers[b"cranberrylever-target-instance"] == b"i-1"
+        assert headers[b"x"] == b"y"
+
+    def test_answer(self):
+        """Guards against a refusal that is taken for a run, or the other way round."""
+        read = self.FORMAT.read_answer
+        assert read(503, [(b"cranberrylever-not-executed", b"1")]).did_not_run
+        assert read(421, []).did_not_run
+        assert not read(503, []).did_not_run
+        answer = read(
+            200,
+            [
+                (b"cranberrylever-upstream-signature", b"s"),
+                (b"cranberrylever-upstream-load", b"3,1,8,250"),
+            ],
+        )
+        assert answer.is_genuine
+        assert answer.load == LoadSample(3, 1, 8, 2.5)
+        assert read(200, [(b"cranberrylever-upstream-load", b"garbage")]).load is None
