Keep a control member alive through faults of its disk, and try idle targets

Change: the member opens its folder again until it can; a leader whose sync takes over 0.5 s hands leadership over; three pooled requests in a hundred try any idle target; unexpected errors are logged and answered 502; such a cold target gets nothing. Ruled out: ending the process on a full disk: restarts cost more and change nothing.

--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -26,6 +26,9 @@
 MAX_APPLY_BATCH = 128
 KEPT_ENTRIES_DIVISOR = 4
 
+SYNC_LIMIT_S = 0.5
+"""Time after which a leader whose disk has not synced lets another member lead."""
+
 
 class RaftDriver:
     """One running member.
@@ -61,6 +64,7 @@
         self._standing: tuple[str | None, int, bool] = (None, 0, False)
         self._pending = PendingCalls()
         self._is_saving = False
+        self._saving_since: float | None = None
         self._is_pump_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -242,6 +246,7 @@
         node = self.node
         if now >= node.deadline():
             node.tick(now)
+        self._yield_on_slow_disk(now)
         if node.refused is not None:
             raise StorageError(node.refused, "empty the data folder and start without --bootstrap")
         for receiver, message in node.take_messages(now):
@@ -252,6 +257,13 @@
         self._observe_leadership(now)
         self._set_timer(now)
 
+    def _yield_on_slow_disk(self, now: float) -> None:
+        """Give leadership up while the disk does not answer; nothing that is committed would be applied."""
+        is_stuck = self._saving_since is not None and now - self._saving_since > SYNC_LIMIT_S
+        if is_stuck and self.node.leadership is not None and self.node.leadership.successor() is not None:
+            self.log.warning("leadership_given_up", sync_seconds=now - self._saving_since)
+            self.node.hand_over(now)
+
     def _send(self, receiver: str, message: Message) -> None:
         kind = type(message).__name__
         frame = PeerFrame(
@@ -278,7 +290,9 @@
             self._send(receiver, message)
 
     async def _save(self, batch: StorageBatch) -> None:
+        self._saving_since = self._now()
         await self.storage.save(batch)
+        self._saving_since = None
         if self.stopped.is_set():
             return
         if batch.snapshot is not None:
--- a/cranberrylever/gateway/_app.py
+++ b/cranberrylever/gateway/_app.py
@@ -116,6 +116,12 @@
             record.reason = error.message
             await self._refuse(send, error)
             return
+        except Exception as error:
+            # Nothing is known about how far the request came, so the answer promises nothing.
+            self.log.failure("request_failed", error, request_id=record.request_id(self.format))
+            record.status = 502
+            await self._refuse(send, _AnsweredError(502, "unknown", "the entry failed"))
+            return
         if served is None:
             record.outcome = "caller gone"
             return
--- a/cranberrylever/gateway/_dispatcher.py
+++ b/cranberrylever/gateway/_dispatcher.py
@@ -30,6 +30,10 @@
 CROSSING_COST_S = 0.01
 """What a target in another failure domain must be faster by, since bytes between domains cost."""
 
+EXPLORED_SHARE = 0.03
+"""Share of pooled requests that go to any idle target: one that nobody uses would never be known again."""
+
+MAX_FAILURES_TO_EXPLORE = 0.1
 CHOICE_NOISE = 0.02
 """Relative noise on estimates, so that entries that know the same do not all choose the same target."""
 
@@ -135,7 +139,7 @@
             if admission.verdict is Verdict.WAIT:
                 await asyncio.sleep(admission.delay)
                 continue
-            if target.is_cold(now) and target.cold_bucket is not None and not target.cold_bucket.take(now):
+            if target.is_cold(now) and not target.cold_bucket.take(now):
                 continue
             return target
 
@@ -147,9 +151,19 @@
         fresh = [target for target in candidates if target.info.target_id not in progress.rejected]
         if not (fresh or candidates):
             self._give_up(call, "no target is in service", 0.5)
+        if self.rng.random() < EXPLORED_SHARE:
+            idle = [target for target in fresh if self._is_worth_a_try(target, now)]
+            if idle:
+                return self.rng.choice(idle)
         work = self.usual.of(call.route.name)
         return min(fresh or candidates, key=lambda target: self._cost(target, work, now))
 
+    def _is_worth_a_try(self, target: KnownTarget, now: float) -> bool:
+        """Tell whether a target that others seem better than may have become the best one unseen."""
+        estimate = target.estimate
+        is_idle = estimate.busy(now) < 1.0 and estimate.recent_failures(now) < MAX_FAILURES_TO_EXPLORE
+        return is_idle and self._cold_delay(target, now) == 0.0
+
     def _cost(self, target: KnownTarget, work: float, now: float) -> float:
         noise = 1.0 + CHOICE_NOISE * self.rng.random()
         delay = min(self._cold_delay(target, now), 10.0)
@@ -171,9 +185,9 @@
 
     @staticmethod
     def _cold_delay(target: KnownTarget, now: float) -> float:
-        if not target.is_cold(now) or target.cold_bucket is None:
+        if not target.is_cold(now):
             return 0.0
-        return target.cold_bucket.delay(now)
+        return target.cold_bucket.delay(now) if target.cold_bucket is not None else float("inf")
 
     # Sending -------------------------------------------------------------------------------------
 
--- a/cranberrylever/steering/_program.py
+++ b/cranberrylever/steering/_program.py
@@ -26,6 +26,7 @@
 from cranberrylever.wire import MsgpackCodec
 
 RPC_CLOSE_TIMEOUT_S = 0.5
+STORAGE_RETRY_S = 0.5
 HANDOVER_WAIT_S = 0.3
 """Time in which a successor is elected before this member closes its connections."""
 
@@ -140,9 +141,10 @@
         service = LeaderSteeringService(self.driver, self.leader, self.state, self.log)
         self.http = HttpServer(self.create_app(service, self.forwarder), settings.http)
         self.rpc = grpclib.server.Server([self.transport, self.feed], codec=MsgpackCodec())
+        # The folder is read first: when it can't be, nothing else has been opened.
+        await self.driver.start()
         await self.rpc.start(*split_address(settings.rpc))
         await self.transport.start()
-        await self.driver.start()
         self.leader.start()
         await self.http.start()
         self.log.info(
@@ -167,19 +169,35 @@
         await self.transport.close()
 
     async def _watch(self) -> None:
-        """Start again as a learner on an empty folder when the group has replaced this member."""
+        """Start the member again after a fault of its disk.
+
+        When the group has replaced this member, it starts as a learner on an empty folder.
+        """
         while True:
             error = await self.driver.wait_stopped()
             if self.stopping:
                 return
-            if not isinstance(error, StorageError) or not self.driver.is_retired:
+            if not isinstance(error, StorageError):
                 self.error = error
                 self.failed.set()
                 return
-            self.log.warning("member_retired", error=str(error), folder_id=self.driver.folder_id)
             await self._close_member()
-            shutil.rmtree(self.settings.data_dir, ignore_errors=True)
-            await self._start_member()
+            if self.driver.is_retired:
+                self.log.warning("member_retired", error=str(error), folder_id=self.driver.folder_id)
+                shutil.rmtree(self.settings.data_dir, ignore_errors=True)
+            await self._start_again(error)
+
+    async def _start_again(self, error: CranberryleverError) -> None:
+        """Open the data folder again until it can be used; a full or faulty disk may recover."""
+        while True:
+            self.log.warning("member_restarts", error=str(error), pause=STORAGE_RETRY_S)
+            await asyncio.sleep(STORAGE_RETRY_S)
+            try:
+                await self._start_member()
+            except (StorageError, OSError) as again:
+                error = StorageError(str(again), "make room or replace the disk")
+            else:
+                return
 
     def _is_serving(self) -> bool:
         return self.leader.is_serving()
