--- a/cranberrylever/cli.py
+++ b/cranberrylever/cli.py
@@ -9,6 +9,7 @@
 from cranberrylever._cli._programs import control, dev, entry, target
 from cranberrylever._cli._status import status, version
 from cranberrylever._cli._tickets import ticket_app
+from cranberrylever._cli._trace import trace
 from cranberrylever.errors import (
     ControlRefusedError,
     ControlUnavailableError,
@@ -39,6 +40,7 @@
 app.command()(dev)
 app.command()(status)
 app.command()(version)
+app.command()(trace)
 app.add_typer(ticket_app, name="ticket")
 app.add_typer(docs_app, name="docs")
 
--- /dev/null
+++ b/tests/cli/test_trace.py
@@ -0,0 +1,40 @@
+"""Tests of the command that follows one request through the logs."""
+
+import json
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from cranberrylever.tracing import read_lines, trace
+
+
+def line(at, node, kind, **fields):
+    return json.dumps({"timestamp": at, "node": node, "message_type": kind, **fields})
+
+
+class TraceTest(testtools.TestCase):
+    LINES = (
+        line(10.0, "c1", "range_edit", first=0, last=99, phase="releasing", before="t1"),
+        line(10.1, "c1", "range_edit", first=500, last=599, phase="releasing", before="t1"),
+        line(10.2, "c1", "grant_failed", target="t1", answer="lost", first=0, last=99),
+        line(10.2, "c1", "grant_failed", target="t9", answer="lost", first=0, last=99),
+        "some text " + line(10.9, "e1", "request", request_id="q1", key=42, tried=["t1"], ms=300.0),
+        line(10.9, "e1", "request", request_id="q2", key=42, tried=["t1"], ms=300.0),
+        line(2.0, "c1", "domain_set", failure_domain="a", withdrawn=True),
+        "not a line",
+    )
+
+    def test_lines_about_the_key_and_the_target_are_found(self):
+        """Guards against an engineer who has the id and no way to its cause."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "log"
+            path.write_text("\n".join(self.LINES))
+            found = trace(read_lines([path]), "q1")
+        kinds = [(item.kind, item.fields.get("target", "")) for item in found]
+        assert kinds == [("range_edit", ""), ("grant_failed", "t1"), ("request", "")]
+        assert "request_id=q1" in found[-1].text()
+
+    def test_unknown_id_finds_nothing(self):
+        """Guards against lines of another request."""
+        assert trace([], "q1") == []
