--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -6,9 +6,10 @@
 from cranberrylever.consensus._config import ConsensusConfig, MemberStatus
 from cranberrylever.consensus._leadership import Leadership
 from cranberrylever.consensus._machine import StateMachine
-from cranberrylever.consensus._messages import MESSAGE_KINDS, EntryKind, Message, Snapshot
+from cranberrylever.consensus._messages import MESSAGE_KINDS, EntryKind, Message
 from cranberrylever.consensus._node import RaftNode
 from cranberrylever.consensus._pending import PendingCalls, proposal_lost
+from cranberrylever.consensus._snapshots import SnapshotWriter
 from cranberrylever.consensus._status import member_status
 from cranberrylever.consensus._storage import Storage, StorageBatch
 from cranberrylever.consensus._transport import Transport
@@ -24,7 +25,6 @@
 from cranberrylever.wire import PeerFrame, decode, encode
 
 MAX_APPLY_BATCH = 128
-KEPT_ENTRIES_DIVISOR = 4
 
 SYNC_LIMIT_S = 0.5
 """Time after which a leader whose disk has not synced lets another member lead."""
@@ -68,7 +68,7 @@
         self._is_pump_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
-        self._is_snapshotting = False
+        self.snapshots = SnapshotWriter(storage, machine, config.snapshot_entries)
 
     # Status ------------------------------------------------------------------------------------
 
@@ -324,7 +324,7 @@
             self._apply_entry(self.applied_index + 1)
         if self.applied_index < min(node.commit_index, node.persisted_index):
             self._schedule_pump()
-        self._maybe_snapshot()
+        self._start_snapshot()
 
     def _apply_entry(self, index: int) -> None:
         entry = self.node.log.get(index)
@@ -334,6 +334,12 @@
         self.applied_index = index
         self._pending.finish_proposal(index, entry.term, result)
 
+    def _start_snapshot(self) -> None:
+        """Take a snapshot when enough entries were applied since the last one."""
+        snapshot = self.snapshots.next(self.node, self.applied_index)
+        if snapshot is not None:
+            self._start_task(self.snapshots.save(self.node, snapshot))
+
     def _finish_reads(self) -> None:
         node = self.node
         for read_id, index in node.confirmed_reads:
@@ -373,27 +379,6 @@
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_at(max(deadline, now), self._on_timer, deadline)
 
-    # Snapshots ---------------------------------------------------------------------------------
-
-    def _maybe_snapshot(self) -> None:
-        node = self.node
-        last = node.snapshot.index if node.snapshot else 0
-        if self._is_snapshotting or self.applied_index - last < self.config.snapshot_entries:
-            return
-        _, membership = node.memberships.at(self.applied_index)
-        term = node.log.term_at(self.applied_index)
-        self._is_snapshotting = True
-        self._start_task(
-            self._snapshot(Snapshot(self.applied_index, term, membership, self.machine.snapshot()))
-        )
-
-    async def _snapshot(self, snapshot: Snapshot) -> None:
-        await self.storage.save_snapshot(snapshot)
-        keep = self.config.snapshot_entries // KEPT_ENTRIES_DIVISOR
-        self.node.snapshot_saved(snapshot, keep)
-        await self.storage.compact(self.node.log.base_index)
-        self._is_snapshotting = False
-
 
 def create_driver(
     config: ConsensusConfig,
