Refuse at once what a lost owner can't serve, and resend shed requests at once

Cause: requests for keys without an owner waited up to 0.6 s each, also when the owner had been lost for seconds; after a stated refusal by a full or grey target the resend waited 0.1 s for a view that had nothing to do with it. Change: the view knows since when keys are unserved; requests wait only while a planned move may still end, then are refused with the time at which a lost owner is replaced; only a refusal for keys waits for a newer view. Ruled out: waiting out the lease: it is longer than the callers' deadlines.

--- a/cranberrylever/gateway/_dispatcher.py
+++ b/cranberrylever/gateway/_dispatcher.py
@@ -19,6 +19,10 @@
 MAX_OWNER_WAIT_S = 0.6
 """Longest time that a request waits for its key to be served; a planned move takes less."""
 
+LOST_OWNER_TIME_S = 3.5
+"""Time within which keys of a lost target have another owner: its lease and the steps after it."""
+
+MIN_OWNER_RETRY_S = 0.2
 OWNER_WAIT_SHARE = 0.5
 """Share of a request's remaining time that it waits for its key at most."""
 
@@ -37,7 +41,10 @@
 CHOICE_NOISE = 0.02
 """Relative noise on estimates, so that entries that know the same do not all choose the same target."""
 
+NEWER_VIEW_WAIT_S = 0.1
+
 _SERVER_ERROR = 500
+_MISDIRECTED = 421
 
 
 @attrs.define
@@ -107,7 +114,7 @@
                 self._after_loss(call, target, error)
                 continue
             if served.did_not_run:
-                await self._after_rejection(call, target, progress)
+                await self._after_rejection(call, target, progress, served.answer.status)
             elif not self._is_worth_repeating(call, target, served):
                 return served
 
@@ -173,15 +180,19 @@
     async def _owner(self, call: Call) -> KnownTarget:
         """Return the owner of the call's key; wait a moment while the key moves."""
         now = self._now()
-        give_up_at = now + min(MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE * call.remaining(now))
+        wait = min(MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE * call.remaining(now))
         while True:
             target = self.view.owner(call.service.name, call.key)
             if target is not None:
                 return target
-            now = self._now()
-            if now >= give_up_at:
-                self._give_up(call, "the key is served by no target at the moment", 0.3)
-            await self.view.wait_for_change(give_up_at - now)
+            unserved_since = self.view.unserved_since(call.service.name, call.key)
+            give_up_at = min(now + wait, unserved_since + MAX_OWNER_WAIT_S)
+            moment = self._now()
+            if moment >= give_up_at:
+                expected = unserved_since + LOST_OWNER_TIME_S - moment
+                retry_after = max(MIN_OWNER_RETRY_S, expected)
+                self._give_up(call, "the key is served by no target at the moment", retry_after)
+            await self.view.wait_for_change(give_up_at - moment)
 
     @staticmethod
     def _cold_delay(target: KnownTarget, now: float) -> float:
@@ -300,14 +311,16 @@
         if not call.route.idempotent or not self._may_repeat(call):
             raise OutcomeUnknownError(call.reason) from error
 
-    async def _after_rejection(self, call: Call, target: KnownTarget, progress: _Progress) -> None:
-        """Decide what follows an answer that tells that the call did not run, or that may be repeated."""
+    async def _after_rejection(
+        self, call: Call, target: KnownTarget, progress: _Progress, status: int
+    ) -> None:
+        """Decide what follows an answer which tells that the call did not run."""
         progress.rejected.add(target.info.target_id)
         if not self._may_repeat(call):
             self._give_up(call, call.reason, self._room_in(target, call))
-        if call.key is not None:
-            # The owner refused, so a newer view is on its way or the target is full.
-            await self.view.wait_for_change(0.1)
+        if call.key is not None and status == _MISDIRECTED:
+            # The target does not hold the key any more, so a newer view is on its way.
+            await self.view.wait_for_change(NEWER_VIEW_WAIT_S)
 
     def _room_in(self, target: KnownTarget, call: Call) -> float:
         wait = target.estimate.wait(self.usual.of(call.route.name), self._now())
--- a/cranberrylever/gateway/_view.py
+++ b/cranberrylever/gateway/_view.py
@@ -30,14 +30,22 @@
         return now < self.cold_until
 
 
+@attrs.frozen
+class KeyOwner:
+    """The target that owns a key, empty while nobody serves it, since a loop time."""
+
+    target_id: str
+    since: float
+
+
 class KeyOwners:
     """Owners of one service's keys."""
 
     def __init__(self) -> None:
         self.firsts = [0]
-        self.owners = [""]
+        self.owners = [KeyOwner("", 0.0)]
 
-    def set(self, first: int, last: int, owner: str) -> None:
+    def set(self, first: int, last: int, owner: KeyOwner) -> None:
         """Give the keys ``first`` to ``last`` another owner."""
         after = self.of(last + 1)
         start = bisect.bisect_left(self.firsts, first)
@@ -45,10 +53,9 @@
         self.firsts[start:stop] = [first, last + 1]
         self.owners[start:stop] = [owner, after]
 
-    def of(self, key: int) -> str:
-        """Return the target that owns a key, empty while nobody serves it."""
-        position = bisect.bisect_right(self.firsts, key) - 1
-        return self.owners[position] if position >= 0 else ""
+    def of(self, key: int) -> KeyOwner:
+        """Return the owner of a key."""
+        return self.owners[bisect.bisect_right(self.firsts, key) - 1]
 
 
 class EntryView:
@@ -91,7 +98,7 @@
             changed = True
         if self._fits(reply.ranges, reply.ranges_version, self.ranges_version):
             self.ranges_version = reply.ranges_version
-            self._apply_ranges(reply.ranges)
+            self._apply_ranges(reply.ranges, now)
             changed = True
         if changed:
             self._changed.set()
@@ -114,9 +121,14 @@
     def owner(self, service: str, key: int) -> KnownTarget | None:
         """Return the usable target that owns a key, ``None`` while there is none."""
         owners = self.owners.get(service)
-        target = self.targets.get(owners.of(key)) if owners is not None else None
+        target = self.targets.get(owners.of(key).target_id) if owners is not None else None
         return target if target is not None and target.info.usable else None
 
+    def unserved_since(self, service: str, key: int) -> float:
+        """Return the loop time from which a key without a usable owner has had none."""
+        owners = self.owners.get(service)
+        return owners.of(key).since if owners is not None else self.received_at
+
     def pool(self, service: str) -> list[KnownTarget]:
         """Return the usable targets of a service."""
         return [target for target in self.by_service.get(service, ()) if target.info.usable]
@@ -152,10 +164,10 @@
             rate = service.cold_rate if service is not None else 0.0
             known.cold_bucket = ColdBucket(rate, self.entries, self.rules, now)
 
-    def _apply_ranges(self, ranges: RangesView) -> None:
+    def _apply_ranges(self, ranges: RangesView, now: float) -> None:
         if ranges.base_version < 0:
             self.owners = {}
         for service in ranges.services:
             owners = self.owners.setdefault(service.service, KeyOwners())
             for item in service.ranges:
-                owners.set(item.first, item.last, item.owner)
+                owners.set(item.first, item.last, KeyOwner(item.owner, now))
