--- a/cranberrylever/gateway/_app.py
+++ b/cranberrylever/gateway/_app.py
@@ -267,7 +267,7 @@
             plan=self.view.plan_version,
             fleet=self.view.fleet_version,
             ranges=self.view.ranges_version,
-            view_age_ms=round((record.started - self.view.received_at) * 1000),
+            view_age_ms=round((record.started + elapsed - self.view.received_at) * 1000),
         )
 
 
--- a/cranberrylever/keyspace/_planner.py
+++ b/cranberrylever/keyspace/_planner.py
@@ -14,11 +14,17 @@
 IDLE_WORK = 0.02
 """Work in seconds per second that all parts together count for without any request."""
 
-MOVE_ABOVE = 1.5
-"""A target gives work away when its share is this much above its fair one."""
+MOVE_ABOVE = 1.4
+"""A busy target gives work away when its share is this much above its fair one."""
 
-BUSY_FROM = 0.2
-"""Share of its capacity from which a target gives work away; below it no caller waits."""
+BUSY_FROM = 0.55
+"""Share of its capacity from which a target is busy, so that callers wait there."""
+
+FAR_ABOVE = 2.2
+"""A target that is not busy gives work away from here on: callers of moving keys wait for 0.3 s."""
+
+IDLE_BELOW = 0.15
+"""Share of its capacity below which a target gives nothing away for balance."""
 
 HOT_SHARE = 0.6
 """Share of a target's capacity from which one part alone decides where it should be."""
@@ -265,8 +271,11 @@
 
 def _gives(donor: _Share, receiver: _Share) -> bool:
     """Tell whether a target has more than its share and callers gain when it gives some away."""
-    is_busy = donor.work > BUSY_FROM * donor.capacity and donor.ratio > MOVE_ABOVE
-    return donor is not receiver and donor.work > donor.fair and (is_busy or receiver.ranges == 0)
+    utilization = donor.work / donor.capacity
+    is_busy = utilization > BUSY_FROM and donor.ratio > MOVE_ABOVE
+    is_far_off = utilization > IDLE_BELOW and donor.ratio > FAR_ABOVE
+    is_donor = donor is not receiver and donor.work > donor.fair
+    return is_donor and (is_busy or is_far_off or receiver.ranges == 0)
 
 
 def _move(
