Admit new requests by their objective

Change: a new request is sent when it is expected to end within its objective (1.8 of it for the most urgent); one that returned may take 0.85 of what it has left. Ruled out: one limit for all priorities: urgent requests would wait behind others.

--- a/cranberrylever/gateway/_admission.py
+++ b/cranberrylever/gateway/_admission.py
@@ -29,13 +29,17 @@
 
 MIN_RETRY_AFTER_S = 0.05
 
-FRESH_SHARES = (0.9, 0.6, 0.42)
-"""Share of its remaining time that a request may be expected to take, by priority.
+OBJECTIVE_FACTORS = (1.8, 1.1, 1.0)
+"""Multiple of its objective that a new request may be expected to take, by priority.
 
-The last one holds for all others too. Less urgent requests leave room at a target that is nearly full.
+The last one holds for all others too. A queue that is longer makes every request late; less urgent requests
+leave room at a target that is nearly full.
 """
 
-RETURNED_SHARES = (0.95, 0.85, 0.85)
+NEW_SHARE = 0.9
+"""Share of its remaining time that a new request may be expected to take at most."""
+
+RETURNED_SHARE = 0.85
 """The same for a request that was turned away before: it finds room first, or it came back in vain."""
 
 
@@ -44,10 +48,12 @@
     """One request at one target, in seconds.
 
     ``remaining`` is the time until its caller gives up, ``cold_delay`` the time until a cold target may get
-    another request. ``has_returned`` tells whether the caller was turned away before.
+    another request. ``objective`` is the time within which an answer is worth most, and ``has_returned``
+    tells whether the caller was turned away before.
     """
 
     priority: int
+    objective: float
     remaining: float
     wait: float
     completion: float
@@ -55,12 +61,19 @@
     has_returned: bool = False
 
 
+def _budget(offer: Offer) -> float:
+    """Return the seconds that a request may be expected to take."""
+    if offer.has_returned:
+        return offer.remaining * RETURNED_SHARE
+    factor = OBJECTIVE_FACTORS[min(offer.priority, len(OBJECTIVE_FACTORS) - 1)]
+    return min(offer.remaining * NEW_SHARE, offer.objective * factor)
+
+
 def admit(offer: Offer) -> Admission:
     """Decide on a request for the target that suits it best."""
     if offer.remaining <= 0:
         return Admission(Verdict.REFUSE, MIN_RETRY_AFTER_S, "no time left")
-    shares = RETURNED_SHARES if offer.has_returned else FRESH_SHARES
-    budget = offer.remaining * shares[min(offer.priority, len(shares) - 1)]
+    budget = _budget(offer)
     if offer.cold_delay > 0:
         if offer.cold_delay + offer.completion > budget:
             return Admission(Verdict.REFUSE, max(MIN_RETRY_AFTER_S, offer.cold_delay), "target is cold")
--- a/cranberrylever/gateway/_dispatcher.py
+++ b/cranberrylever/gateway/_dispatcher.py
@@ -134,6 +134,7 @@
             work = self.usual.of(call.route.name)
             offer = Offer(
                 call.route.priority,
+                call.route.objective,
                 call.remaining(now),
                 estimate.wait(work, now),
                 estimate.completion(work, now),
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -12,35 +12,35 @@
 class AdmissionTest(testtools.TestCase):
     def test_idle_target_gets_the_request(self):
         """Guards against refusals while there is room."""
-        assert admit(Offer(2, 0.8, 0.0, 0.1)).verdict is Verdict.SEND
+        assert admit(Offer(2, 0.3, 0.8, 0.0, 0.1)).verdict is Verdict.SEND
 
     def test_long_work_without_a_queue_is_sent(self):
         """Guards against refusing what only takes long by itself."""
-        assert admit(Offer(2, 0.2, 0.0, 0.3)).verdict is Verdict.SEND
+        assert admit(Offer(2, 0.3, 0.2, 0.0, 0.3)).verdict is Verdict.SEND
 
     def test_full_target_refuses_the_less_urgent_first(self):
         """Guards against urgent requests that wait behind less urgent ones."""
-        assert admit(Offer(2, 0.8, 0.4, 0.5)).verdict is Verdict.REFUSE
-        assert admit(Offer(0, 0.8, 0.4, 0.5)).verdict is Verdict.SEND
+        assert admit(Offer(2, 0.3, 0.8, 0.4, 0.5)).verdict is Verdict.REFUSE
+        assert admit(Offer(0, 0.3, 0.8, 0.4, 0.5)).verdict is Verdict.SEND
 
     def test_returned_request_finds_room_before_a_new_one(self):
         """Guards against callers that come back as told and are turned away again."""
-        assert admit(Offer(2, 0.8, 0.3, 0.4)).verdict is Verdict.REFUSE
-        assert admit(Offer(2, 0.6, 0.3, 0.4, has_returned=True)).verdict is Verdict.SEND
+        assert admit(Offer(2, 0.3, 0.8, 0.3, 0.4)).verdict is Verdict.REFUSE
+        assert admit(Offer(2, 0.3, 0.6, 0.3, 0.4, has_returned=True)).verdict is Verdict.SEND
 
     def test_refusal_names_the_time_at_which_room_is_expected(self):
         """Guards against callers that all come back at once and are refused again."""
-        admission = admit(Offer(2, 0.8, 0.9, 1.0))
+        admission = admit(Offer(2, 0.3, 0.8, 0.9, 1.0))
         assert 0.3 < admission.delay <= 0.9
 
     def test_cold_target_is_waited_for_when_there_is_time(self):
         """Guards against a cold target that gets more than it bears, and against needless refusals."""
-        assert admit(Offer(1, 1.0, 0.0, 0.1, cold_delay=0.2)).verdict is Verdict.WAIT
-        assert admit(Offer(1, 1.0, 0.0, 0.1, cold_delay=3.0)).verdict is Verdict.REFUSE
+        assert admit(Offer(1, 0.3, 1.0, 0.0, 0.1, cold_delay=0.2)).verdict is Verdict.WAIT
+        assert admit(Offer(1, 0.3, 1.0, 0.0, 0.1, cold_delay=3.0)).verdict is Verdict.REFUSE
 
     def test_no_time_left_is_refused_at_once(self):
         """Guards against work that nobody waits for."""
-        assert admit(Offer(0, 0.0, 0.0, 0.1)).verdict is Verdict.REFUSE
+        assert admit(Offer(0, 0.3, 0.0, 0.0, 0.1)).verdict is Verdict.REFUSE
 
 
 class EstimateTest(testtools.TestCase):
