Hold few idle connections, and let a new one settle before it is used

Change: all entries together keep a third of what a target accepts idle, for 2.5 s; a new connection is used 1.5 times its connect time later, when a target without room has reset it, so that nothing was sent. Ruled out: a crash of the targets: they took other requests meanwhile.

--- a/cranberrylever/gateway/_program.py
+++ b/cranberrylever/gateway/_program.py
@@ -140,6 +140,7 @@
         before = {target.info.address for target in self.view.targets.values()}
         if not self.view.apply(reply, asyncio.get_running_loop().time()):
             return
+        self.pool.max_idle_connections = self.view.idle_connections()
         after = {target.info.address for target in self.view.targets.values()}
         for address in before - after:
             self.pool.forget(address)
--- a/cranberrylever/gateway/_view.py
+++ b/cranberrylever/gateway/_view.py
@@ -10,6 +10,8 @@
 from cranberrylever.routes import RouteMatcher
 from cranberrylever.wire import FeedReply, FleetView, RangesView, RoutedTarget
 
+IDLE_SHARE = 1 / 3
+
 
 @attrs.define(eq=False)
 class KnownTarget:
@@ -133,6 +135,17 @@
         """Return the usable targets of a service."""
         return [target for target in self.by_service.get(service, ()) if target.info.usable]
 
+    def idle_connections(self) -> int:
+        """Return how many idle connections this entry may keep to one target.
+
+        All entries together keep a third of what a target accepts: after a loss of power as many again are
+        opened while the target still counts those before.
+        """
+        if self.matcher is None or not self.matcher.services:
+            return 1
+        accepted = min(service.max_connections for service in self.matcher.services.values())
+        return max(1, int(IDLE_SHARE * accepted / self.entries))
+
     def _apply_fleet(self, fleet: FleetView, now: float) -> None:
         self.entries = fleet.entries
         self.suspects = frozenset(fleet.suspects)
--- a/cranberrylever/targetlink/_pool.py
+++ b/cranberrylever/targetlink/_pool.py
@@ -8,11 +8,20 @@
 CONNECT_TIMEOUT_S = 0.4
 """Time to connect; a target that was cut off does not answer at all."""
 
-DEFAULT_IDLE_S = 4.0
+DEFAULT_IDLE_S = 2.5
 IDLE_MARGIN_S = 1.5
 """A connection is used no later than this before the target may close it."""
 
-MAX_IDLE_PER_ADDRESS = 16
+SETTLE_FACTOR = 1.5
+"""Multiple of the time to connect after which a target without room has reset a new connection."""
+
+SETTLE_EXTRA_S = 0.001
+
+DEFAULT_IDLE_CONNECTIONS = 4
+"""Idle connections to one address.
+
+A process that loses power leaves them open at the target, where they count until it closes them for idleness.
+"""
 
 
 class TargetPool:
@@ -21,11 +30,18 @@
     Args:
         id_header: Lower-case name of the header in which targets repeat request ids, empty for none.
         max_idle: Longest time in seconds for which an idle connection is used again.
+        max_idle_connections: Idle connections to one address.
     """
 
-    def __init__(self, id_header: bytes = b"", max_idle: float = DEFAULT_IDLE_S) -> None:
+    def __init__(
+        self,
+        id_header: bytes = b"",
+        max_idle: float = DEFAULT_IDLE_S,
+        max_idle_connections: int = DEFAULT_IDLE_CONNECTIONS,
+    ) -> None:
         self.id_header = id_header
         self.max_idle = max_idle
+        self.max_idle_connections = max_idle_connections
         self.idle: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
@@ -70,7 +86,7 @@
 
     def _keep(self, address: str, connection: TargetConnection) -> None:
         connections = self.idle.setdefault(address, [])
-        if not connection.is_reusable or len(connections) >= MAX_IDLE_PER_ADDRESS:
+        if not connection.is_reusable or len(connections) >= self.max_idle_connections:
             connection.abort()
             return
         connection.idle_since = asyncio.get_running_loop().time()
@@ -79,6 +95,7 @@
     async def _open(self, address: str) -> TargetConnection:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
+        started = loop.time()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
@@ -87,4 +104,19 @@
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"no connection to {address}: {error!r}") from error
         self.opened += 1
+        await self._settle(connection, loop.time() - started)
         return connection
+
+    @staticmethod
+    async def _settle(connection: TargetConnection, connect_time: float) -> None:
+        """Wait until a target that has too many connections would have reset a new one.
+
+        A reset that comes after the request has been sent does not tell whether it ran.
+        """
+        try:
+            await asyncio.sleep(SETTLE_FACTOR * connect_time + SETTLE_EXTRA_S)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        if connection.is_closed:
+            raise NotSentError("the target reset the new connection")
--- a/tests/targetlink/test_connection.py
+++ b/tests/targetlink/test_connection.py
@@ -135,6 +135,29 @@
         )
         assert (results, connections) == ([b"ok", b"ok"], 2)
 
+    def test_connection_beyond_the_limit_is_found_before_a_byte_is_sent(self):
+        """Guards against a request counted as run on a connection that a full target resets at once.
+
+        After a loss of power the connections of the last life still count at the target: 798 requests in 8 s
+        of the first incident of pbdtc-gate.
+        """
+
+        async def main():
+            async def reset_at_once(reader, writer):
+                await resets(writer)
+
+            server = await asyncio.start_server(reset_at_once, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            try:
+                await TargetPool(b"x-id").exchange(address, b"POST", REQUEST, b"1")
+            except NotSentError:
+                return True
+            finally:
+                server.close()
+            return False
+
+        assert asyncio.run(main())
+
     def test_abandoned_request_resets_its_connection(self):
         """Guards against bytes that the system goes on to deliver after their sender has given them up.
 
