Give routes an interface, settings and commands of the product's own

Cause: routes could be used only through the adapter; their settings had no flags, checks or documentation. Ruled out: folding routes into the ticket programs: tickets hash keys to shards and renew grants on the targets' clock.

--- a/cranberrylever/_cli/_docs.py
+++ b/cranberrylever/_cli/_docs.py
@@ -7,8 +7,10 @@
     ControlSettings,
     DevSettings,
     EntrySettings,
+    GatewaySettings,
     OperatorSettings,
     SettingField,
+    SteeringSettings,
     TargetSettings,
     setting_fields,
 )
@@ -16,6 +18,8 @@
 _PROGRAMS = {
     "`entry`": EntrySettings,
     "`control`": ControlSettings,
+    "`route-entry`": GatewaySettings,
+    "`route-control`": SteeringSettings,
     "`target`": TargetSettings,
     "`dev`": DevSettings,
     "`status` and `ticket submit`, `show`, `list`, `diff`": OperatorSettings,
--- a/cranberrylever/_cli/_programs.py
+++ b/cranberrylever/_cli/_programs.py
@@ -5,7 +5,14 @@
 from cranberrylever._cli._arguments import Check
 from cranberrylever._cli._options import with_settings
 from cranberrylever._cli._run import run_program
-from cranberrylever.settings import ControlSettings, DevSettings, EntrySettings, TargetSettings
+from cranberrylever.settings import (
+    ControlSettings,
+    DevSettings,
+    EntrySettings,
+    GatewaySettings,
+    SteeringSettings,
+    TargetSettings,
+)
 
 
 @with_settings(EntrySettings)
@@ -28,6 +35,32 @@
     return run_program(create_control(settings), "the control member")
 
 
+@with_settings(GatewaySettings)
+def route_entry(settings: GatewaySettings, check: Check = False) -> None:
+    """Run an entry that serves routes."""
+    if check:
+        return _report_valid()
+    from cranberrylever.gateway import OwnFormat, create_gateway
+
+    return run_program(create_gateway(settings, OwnFormat()), "the entry")
+
+
+@with_settings(SteeringSettings)
+def route_control(settings: SteeringSettings, check: Check = False) -> None:
+    """Run a control member that steers routes."""
+    if check:
+        return _report_valid()
+    from cranberrylever.steering import OwnOrders, create_route_api, create_steering
+
+    domains = frozenset(settings.failure_domains)
+    program = create_steering(
+        settings,
+        OwnOrders(),
+        lambda service, forwarder: create_route_api(service, forwarder, domains),
+    )
+    return run_program(program, "the control member")
+
+
 @with_settings(TargetSettings)
 def target(settings: TargetSettings, check: Check = False) -> None:
     """Run a stand-in target for tests and benchmarks."""
--- a/cranberrylever/cli.py
+++ b/cranberrylever/cli.py
@@ -6,7 +6,7 @@
 
 from cranberrylever._cli._docs import docs_app
 from cranberrylever._cli._exits import EXIT_HELP, ExitCode
-from cranberrylever._cli._programs import control, dev, entry, target
+from cranberrylever._cli._programs import control, dev, entry, route_control, route_entry, target
 from cranberrylever._cli._status import status, version
 from cranberrylever._cli._tickets import ticket_app
 from cranberrylever._cli._trace import trace
@@ -36,6 +36,8 @@
 )
 app.command()(entry)
 app.command()(control)
+app.command()(route_entry)
+app.command()(route_control)
 app.command()(target)
 app.command()(dev)
 app.command()(status)
--- a/cranberrylever/gateway/__init__.py
+++ b/cranberrylever/gateway/__init__.py
@@ -1,10 +1,9 @@
 """The entry that serves routes: choice of targets, limits, retries and the view from control."""
 
 from cranberrylever.gateway._format import AnswerHeaders, CallHeaders, HeaderFormat, Headers, LoadSample
-from cranberrylever.gateway._limits import LimitRules
+from cranberrylever.gateway._own_format import OwnFormat, whole_number
 from cranberrylever.gateway._program import (
     GatewayProgram,
-    GatewaySettings,
     GatewayTuning,
     create_gateway,
 )
@@ -13,11 +12,11 @@
     "AnswerHeaders",
     "CallHeaders",
     "GatewayProgram",
-    "GatewaySettings",
     "GatewayTuning",
     "HeaderFormat",
     "Headers",
-    "LimitRules",
     "LoadSample",
+    "OwnFormat",
     "create_gateway",
+    "whole_number",
 ]
--- a/cranberrylever/gateway/_limits.py
+++ b/cranberrylever/gateway/_limits.py
@@ -4,24 +4,7 @@
 callers that repeat at once, whose retries must not add up over the entries.
 """
 
-import attrs
-
-
-@attrs.frozen
-class LimitRules:
-    """Limits over all entries.
-
-    In any second a cold target gets at most its rate times ``cold_factor`` plus ``cold_extra`` requests. In
-    any ``retry_window`` seconds a service gets at most ``retry_ratio`` of its requests plus ``retry_extra``
-    again.
-    """
-
-    cold_factor: float = 1.5
-    cold_extra: float = 5.0
-    retry_ratio: float = 0.2
-    retry_extra: float = 50.0
-    retry_window: float = 10.0
-
+from cranberrylever.settings import LimitRules
 
 COLD_SAFETY = 0.85
 RETRY_SAFETY = 0.7
--- a/cranberrylever/gateway/_program.py
+++ b/cranberrylever/gateway/_program.py
@@ -13,13 +13,12 @@
 from cranberrylever.gateway._dispatcher import Dispatcher
 from cranberrylever.gateway._feed import FeedClient
 from cranberrylever.gateway._format import HeaderFormat
-from cranberrylever.gateway._limits import LimitRules
 from cranberrylever.gateway._reports import ReportBook
 from cranberrylever.gateway._view import EntryView
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
-from cranberrylever.settings import LogSettings
+from cranberrylever.settings import GatewaySettings
 from cranberrylever.targetlink import TargetPool
 from cranberrylever.wire import FeedReply, FeedReport
 
@@ -34,33 +33,18 @@
     header_timeout: float = 20.0
 
 
-@attrs.frozen
-class GatewaySettings:
-    """Settings of an entry that serves routes; addresses are ``host:port``, times seconds.
+class GatewayProgram:
+    """One entry: listeners for callers and for readiness, a client for targets and a stream to control.
 
-    ``contacts`` are rpc addresses of control members. After a stop signal the entry fails its readiness for
-    ``drain_delay`` before it closes its listener, and ends requests ``finish_timeout`` later.
+    Args:
+        settings: Settings.
+        header_format: Names of the headers.
+        tuning: Limits of the listener, changed only by tests.
     """
 
-    cluster_id: str
-    entry_id: str
-    listen: str
-    ready_listen: str
-    contacts: tuple[str, ...]
-    failure_domain: str = ""
-    metrics_listen: str = ""
-    drain_delay: float = 2.2
-    finish_timeout: float = 1.6
-    rules: LimitRules = attrs.field(factory=LimitRules)
-    log: LogSettings = attrs.field(factory=LogSettings)
-    tuning: GatewayTuning = attrs.field(factory=GatewayTuning)
-
-
-class GatewayProgram:
-    """One entry: listeners for callers and for readiness, a client for targets and a stream to control."""
-
-    def __init__(self, settings: GatewaySettings, header_format: HeaderFormat) -> None:
+    def __init__(self, settings: GatewaySettings, header_format: HeaderFormat, tuning: GatewayTuning) -> None:
         self.settings = settings
+        self.tuning = tuning
         self.format = header_format
         self.log = Log("entry", settings.entry_id, settings.log.level)
         self.view = EntryView(settings.rules)
@@ -81,7 +65,7 @@
             self.view, self.pool, self.format, self.reports, lambda: None, settings.failure_domain, self.log
         )
         self.app = GatewayApp(self.view, self.dispatcher, self.format, self.metrics, self.log)
-        self.server = CallerServer(self.app, settings.listen, settings.tuning)
+        self.server = CallerServer(self.app, settings.listen, self.tuning)
         self.ready = HttpServer(self._ready_app(), settings.ready_listen)
         self.exposition = (
             HttpServer(self.metrics.app(), settings.metrics_listen) if settings.metrics_listen else None
@@ -153,6 +137,8 @@
         )
 
 
-def create_gateway(settings: GatewaySettings, header_format: HeaderFormat) -> GatewayProgram:
+def create_gateway(
+    settings: GatewaySettings, header_format: HeaderFormat, tuning: GatewayTuning | None = None
+) -> GatewayProgram:
     """Return an entry that is not started yet."""
-    return GatewayProgram(settings, header_format)
+    return GatewayProgram(settings, header_format, tuning or GatewayTuning())
--- a/cranberrylever/gateway/_view.py
+++ b/cranberrylever/gateway/_view.py
@@ -6,8 +6,9 @@
 import attrs
 
 from cranberrylever.gateway._estimates import TargetEstimate
-from cranberrylever.gateway._limits import ColdBucket, LimitRules
+from cranberrylever.gateway._limits import ColdBucket
 from cranberrylever.routes import RouteMatcher
+from cranberrylever.settings import LimitRules
 from cranberrylever.wire import FeedReply, FleetView, RangesView, RoutedTarget
 
 IDLE_SHARE = 1 / 3
--- a/cranberrylever/settings/__init__.py
+++ b/cranberrylever/settings/__init__.py
@@ -10,6 +10,7 @@
     PeerAddress,
     TargetSettings,
 )
+from cranberrylever.settings._routes import GatewaySettings, LimitRules, SteeringSettings
 from cranberrylever.settings._values import (
     ValueProblemError,
     listen_address,
@@ -21,10 +22,13 @@
     "ControlSettings",
     "DevSettings",
     "EntrySettings",
+    "GatewaySettings",
+    "LimitRules",
     "LogSettings",
     "OperatorSettings",
     "PeerAddress",
     "SettingField",
+    "SteeringSettings",
     "TargetSettings",
     "ValueProblemError",
     "listen_address",
--- /dev/null
+++ b/cranberrylever/steering/_api.py
@@ -0,0 +1,175 @@
+"""The product's own HTTP interface of control for routes."""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route as Endpoint
+
+from cranberrylever.errors import (
+    AnnouncementError,
+    ControlUnavailableError,
+    CranberryleverError,
+    NotLeaderError,
+    ProposalLostError,
+    TicketError,
+)
+from cranberrylever.fleet import TargetNotice
+from cranberrylever.group import FORWARDED_HEADER, LeaderForwarder
+from cranberrylever.routes import RoutePlan
+from cranberrylever.steering._service import SteeringService
+
+Handler = Callable[[Request, bytes], Awaitable[Response]]
+
+_STATUS_CODES: dict[type[CranberryleverError], int] = {
+    NotLeaderError: 503,
+    ProposalLostError: 503,
+    ControlUnavailableError: 503,
+    TicketError: 422,
+    AnnouncementError: 422,
+}
+
+
+class LeaderFirstApi:
+    """Endpoints that the leader answers, whichever member is asked.
+
+    Args:
+        service: The control member.
+        forwarder: Passes calls on to the leader.
+        status_codes: Status by kind of error.
+    """
+
+    def __init__(
+        self,
+        service: SteeringService,
+        forwarder: LeaderForwarder,
+        status_codes: dict[type[CranberryleverError], int],
+    ) -> None:
+        self.service = service
+        self.forwarder = forwarder
+        self.status_codes = status_codes
+
+    def endpoint(self, handler: Handler) -> Callable[[Request], Awaitable[Response]]:
+        """Return an endpoint that answers errors and asks the leader where this member can't answer."""
+
+        async def answer(request: Request) -> Response:
+            body = await request.body()
+            try:
+                return await self._answer(handler, request, body)
+            except tuple(self.status_codes) as error:
+                return self._refuse(error)
+
+        return answer
+
+    async def _answer(self, handler: Handler, request: Request, body: bytes) -> Response:
+        try:
+            return await handler(request, body)
+        except NotLeaderError as error:
+            if FORWARDED_HEADER in request.headers:
+                raise
+            return await self.forwarder.forward(request, body, error.leader_id)
+
+    def _refuse(self, error: CranberryleverError) -> Response:
+        status = next(code for kind, code in self.status_codes.items() if isinstance(error, kind))
+        return json_answer({"error": error.message, "remedy": error.remedy}, status)
+
+
+def json_answer(content: Any, status: int = 200) -> Response:
+    """Return an answer with a JSON body."""
+    return Response(msgspec.json.encode(content), status, media_type="application/json")
+
+
+class _RouteApi(LeaderFirstApi):
+    """Plans, failure domains and notices under ``/v1``."""
+
+    def __init__(self, service: SteeringService, forwarder: LeaderForwarder, domains: frozenset[str]) -> None:
+        super().__init__(service, forwarder, _STATUS_CODES)
+        self.domains = domains
+
+    async def put_plan(self, request: Request, body: bytes) -> Response:
+        """Put a plan in force that names the one it builds on."""
+        base = request.query_params.get("base", "0")
+        if not base.isdigit():
+            raise TicketError(f"base {base!r} is not a number", "name the plan that this one builds on")
+        plan = _decode(body, RoutePlan, TicketError)
+        digest = hashlib.sha256(body).hexdigest()[:32]
+        outcome = await self.service.submit_plan(attrs.evolve(plan, source=body, digest=digest), int(base))
+        if outcome.accepted:
+            return json_answer(outcome)
+        return json_answer(outcome, 409 if outcome.conflict else 422)
+
+    async def get_plan(self, request: Request, body: bytes) -> Response:
+        """Return the newest plan as it was sent."""
+        plan = await self.service.plan()
+        if plan is None:
+            return json_answer({"error": "no plan has been accepted yet", "remedy": "send one"}, 404)
+        return Response(plan.source, 200, media_type="application/json")
+
+    async def withdraw(self, request: Request, body: bytes) -> Response:
+        """Withdraw a failure domain."""
+        return await self._set_domain(request, withdrawn=True)
+
+    async def restore(self, request: Request, body: bytes) -> Response:
+        """Restore a failure domain."""
+        return await self._set_domain(request, withdrawn=False)
+
+    async def notice(self, request: Request, body: bytes) -> Response:
+        """Take over what a target says about itself."""
+        notice = _decode(body, TargetNotice, AnnouncementError)
+        if notice.target_id != request.path_params["name"]:
+            raise AnnouncementError("the id in the body is not that in the path", "send the same id twice")
+        self._check_domain(notice.failure_domain)
+        await self.service.notice(notice)
+        return json_answer({})
+
+    async def leave(self, request: Request, body: bytes) -> Response:
+        """Note that a target ends."""
+        await self.service.leave(request.path_params["name"], None)
+        return json_answer({})
+
+    async def _set_domain(self, request: Request, withdrawn: bool) -> Response:
+        name = request.path_params["name"]
+        self._check_domain(name)
+        await self.service.set_domain(name, withdrawn)
+        return json_answer({"failure_domain": name, "withdrawn": withdrawn})
+
+    def _check_domain(self, name: str) -> None:
+        if self.domains and name not in self.domains:
+            known = ", ".join(sorted(self.domains))
+            raise TicketError(f"there is no failure domain {name!r:.80}", f"name one of {known}")
+
+
+def _decode(body: bytes, kind: type, error_kind: type[CranberryleverError]) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        problem = " ".join(str(error).split())
+        raise error_kind(f"the body cannot be read: {problem}", "see docs/routes.md") from error
+
+
+def create_route_api(
+    service: SteeringService, forwarder: LeaderForwarder, domains: frozenset[str] = frozenset()
+) -> Starlette:
+    """Return the application for operators and targets.
+
+    Args:
+        service: The control member.
+        forwarder: Passes calls on to the leader.
+        domains: Names of all failure domains; empty takes every name.
+    """
+    api = _RouteApi(service, forwarder, domains)
+    return Starlette(
+        routes=[
+            Endpoint("/v1/plan", api.endpoint(api.put_plan), methods=["PUT"]),
+            Endpoint("/v1/plan", api.endpoint(api.get_plan), methods=["GET"]),
+            Endpoint("/v1/domains/{name}/withdraw", api.endpoint(api.withdraw), methods=["POST"]),
+            Endpoint("/v1/domains/{name}/restore", api.endpoint(api.restore), methods=["POST"]),
+            Endpoint("/v1/targets/{name}", api.endpoint(api.notice), methods=["PUT"]),
+            Endpoint("/v1/targets/{name}", api.endpoint(api.leave), methods=["DELETE"]),
+        ]
+    )
--- a/cranberrylever/steering/_program.py
+++ b/cranberrylever/steering/_program.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import attrs
 import grpclib.server
 from starlette.applications import Starlette
 
@@ -15,7 +14,7 @@
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
-from cranberrylever.settings import LogSettings, split_address
+from cranberrylever.settings import SteeringSettings, split_address
 from cranberrylever.steering._commands import command_codec
 from cranberrylever.steering._feed import FeedService
 from cranberrylever.steering._granter import Granter
@@ -33,28 +32,6 @@
 AppFactory = Callable[[SteeringService, LeaderForwarder], Starlette]
 
 
-@attrs.frozen
-class SteeringSettings:
-    """Settings of a control member; addresses are ``host:port``, times seconds.
-
-    ``rpc`` is the address for other members and entries and names the member. ``founders`` are the members
-    that form the group when ``bootstrap`` is set and the data folder is empty; ``contacts`` are members to
-    ask otherwise. All members serve operators and targets on the port of ``http``.
-    """
-
-    cluster_id: str
-    rpc: str
-    http: str
-    data_dir: str
-    contacts: tuple[str, ...]
-    founders: tuple[str, ...] = ()
-    bootstrap: bool = False
-    notice_interval: float = 1.0
-    forward_timeout: float = 0.9
-    metrics_listen: str = ""
-    log: LogSettings = attrs.field(factory=LogSettings)
-
-
 class SteeringProgram:
     """One control member: replicated state, duties of the leader, streams and the HTTP interface.
 
--- a/cranberrylever/targetlink/_pool.py
+++ b/cranberrylever/targetlink/_pool.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from cranberrylever.settings import split_address
 from cranberrylever.targetlink._connection import NotSentError, TargetAnswer, TargetConnection
 
@@ -59,6 +61,26 @@
         self._keep(address, connection)
         return answer
 
+    async def call(
+        self, address: str, method: str, path: str, content: object, timeout: float
+    ) -> TargetAnswer:
+        """Make a call with a JSON body, ``None`` for none, and return the answer.
+
+        A call that takes longer than ``timeout`` seconds resets its connection.
+
+        Raises:
+            NotSentError: No byte left.
+            AnswerLostError: The call may have arrived and there is no whole answer.
+            TimeoutError: There was no answer in time.
+        """
+        body = b"" if content is None else msgspec.json.encode(content)
+        lines = [f"{method} {path} HTTP/1.1", f"host: {address}"]
+        if body:
+            lines += ["content-type: application/json", f"content-length: {len(body)}"]
+        request = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        async with asyncio.timeout(timeout):
+            return await self.exchange(address, method.encode(), request)
+
     def close(self) -> None:
         """Close all idle connections."""
         for connections in self.idle.values():
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -4,7 +4,8 @@
 
 import testtools
 
-from cranberrylever.gateway._limits import ColdBucket, LimitRules, RetryWindow
+from cranberrylever.gateway._limits import ColdBucket, RetryWindow
+from cranberrylever.settings import LimitRules
 
 RULES = LimitRules(1.5, 5.0, 0.2, 56.0, 10.0)
 
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from cranberrylever.gateway._limits import LimitRules
 from cranberrylever.gateway._view import EntryView
+from cranberrylever.settings import LimitRules
 from cranberrylever.steering._sections import Section
 from cranberrylever.wire import (
     FeedReply,
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -8,15 +8,14 @@
 
 import testtools
 
-from cranberrylever.gateway import GatewaySettings, create_gateway
-from cranberrylever.settings import LogSettings
-from cranberrylever.steering import SteeringSettings, create_steering
+from cranberrylever.gateway import create_gateway
+from cranberrylever.settings import GatewaySettings, LogSettings, SteeringSettings
+from cranberrylever.steering import create_steering
 from tests.platform.standin import Caller, StandInTarget, configuration
 
 control_api = importlib.import_module("control_api")
 target_calls = importlib.import_module("target_calls")
 
-DOMAINS = frozenset({"puget", "olympic"})
 QUIET = LogSettings("-", "error")
 
 
@@ -39,15 +38,14 @@
             (rpc,),
             (rpc,),
             bootstrap=True,
+            failure_domains=("puget", "olympic"),
             notice_interval=0.5,
             log=QUIET,
         )
         self.steering = create_steering(
             settings,
             target_calls.PlatformOrders(),
-            lambda service, forwarder: control_api.ControlApi(
-                service, forwarder, self.control, DOMAINS
-            ).app(),
+            lambda service, forwarder: control_api.ControlApi(service, forwarder, settings).app(),
             control_api.PASSED_HEADERS,
         )
         self.entry, self.ready = free_address(), free_address()
