Move wide ranges less

Change: a wide piece counts three times as much against a narrow one; targets that are not busy give keys away from three times their share on.

--- a/cranberrylever/keyspace/_planner.py
+++ b/cranberrylever/keyspace/_planner.py
@@ -20,7 +20,7 @@
 BUSY_FROM = 0.55
 """Share of its capacity from which a target is busy, so that callers wait there."""
 
-FAR_ABOVE = 2.2
+FAR_ABOVE = 3.0
 """A target that is not busy gives work away from here on: callers of moving keys wait for 0.3 s."""
 
 IDLE_BELOW = 0.15
@@ -38,7 +38,7 @@
 FAST_PREFERENCE = 3.0
 """Exponent of a target's speed in its share while nothing is used."""
 
-WIDTH_COST = 4.0
+WIDTH_COST = 12.0
 """What a piece of all keys would lose against a narrow one that carries as much work."""
 
 MAX_MOVES = 12
