--- a/cranberrylever/entry/_headers.py
+++ b/cranberrylever/entry/_headers.py
@@ -1,5 +1,7 @@
 """Header names, and the headers that pass between caller and target."""
 
+from cranberrylever.callers import HOP_BY_HOP, REQUEST_DROPPED, named_in_connection
+
 OUTCOME = "Cranberrylever-Outcome"
 SHARD = "Cranberrylever-Shard"
 FENCE = "Cranberrylever-Fence"
@@ -15,29 +17,6 @@
 
 _OWN_PREFIX = b"cranberrylever-"
 _OUTCOME_NAME = OUTCOME.lower().encode()
-_HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-_REQUEST_DROPPED = _HOP_BY_HOP | {b"content-length", b"expect"}
-
-
-def named_in_connection(headers: list[tuple[bytes, bytes]]) -> frozenset[bytes]:
-    """Return the lower-case header names listed in ``Connection``."""
-    names: set[bytes] = set()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            names.update(token.strip().lower() for token in value.split(b","))
-    return frozenset(names)
 
 
 def request_headers(headers: list[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
@@ -45,7 +24,7 @@
     kept = []
     listed = None
     for name, value in headers:
-        if name in _REQUEST_DROPPED:
+        if name in REQUEST_DROPPED:
             if name == b"connection" and value.lower() not in (b"keep-alive", b"close"):
                 listed = named_in_connection(headers)
             continue
@@ -71,7 +50,7 @@
     listed = None
     for name, value in raw:
         lower = name.lower()
-        if lower in _HOP_BY_HOP:
+        if lower in HOP_BY_HOP:
             if lower == b"connection" and value.lower() not in (b"keep-alive", b"close"):
                 listed = named_in_connection(list(raw))
             continue
--- a/cranberrylever/gateway/__init__.py
+++ b/cranberrylever/gateway/__init__.py
@@ -1,7 +1,7 @@
 """The entry that serves routes: choice of targets, limits, retries and the view from control."""
 
 from cranberrylever.gateway._format import AnswerHeaders, CallHeaders, HeaderFormat, Headers, LoadSample
-from cranberrylever.gateway._own_format import OwnFormat, whole_number
+from cranberrylever.gateway._own_format import OwnFormat
 from cranberrylever.gateway._program import (
     GatewayProgram,
     GatewayTuning,
@@ -18,5 +18,4 @@
     "LoadSample",
     "OwnFormat",
     "create_gateway",
-    "whole_number",
 ]
--- a/cranberrylever/gateway/_app.py
+++ b/cranberrylever/gateway/_app.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Awaitable, Callable
 
-from cranberrylever.callers import CALLER_GONE, RequestGuard
+from cranberrylever.callers import CALLER_GONE, RequestGuard, end_to_end
 from cranberrylever.gateway._call import Call, OutcomeUnknownError, RefusedError, Served
 from cranberrylever.gateway._dispatcher import Dispatcher
 from cranberrylever.gateway._format import HeaderFormat, Headers
@@ -26,21 +26,6 @@
 FINAL_MARGIN_S = 0.02
 """Time before the caller's deadline at which a request without an answer ends, for the caller to hear it."""
 
-_HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
 _STATUS_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -289,16 +274,3 @@
         call = self.call
         request_id = call.request_id if call else header_format.read_call(self.headers).request_id
         return request_id.decode("latin-1")
-
-
-def end_to_end(headers: Headers) -> Headers:
-    """Return the headers that do not concern one connection only."""
-    named: set[bytes] = set()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            named.update(token.strip().lower() for token in value.split(b","))
-    return [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
-    ]
--- a/cranberrylever/gateway/_format.py
+++ b/cranberrylever/gateway/_format.py
@@ -4,8 +4,12 @@
 
 import attrs
 
+from cranberrylever.keyspace import KEYS
+
 Headers = list[tuple[bytes, bytes]]
 
+MAX_DIGITS = 12
+
 
 @attrs.frozen
 class CallHeaders:
@@ -47,16 +51,29 @@
 
 
 class HeaderFormat(abc.ABC):
-    """Names and forms of the headers between callers, entries and targets."""
+    """Lower-case names of the headers, and how a target's answer is read.
 
-    id_header: bytes = b""
-    """Lower-case name of the header in which targets repeat the id of a request."""
+    ``id_header`` holds the id of a request, which targets repeat; ``deadline_header`` how many milliseconds
+    the caller waits; ``key_header`` the number of its key; ``target_header`` the target that may run the
+    request.
+    """
+
+    id_header: bytes
+    deadline_header: bytes
+    key_header: bytes
+    target_header: bytes
 
-    @abc.abstractmethod
     def read_call(self, headers: Headers) -> CallHeaders:
         """Return what a caller's headers say; a value that can't be read counts as missing."""
+        values = dict(headers)
+        deadline = whole_number(values.get(self.deadline_header))
+        key = whole_number(values.get(self.key_header))
+        return CallHeaders(
+            values.get(self.id_header, b""),
+            None if deadline is None else deadline / 1000,
+            key if key is not None and key < KEYS else None,
+        )
 
-    @abc.abstractmethod
     def target_headers(self, headers: Headers, target_id: str, remaining: float) -> Headers:
         """Return a caller's headers as they go on to a target.
 
@@ -65,7 +82,17 @@
             target_id: The target that may run the request; another one at its address must refuse.
             remaining: Seconds that the caller still waits.
         """
+        own = (self.deadline_header, self.target_header)
+        kept = [pair for pair in headers if pair[0] not in own]
+        kept.append((self.deadline_header, b"%d" % max(1, int(remaining * 1000))))
+        kept.append((self.target_header, target_id.encode("latin-1", "replace")))
+        return kept
 
     @abc.abstractmethod
     def read_answer(self, status: int, headers: Headers) -> AnswerHeaders:
         """Return what a target's answer says."""
+
+
+def whole_number(value: bytes | None) -> int | None:
+    """Return a decimal number, ``None`` when there is none or it is too long to be one."""
+    return int(value) if value is not None and value.isdigit() and len(value) <= MAX_DIGITS else None
