--- a/cranberrylever/steering/_granter.py
+++ b/cranberrylever/steering/_granter.py
@@ -88,6 +88,7 @@
         self.failures: dict[Life, int] = {}
         self.probe_at: dict[Life, float] = {}
         self.refused: set[Place] = set()
+        self.addresses: dict[Life, str] = {}
 
     async def close(self) -> None:
         """Cancel what is under way; a cancelled call resets its connection."""
@@ -112,6 +113,19 @@
         is_confirmed = release is not None and release.is_confirmed
         return is_confirmed and now >= self.ledger.uncertain_until(item.life, item.first, item.last)
 
+    def may_still_hold(self, item: KeyRange, is_alive: bool, now: float) -> bool:
+        """Tell whether the last holder of a free range may hold it because of a call of this leader.
+
+        A call that is answered after its target has started again was answered by the new process, which
+        knows nothing of fences before; so each call to a life that has ended counts, answered or not.
+        """
+        if not is_alive and now < self.ledger.inherited_until:
+            return True
+        return any(
+            item.overlaps(call.first, call.last) and call.ends_by > now and not (is_alive and call.answered)
+            for call in self.ledger.calls.get(item.life, ())
+        )
+
     def step(
         self, ranges: list[KeyRange], targets: dict[Life, FleetTarget], health_path: str, now: float
     ) -> None:
@@ -130,6 +144,7 @@
     def forget_others(self, places: set[Place], now: float) -> None:
         """Drop the state of ranges that no table holds any more."""
         self.ledger.expire(now)
+        self.addresses = {life: where for life, where in self.addresses.items() if life in self.ledger.calls}
         self.renewals = {place: item for place, item in self.renewals.items() if place in places}
         self.releases = {place: item for place, item in self.releases.items() if place in places}
         self.refused &= places
@@ -142,6 +157,7 @@
         if renewal.is_running or now < renewal.due_at or place in self.refused:
             return
         renewal.is_running = True
+        self.addresses[item.life] = target.address
         call = self.ledger.begin(item.life, item.first, item.last)
         token = "" if item.fence in self.granted_fences else self._token_for(item)
         grant = KeyGrant(item.first, item.last, item.fence, LEASE_S, token)
--- a/cranberrylever/steering/_leader.py
+++ b/cranberrylever/steering/_leader.py
@@ -276,7 +276,11 @@
         owners = self._owners(service, load.total(), now)
         if not owners or not self._is_formed(service.name, table, now):
             return []
-        blocked = {item for item in free if self._may_still_be_held(item, now)}
+        alive = {target.life for target in self.state.fleet.targets.values()}
+        blocked = {item for item in free if self.granter.may_still_hold(item, item.life in alive, now)}
+        successions = self._successions(blocked, {owner.life for owner in owners})
+        if successions:
+            return successions
         ranges = [attrs.evolve(item, phase=RELEASING) if item in blocked else item for item in table.ranges]
         under_way = sum(
             item.phase != HELD or (item.fence >= self.first_fence and not self.granter.is_granted(item))
@@ -286,13 +290,18 @@
         plan = plan_keys(ranges, owners, load.work, under_way, may_balance)
         return [*plan.assignments, *plan.releases]
 
-    def _may_still_be_held(self, item: KeyRange, now: float) -> bool:
-        """Tell whether a call that was on its way as the range was freed may still grant it."""
-        calls = self.granter.ledger.calls.get(item.life, ())
-        return any(
-            not call.answered and item.overlaps(call.first, call.last) and call.ends_by > now
-            for call in calls
-        )
+    def _successions(self, blocked: set[KeyRange], owners: set[tuple[str, int]]) -> list[RangeEdit]:
+        """Assign ranges that only the process at their last holder's address can hold to that process.
+
+        The new grant takes the place of what it may hold, so no lease has to be waited out.
+        """
+        edits = []
+        for item in sorted(blocked, key=lambda item: item.first):
+            address = self.granter.addresses.get(item.life)
+            successor = self.state.fleet.at_address(address) if address else None
+            if successor is not None and successor.life != item.life and successor.life in owners:
+                edits.append(RangeEdit(item.first, item.last, HELD, *successor.life))
+        return edits
 
     def _is_formed(self, name: str, table: RangeTable, now: float) -> bool:
         if table.version > 0:
