--- a/tests/steering/test_ownership.py
+++ b/tests/steering/test_ownership.py
@@ -165,7 +165,7 @@
             await asyncio.sleep(3.0)
             await steered.start_target(2)
             await asyncio.sleep(0.1)
-            # A planned move of a few keys may be under way at any one moment, so they are asked for till 0.6 s.
+            # A planned move of a few keys may be under way at any moment, so they are asked for till 0.6 s.
             await wait_for(lambda: steered.shown_share() == 1.0, seconds=0.5)
             await steered.close()
 
