Remove a callback that nothing used

Cause: the dispatcher was given a function that did nothing, and the feed an event that nobody set. Change: both are gone. Ruled out: sending a report at once after a lost answer: crashes are reported within 0.25 s. Figures: tests/gateway and tests/platform pass. Conclusion: behaviour as before.

--- a/cranberrylever/gateway/_dispatcher.py
+++ b/cranberrylever/gateway/_dispatcher.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 import attrs
 
@@ -63,7 +62,6 @@
         pool: Connections to targets.
         header_format: Reads and writes headers.
         reports: Takes what control shall know.
-        report_soon: Lets the next report leave at once.
         failure_domain: Failure domain of this entry; targets in it are preferred a little.
         log: Program log.
     """
@@ -74,7 +72,6 @@
         pool: TargetPool,
         header_format: HeaderFormat,
         reports: ReportBook,
-        report_soon: Callable[[], None],
         failure_domain: str,
         log: Log,
     ) -> None:
@@ -82,7 +79,6 @@
         self.pool = pool
         self.format = header_format
         self.reports = reports
-        self.report_soon = report_soon
         self.failure_domain = failure_domain
         self.log = log
         self.usual = UsualWork()
@@ -299,7 +295,6 @@
         target.estimate.record_failure(self._now())
         if error.broke_off:
             self.reports.record_crash(call.fingerprint, target.life_name)
-            self.report_soon()
         call.reason = f"{target.info.target_id}: {error}"
         self.log.warning(
             "answer_lost",
--- a/cranberrylever/gateway/_feed.py
+++ b/cranberrylever/gateway/_feed.py
@@ -49,7 +49,6 @@
         self.hint = ""
         self.position = 0
         self.attached_to = ""
-        self.report_now = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
--- a/cranberrylever/gateway/_program.py
+++ b/cranberrylever/gateway/_program.py
@@ -62,7 +62,7 @@
         self.pool = TargetPool(self.format.id_header)
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         self.dispatcher = Dispatcher(
-            self.view, self.pool, self.format, self.reports, lambda: None, settings.failure_domain, self.log
+            self.view, self.pool, self.format, self.reports, settings.failure_domain, self.log
         )
         self.app = GatewayApp(self.view, self.dispatcher, self.format, self.metrics, self.log)
         self.server = CallerServer(self.app, settings.listen, self.tuning)
