--- a/cranberrylever/keyspace/_ranges.py
+++ b/cranberrylever/keyspace/_ranges.py
@@ -94,10 +94,6 @@
         stop = bisect.bisect_right(self.starts, last)
         return self.ranges[start:stop]
 
-    def held_by(self, life: tuple[str, int]) -> list[KeyRange]:
-        """Return the ranges that a life holds."""
-        return [item for item in self.ranges if item.phase == HELD and item.life == life]
-
     def allows(self, edit: RangeEdit) -> bool:
         """Tell whether an edit fits the table."""
         if not 0 <= edit.first <= edit.last < KEYS:
--- a/cranberrylever/steering/__init__.py
+++ b/cranberrylever/steering/__init__.py
@@ -1,7 +1,6 @@
 """Control of routes: plans, targets, key ranges and the view of entries."""
 
 from cranberrylever.steering._api import LeaderFirstApi, create_route_api, json_answer
-from cranberrylever.steering._granter import LEASE_S
 from cranberrylever.steering._orders import GrantAnswer, KeyGrant, TargetOrders
 from cranberrylever.steering._own_orders import OwnOrders
 from cranberrylever.steering._program import SteeringProgram, create_steering
@@ -9,7 +8,6 @@
 from cranberrylever.steering._state import SteeringState
 
 __all__ = [
-    "LEASE_S",
     "GrantAnswer",
     "KeyGrant",
     "LeaderFirstApi",
--- a/cranberrylever/targetlink/_pool.py
+++ b/cranberrylever/targetlink/_pool.py
@@ -45,7 +45,6 @@
         self.max_idle = max_idle
         self.max_idle_connections = max_idle_connections
         self.idle: dict[str, list[TargetConnection]] = {}
-        self.opened = 0
 
     async def exchange(
         self, address: str, method: bytes, request: bytes, request_id: bytes = b""
@@ -125,7 +124,6 @@
                 )
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"no connection to {address}: {error!r}") from error
-        self.opened += 1
         await self._settle(connection, loop.time() - started)
         return connection
 
