Start control and entries sooner after a loss of power

An entry imported all of the control program, because one adapter module held headers and orders, and each control member waited its shortest election timeout after imports that had taken longer than that already.

Ruled out: leaving out the wait of a restarted voter altogether, which the leader lease relies on; a member that is started again inside a running process still waits in full.

Imports of starlette and uvicorn in control remain (0.16 s).

--- a/cranberrylever/consensus/_config.py
+++ b/cranberrylever/consensus/_config.py
@@ -37,6 +37,9 @@
         timings: Raft timings.
         snapshot_entries: Entries applied between two snapshots.
         contacts: Member ids that a member outside the group asks to be let in.
+        silent_since: Loop time since which this process has run without hearing a leader, at most the time
+            of its start; ``None`` when only the start of the member is known. A process that took long to
+            start needs to wait less before it votes.
     """
 
     cluster_id: str
@@ -45,6 +48,7 @@
     timings: Timings = attrs.field(factory=Timings)
     snapshot_entries: int = 10_000
     contacts: tuple[str, ...] = ()
+    silent_since: float | None = None
 
 
 class Role(enum.Enum):
--- a/cranberrylever/consensus/_election.py
+++ b/cranberrylever/consensus/_election.py
@@ -15,6 +15,11 @@
         timings = self.config.timings
         return now + self.rng.uniform(timings.election_min, timings.election_max)
 
+    def first_election(self, may_vote_at: float) -> float:
+        """Return a random time for the first election of a member that may vote from ``may_vote_at``."""
+        timings = self.config.timings
+        return may_vote_at + self.rng.uniform(0.0, timings.election_max - timings.election_min)
+
     def may_vote(self) -> bool:
         """Return whether this member's own folder votes."""
         _, committed = self.memberships.at(self.commit_index)
--- a/cranberrylever/consensus/_node.py
+++ b/cranberrylever/consensus/_node.py
@@ -71,8 +71,10 @@
         self.folders: dict[str, Folder] = {}
         self.last_heard = -math.inf
         is_fresh = self.hard.term == 0 and self.log.last_index == 0
-        self.no_vote_before = -math.inf if is_fresh or self.quorum == 1 else now + config.timings.election_min
-        self.election_at = now if self.quorum == 1 else self.next_election(now)
+        silent_since = now if config.silent_since is None else min(now, config.silent_since)
+        may_vote_at = silent_since + config.timings.election_min
+        self.no_vote_before = -math.inf if is_fresh or self.quorum == 1 else may_vote_at
+        self.election_at = now if self.quorum == 1 else self.first_election(max(now, may_vote_at))
         self.contacts = set(config.contacts) - {config.member_id}
         self.join_at = now
         self.refused: str | None = None
--- a/cranberrylever/steering/_program.py
+++ b/cranberrylever/steering/_program.py
@@ -40,6 +40,7 @@
         orders: Calls to targets.
         create_app: Makes the HTTP interface for operators and targets.
         passed_headers: Headers that go on to the leader with a forwarded request.
+        running_since: Loop time since which this process has run, ``None`` when it is not known.
     """
 
     def __init__(
@@ -48,8 +49,10 @@
         orders: TargetOrders,
         create_app: AppFactory,
         passed_headers: tuple[str, ...],
+        running_since: float | None = None,
     ) -> None:
         self.settings = settings
+        self.running_since = running_since
         self.orders = orders
         self.create_app = create_app
         self.log = Log("control", settings.rpc, settings.log.level)
@@ -103,7 +106,13 @@
         storage = open_disk_storage(settings.data_dir, settings.cluster_id, founds)
         members = {member: member for member in settings.founders} if is_founder else {}
         contacts = tuple(dict.fromkeys((*settings.contacts, *settings.founders)))
-        config = ConsensusConfig(settings.cluster_id, settings.rpc, members, contacts=contacts)
+        config = ConsensusConfig(
+            settings.cluster_id,
+            settings.rpc,
+            members,
+            contacts=contacts,
+            silent_since=self._take_running_since(),
+        )
         self.state = SteeringState()
         machine = ClusterMachine(self.state, command_codec.decode)
         self.transport = PeerTransport(settings.cluster_id, settings.rpc, {}, ids_are_addresses=True)
@@ -132,6 +141,14 @@
             contacts=contacts,
         )
 
+    def _take_running_since(self) -> float | None:
+        """Return since when this process runs; nothing for a member that is started again in it.
+
+        That one may have heard a leader a moment ago.
+        """
+        running_since, self.running_since = self.running_since, None
+        return running_since
+
     async def _close_member(self) -> None:
         await self.leader.close()
         await self.granter.close()
@@ -199,6 +216,7 @@
     orders: TargetOrders,
     create_app: AppFactory,
     passed_headers: tuple[str, ...] = (),
+    running_since: float | None = None,
 ) -> SteeringProgram:
     """Return a control member that is not started yet."""
-    return SteeringProgram(settings, orders, create_app, passed_headers)
+    return SteeringProgram(settings, orders, create_app, passed_headers, running_since)
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -24,13 +24,16 @@
 FOLDERS = {"a": "fa", "b": "fb", "c": "fc"}
 
 
-def make_node(folder_id="fa", member_id="a", entries=None, hard=None, now=0.0, founder=False):
+def make_node(
+    folder_id="fa", member_id="a", entries=None, hard=None, now=0.0, founder=False, silent_since=None
+):
     """Return a member restarted on a log that holds the membership, committed."""
     if entries is None:
         entries = [membership_entry(1, 1, Membership(FOLDERS))]
     hard = hard or HardState(1, "b", 1 if entries else 0)
     stored = StoredState(folder_id, founder, hard, None, entries, 0)
-    return RaftNode(ConsensusConfig("c", member_id, MEMBERS), stored, now, random.Random(1))
+    config = ConsensusConfig("c", member_id, MEMBERS, silent_since=silent_since)
+    return RaftNode(config, stored, now, random.Random(1))
 
 
 def sync(node, now):
@@ -73,6 +76,19 @@
         self.assertEqual([False], [message.granted for message in sync(node, 10.24)])
         self.assertEqual([True], self.ask(node, 10.26))
 
+    def test_process_that_took_long_to_start_votes_sooner(self):
+        """Guards against a group that waits twice after a loss of power: for imports, then for silence."""
+        timings = ConsensusConfig("c", "a", MEMBERS).timings
+        waited = make_node(now=10.0, silent_since=10.0 - timings.election_min)
+        assert waited.election_at < 10.0 + timings.election_max - timings.election_min
+        just_started = make_node(now=10.0, silent_since=10.0 - timings.election_min / 2)
+        assert just_started.no_vote_before == 10.0 + timings.election_min / 2
+
+    def test_time_of_the_start_bounds_the_silence(self):
+        """Guards against a vote while the lease of a leader may still rely on this member."""
+        timings = ConsensusConfig("c", "a", MEMBERS).timings
+        assert make_node(now=10.0, silent_since=11.0).no_vote_before == 10.0 + timings.election_min
+
     def test_no_vote_while_leader_is_heard(self):
         """Guards against a second leader within the lease of the first."""
         node = make_node()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -13,7 +13,7 @@
 
 config_document = importlib.import_module("config_document")
 settings_file = importlib.import_module("settings_file")
-target_calls = importlib.import_module("target_calls")
+call_headers = importlib.import_module("call_headers")
 
 ENTRY_FILE = """node=edge-puget-1
 ip=10.1.0.10
@@ -159,7 +159,7 @@
 
 
 class HeaderTest(testtools.TestCase):
-    FORMAT = target_calls.PlatformFormat()
+    FORMAT = call_headers.PlatformFormat()
 
     def test_call(self):
         """Guards against a deadline in the wrong unit."""
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -14,7 +14,8 @@
 from tests.platform.standin import Caller, StandInTarget, configuration
 
 control_api = importlib.import_module("control_api")
-target_calls = importlib.import_module("target_calls")
+call_headers = importlib.import_module("call_headers")
+target_orders = importlib.import_module("target_orders")
 
 QUIET = LogSettings("-", "error")
 
@@ -44,7 +45,7 @@
         )
         self.steering = create_steering(
             settings,
-            target_calls.PlatformOrders(),
+            target_orders.PlatformOrders(),
             lambda service, forwarder: control_api.ControlApi(service, forwarder, settings).app(),
             control_api.PASSED_HEADERS,
         )
@@ -59,7 +60,7 @@
             finish_timeout=1.0,
             log=QUIET,
         )
-        self.gateway = create_gateway(entry_settings, target_calls.PlatformFormat())
+        self.gateway = create_gateway(entry_settings, call_headers.PlatformFormat())
         self.caller = Caller()
         self.targets = []
         self.requests = 0
