Ask for permits again after a silence of the leader

Cause: found on reading. An entry whose wish was never answered took the leader for silent from then on: requests for that target were refused whenever it was cold, and as only waiting requests ask, the leader was never asked again.

The lifetime of permits, which both ends must agree on, is one constant beside the messages.

Ruled out: asking without a waiting request, which would hand out permits that nobody uses.

--- a/cranberrylever/gateway/_permits.py
+++ b/cranberrylever/gateway/_permits.py
@@ -10,10 +10,7 @@
 import attrs
 
 from cranberrylever.settings import LimitRules
-from cranberrylever.wire import ColdPermits, PermitWish
-
-PERMIT_LIFETIME_S = 0.3
-"""Time after the sending of a wish within which its permits may be used."""
+from cranberrylever.wire import PERMIT_LIFETIME_S, ColdPermits, PermitWish
 
 ANSWER_TIME_S = 0.03
 """Time that an answer of the leader usually takes."""
@@ -43,6 +40,19 @@
         is_due = self.asked_at is None or now - self.asked_at > ASK_AGAIN_AFTER_S
         return is_due and now >= self.none_before
 
+    def is_leader_silent(self, now: float) -> bool:
+        """Tell whether wishes of late have had no answer; after a while the leader is asked again."""
+        if self.unanswered_since is None or self.asked_at is None or now - self.asked_at > NO_ANSWER_DELAY_S:
+            return False
+        return now - self.unanswered_since > 2 * ASK_AGAIN_AFTER_S
+
+    def begin_wish(self, now: float) -> None:
+        """Note that the leader is asked; a wish long after the last one begins a new silence."""
+        was_long_ago = self.asked_at is not None and now - self.asked_at > NO_ANSWER_DELAY_S
+        if self.unanswered_since is None or was_long_ago:
+            self.unanswered_since = now
+        self.asked_at = now
+
     def missing(self, now: float) -> int:
         """Return how many requests wait for a permit that has not been given."""
         self.usable_until = [until for until in self.usable_until if until > now]
@@ -70,7 +80,7 @@
             return ANSWER_TIME_S
         if any(until > now for until in account.usable_until):
             return 0.0
-        if account.unanswered_since is not None and now - account.unanswered_since > 2 * ASK_AGAIN_AFTER_S:
+        if account.is_leader_silent(now):
             return NO_ANSWER_DELAY_S
         return max(ANSWER_TIME_S, account.none_before - now)
 
@@ -106,9 +116,7 @@
             missing = account.missing(now)
             if missing and account.may_ask(now):
                 wishes.append(PermitWish(target_id, started_ms, missing, account.bound))
-                account.asked_at = now
-                if account.unanswered_since is None:
-                    account.unanswered_since = now
+                account.begin_wish(now)
         if wishes:
             self.sent_at[sequence] = now
         return tuple(wishes)
--- a/cranberrylever/steering/_permits.py
+++ b/cranberrylever/steering/_permits.py
@@ -10,10 +10,7 @@
 
 import attrs
 
-from cranberrylever.wire import ColdPermits, PermitWish
-
-PERMIT_LIFETIME_S = 0.3
-"""Time after an entry's request for permits within which it may use them."""
+from cranberrylever.wire import PERMIT_LIFETIME_S, ColdPermits, PermitWish
 
 WINDOW_S = 1.0 + PERMIT_LIFETIME_S
 """Time in which the permits handed out stay below the bound: any second sees only those of such a span."""
--- a/cranberrylever/wire/__init__.py
+++ b/cranberrylever/wire/__init__.py
@@ -3,6 +3,7 @@
 from cranberrylever.wire._codec import MsgpackCodec, decode, encode
 from cranberrylever.wire._commands import CommandCodec
 from cranberrylever.wire._feed import (
+    PERMIT_LIFETIME_S,
     ColdPermits,
     FeedBase,
     FeedReply,
@@ -44,6 +45,7 @@
 )
 
 __all__ = [
+    "PERMIT_LIFETIME_S",
     "ClaimAnswer",
     "ClaimResult",
     "ColdPermits",
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -47,6 +47,10 @@
     speed: float
 
 
+PERMIT_LIFETIME_S = 0.3
+"""Time after an entry's sending of a wish within which it may use the permits that answer it."""
+
+
 @attrs.frozen
 class PermitWish:
     """Requests that wait at an entry for permits of a target in cold start.
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -4,10 +4,10 @@
 
 import testtools
 
-from cranberrylever.gateway._permits import ANSWER_TIME_S, PERMIT_LIFETIME_S, PermitBook
+from cranberrylever.gateway._permits import ANSWER_TIME_S, PermitBook
 from cranberrylever.settings import LimitRules
 from cranberrylever.steering._permits import PermitLedger
-from cranberrylever.wire import PermitWish
+from cranberrylever.wire import PERMIT_LIFETIME_S, PermitWish
 
 RULES = LimitRules(1.5, 5.0, 0.2, 56.0, 10.0)
 RATE = 9.9
@@ -91,3 +91,11 @@
             assert book.delay(LIFE, 0.1) == ANSWER_TIME_S
             assert len(book.take_wishes(3, 0.2)) == 1
             assert book.delay(LIFE, 0.4) > 0.5
+
+    def test_leader_is_asked_again_after_a_silence(self):
+        """Guards against a target that stays refused for good because one wish was never answered."""
+        book = PermitBook(RULES, lambda: None)
+        with book.waiting(LIFE, RATE, 0.0):
+            book.take_wishes(1, 0.0)
+        assert book.delay(LIFE, 0.5) > ANSWER_TIME_S
+        assert book.delay(LIFE, 5.0) == ANSWER_TIME_S
