Keep targets cold through a change of leader

Cause: found on reading. A new leader has heard no target yet and told entries that each is warm; until a target's next notice, up to one interval, entries sent a cold one its full share, above what it bears.

Change: the leader says that it does not know, and entries keep what they knew of that life.

Ruled out: replicating how long targets stay cold, which a notice tells every second anyway. An entry that has just started beside a new leader still takes a cold target for warm until its notice.

--- a/cranberrylever/fleet/_contacts.py
+++ b/cranberrylever/fleet/_contacts.py
@@ -50,8 +50,12 @@
         contact = self.contacts.get(target.life)
         return now - (contact.heard_at if contact else self.started_at)
 
+    def has_heard(self, target: FleetTarget) -> bool:
+        """Tell whether this leader has heard the target."""
+        return target.life in self.contacts
+
     def cold_for(self, target: FleetTarget, now: float) -> float:
-        """Return how much longer the target stays cold, 0 when it is warm."""
+        """Return how much longer the target stays cold, 0 when it is warm or was not heard yet."""
         contact = self.contacts.get(target.life)
         return max(0.0, contact.cold_until - now) if contact else 0.0
 
--- a/cranberrylever/gateway/_view.py
+++ b/cranberrylever/gateway/_view.py
@@ -8,7 +8,7 @@
 from cranberrylever.gateway._estimates import TargetEstimate
 from cranberrylever.routes import RouteMatcher
 from cranberrylever.settings import LimitRules
-from cranberrylever.wire import FeedReply, FleetView, RangesView, RoutedTarget, TargetSpeed
+from cranberrylever.wire import UNKNOWN, FeedReply, FleetView, RangesView, RoutedTarget, TargetSpeed
 
 IDLE_SHARE = 1 / 3
 
@@ -169,8 +169,9 @@
             known.info = info
             known.estimate.speed = info.speed
             known.estimate.entries = self.entries
-            known.estimate.told_busy = info.busy if info.busy >= 0 else None
-            known.cold_until = now + info.cold_for if info.cold_for > 0 else 0.0
+            known.estimate.told_busy = info.busy if info.busy != UNKNOWN else None
+            if info.cold_for != UNKNOWN:
+                known.cold_until = now + info.cold_for if info.cold_for > 0 else 0.0
             targets[info.target_id] = known
         self.targets = targets
         self.by_service = {}
--- a/cranberrylever/steering/_feed.py
+++ b/cranberrylever/steering/_feed.py
@@ -14,6 +14,7 @@
 from cranberrylever.steering._state import SteeringState
 from cranberrylever.steering._suspects import SuspectBook
 from cranberrylever.wire import (
+    UNKNOWN,
     ColdPermits,
     FeedBase,
     FeedReply,
@@ -200,7 +201,7 @@
                 target.failure_domain,
                 target.slots,
                 self.state.may_receive_work(target) and not leader.is_silent(target, now),
-                leader.contacts.cold_for(target, now),
+                leader.contacts.cold_for(target, now) if leader.contacts.has_heard(target) else UNKNOWN,
                 self._speed(target),
                 self._busy(target),
             )
@@ -220,7 +221,7 @@
         """Return how busy entries were told that a target is, or the present figure when it differs much."""
         present = self.leader.busy(target)
         if present is None:
-            return -1.0
+            return UNKNOWN
         told = self.busy.get(target.life, 0.0)
         if abs(present - told) > BUSY_CHANGE + BUSY_CHANGE_SHARE * told:
             told = self.busy[target.life] = round(present, 1)
--- a/cranberrylever/wire/__init__.py
+++ b/cranberrylever/wire/__init__.py
@@ -4,6 +4,7 @@
 from cranberrylever.wire._commands import CommandCodec
 from cranberrylever.wire._feed import (
     PERMIT_LIFETIME_S,
+    UNKNOWN,
     ColdPermits,
     FeedBase,
     FeedReply,
@@ -81,6 +82,7 @@
     "TargetLoad",
     "TargetPace",
     "TargetSpeed",
+    "UNKNOWN",
     "ViewAnswer",
     "decode",
     "encode",
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -95,13 +95,17 @@
     wishes: tuple[PermitWish, ...] = ()
 
 
+UNKNOWN = -1.0
+"""Figure of a target that the leader does not know, since it has not heard the target yet."""
+
+
 @attrs.frozen
 class RoutedTarget:
     """A target as entries see it.
 
     ``usable`` tells whether new work may go there. ``cold_for`` is how much longer it stays cold, in seconds
     from the sending of the view. ``speed`` is relative to the usual target of its service. ``busy`` is the
-    number of requests that usually run there at once, -1 when control does not know it.
+    number of requests that usually run there at once. ``cold_for`` and ``busy`` may be ``UNKNOWN``.
     """
 
     target_id: str
@@ -113,7 +117,7 @@
     usable: bool
     cold_for: float
     speed: float
-    busy: float = -1.0
+    busy: float = UNKNOWN
 
     @property
     def life(self) -> tuple[str, int]:
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -8,6 +8,7 @@
 from cranberrylever.settings import LimitRules
 from cranberrylever.steering._sections import Section
 from cranberrylever.wire import (
+    UNKNOWN,
     FeedReply,
     FleetView,
     RangesView,
@@ -110,6 +111,22 @@
 
         run_paused(scenario)
 
+    def test_new_leader_that_has_not_heard_a_target_does_not_warm_it(self):
+        """Guards against a cold target that gets a full share for a moment after a change of leader."""
+
+        async def scenario():
+            view = EntryView(LimitRules())
+            section = Section()
+            section.update(FleetView((target("a", cold_for=2.0), target("b")), 8), 1)
+            view.apply(reply(section), 10.0)
+            section.update(FleetView((target("a", cold_for=UNKNOWN), target("b", cold_for=UNKNOWN)), 8), 2)
+            view.apply(reply(section), 10.5)
+            assert view.targets["a"].is_cold(11.0)
+            assert not view.targets["b"].is_cold(11.0)
+            assert not view.targets["a"].is_cold(12.5)
+
+        run_paused(scenario)
+
     def test_cold_start_ends_by_itself(self):
         """Guards against a target that counts as cold until control says otherwise."""
 
