Compare the planner's shares with other rules over a model of targets

Change: bench/experiments models a target (slots, speed, moments of slowness, a queue that is refused when it is long) and runs the planner's real division beside equal utilization and beside weights without a limit; `make experiment NAME=shares` writes a table and a plot (matplotlib, development only) into docs/experiments.

Ruled out: figures of the model as results of the product; it has no key moves and no entries.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SEEDS ?= 50
 SECONDS ?= 12
 
-.PHONY: env test lint format demo bench soak soak-rules soak-routes slopes binary docs platform-day
+.PHONY: env test lint format demo bench soak soak-rules soak-routes experiment slopes binary docs platform-day
 
 env: $(VENV)/.installed
 
@@ -39,6 +39,11 @@
 soak: env
 	$(PYTHON) -m bench.soak --seed $(SEED) --minutes $(MINUTES)
 
+NAME ?= shares
+
+experiment: env
+	$(PYTHON) -m bench.experiments $(NAME)
+
 soak-routes: env
 	$(PYTHON) -m bench.routes --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
 
