Send a key's request to a target that does not hold it only once

Upstreams had ended and their addresses belonged to export-seal; entries that took them for owners of keys got 421, waited 0.1 s for a newer view and, without one, sent the same request to the same address again, up to three times. These sends count as retries of the service that has the address now, which no budget of the entries covers.

Change: after a 421 a keyed request is sent again only when its key has another owner within 0.1 s, and refused otherwise.

Ruled out: counting such sends in the budget of every service, since entries do not know whose the address is.

--- a/cranberrylever/gateway/_dispatcher.py
+++ b/cranberrylever/gateway/_dispatcher.py
@@ -339,11 +339,21 @@
     ) -> None:
         """Decide what follows an answer which tells that the call did not run."""
         progress.rejected.add(target.info.target_id)
+        if call.key is not None and status == _MISDIRECTED and not await self._has_other_owner(call, target):
+            # Its address may be another service's by now, where a second send would count as a retry.
+            self._give_up(call, call.reason, MIN_OWNER_RETRY_S)
         if not self._may_repeat(call):
             self._give_up(call, call.reason, self._room_in(target, call))
-        if call.key is not None and status == _MISDIRECTED:
-            # The target does not hold the key any more, so a newer view is on its way.
-            await self.view.wait_for_change(NEWER_VIEW_WAIT_S)
+
+    async def _has_other_owner(self, call: Call, target: KnownTarget) -> bool:
+        """Wait a moment for a view in which a call's key is not owned by a target that does not hold it."""
+        end = self._now() + NEWER_VIEW_WAIT_S
+        while self.view.owner(call.service.name, call.key) is target:
+            left = end - self._now()
+            if left <= 0:
+                return False
+            await self.view.wait_for_change(left)
+        return True
 
     def _room_in(self, target: KnownTarget, call: Call) -> float:
         wait = target.estimate.wait(self.usual.of(call.route.name), self._now())
--- /dev/null
+++ b/tests/gateway/test_dispatcher.py
@@ -0,0 +1,81 @@
+"""Tests of how calls are sent again."""
+
+import testtools
+
+from cranberrylever.gateway._call import Call, RefusedError
+from cranberrylever.gateway._dispatcher import Dispatcher
+from cranberrylever.gateway._own_format import NOT_RUN, OUTCOME, OwnFormat
+from cranberrylever.gateway._permits import PermitBook
+from cranberrylever.gateway._reports import ReportBook
+from cranberrylever.gateway._view import EntryView
+from cranberrylever.logs import Log
+from cranberrylever.routes import Route, RoutedService, RouteShare
+from cranberrylever.settings import LimitRules
+from cranberrylever.steering._sections import Section
+from cranberrylever.targetlink import TargetAnswer
+from cranberrylever.wire import FleetView, RangesView, RangeView, ServiceRanges
+from tests.gateway.test_view import KEYS, reply, target
+from tests.support import run_paused
+
+SERVICE = RoutedService("ledger", True, "/healthz", 100, 3.0, 10.0, 2.0)
+ROUTE = Route("r", "h", "/", (RouteShare("ledger", 1.0),), True, 1.0, 0.3, 1, 2)
+
+
+class FakePool:
+    """Answers 421 at the address of one target and 200 at all others."""
+
+    def __init__(self, misdirected):
+        self.misdirected = misdirected
+        self.sent = []
+
+    async def exchange(self, address, method, request, request_id=b"", is_repeatable=False):
+        self.sent.append(address)
+        if address == self.misdirected:
+            return TargetAnswer(421, [(OUTCOME, NOT_RUN)])
+        return TargetAnswer(200, [(OUTCOME, b"done")])
+
+
+def owned_by(name):
+    return RangesView((ServiceRanges("ledger", (RangeView(0, KEYS - 1, name),)),))
+
+
+class MisdirectedTest(testtools.TestCase):
+    def run_call(self, change_owner):
+        """Send one keyed call whose owner answers 421; return what was sent and the status or ``None``."""
+
+        async def scenario():
+            view = EntryView(LimitRules())
+            fleet, ranges = Section(), Section()
+            fleet.update(FleetView((target("a"), target("b")), 8), 1)
+            ranges.update(owned_by("a"), 1)
+            view.apply(reply(fleet, ranges), 0.0)
+            pool = FakePool("a:80")
+            permits = PermitBook(LimitRules(), lambda: None)
+            log = Log("entry", "e", "error")
+            dispatcher = Dispatcher(view, pool, OwnFormat(), ReportBook(), permits, "a", log)
+            if change_owner:
+                exchange = pool.exchange
+
+                async def then_move(*arguments, **options):
+                    answer = await exchange(*arguments, **options)
+                    ranges.update(owned_by("b"), 1)
+                    view.apply(reply(fleet, ranges), 0.0)
+                    return answer
+
+                pool.exchange = then_move
+            call = Call(b"q", b"GET", b"/x", [], b"", ROUTE, SERVICE, 7, 0.0, 1.0)
+            try:
+                served = await dispatcher.run(call)
+            except RefusedError:
+                return pool.sent, None
+            return pool.sent, served.answer.status
+
+        return run_paused(scenario)
+
+    def test_target_that_does_not_hold_a_key_is_not_asked_again(self):
+        """Guards against retries that count at another service, which took over the address (pbdtc-gate)."""
+        assert self.run_call(change_owner=False) == (["a:80"], None)
+
+    def test_call_follows_its_key_to_another_owner(self):
+        """Guards against refusals while a key moves."""
+        assert self.run_call(change_owner=True) == (["a:80", "b:80"], 200)
