Log the estimates that decide on a target with each request

Cause of the gap: expected service time, queue and completion time and the age of the load report decide on target, admission and retry, and stood on no line. Change: the request keeps the estimates of its last decision; its log line has expected_ms, queue_ms, completion_ms and load_age_ms. Ruled out: a line per decision; a request has one to three, and the last one explains its end. No decision changes.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Awaitable, Callable
 
 from cranberrylever.caller_http import CALLER_GONE, RequestGuard, end_to_end_headers
@@ -11,6 +12,7 @@
 from cranberrylever.route_entry._format import HeaderFormat, Headers
 from cranberrylever.route_entry._request import (
     AttemptResult,
+    DispatchEstimate,
     OutcomeUnknownError,
     RefusedError,
     RoutedRequest,
@@ -296,9 +298,23 @@
             fleet=self.view.fleet_version,
             ranges=self.view.ranges_version,
             view_age_ms=round((record.started_at + elapsed - self.view.received_at) * 1000),
+            **_estimate_fields(request.estimate if request else None),
         )
 
 
+def _estimate_fields(estimate: DispatchEstimate | None) -> dict[str, int | None]:
+    """Return the log fields of the estimates that decided on a target, in ms; ``None`` if unknown."""
+    if estimate is None:
+        return {}
+    load_age = estimate.load_age
+    return {
+        "expected_ms": round(estimate.service_time * 1000),
+        "queue_ms": round(estimate.queue_time * 1000),
+        "completion_ms": round(estimate.completion_time * 1000),
+        "load_age_ms": round(load_age * 1000) if math.isfinite(load_age) else None,
+    }
+
+
 class _RequestRecord:
     """Data for the log line of a request."""
 
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -14,6 +14,7 @@
 from cranberrylever.route_entry._reports import ReportCollector
 from cranberrylever.route_entry._request import (
     AttemptResult,
+    DispatchEstimate,
     OutcomeUnknownError,
     RefusedError,
     RoutedRequest,
@@ -159,14 +160,14 @@
         while True:
             target = await self._choose_target(request, state)
             now = self._now()
-            estimate = target.estimate
-            service_time = self.service_times.expected(request.route.name)
+            estimate = self._estimate(request, target, now)
+            request.estimate = estimate
             admission_request = AdmissionRequest(
                 request.route.priority,
                 request.route.objective,
                 request.remaining(now),
-                estimate.queue_time(service_time, now),
-                estimate.completion_time(service_time, now),
+                estimate.queue_time,
+                estimate.completion_time,
                 self._cold_delay(target, now),
                 request.is_caller_retry,
             )
@@ -192,6 +193,15 @@
         service_time = self.service_times.expected(request.route.name)
         return min(untried or candidates, key=lambda target: self._estimate_cost(target, service_time, now))
 
+    def _estimate(self, request: RoutedRequest, target: TargetState, now: float) -> DispatchEstimate:
+        service_time = self.service_times.expected(request.route.name)
+        return DispatchEstimate(
+            service_time,
+            target.estimate.queue_time(service_time, now),
+            target.estimate.completion_time(service_time, now),
+            now - target.estimate.reported_at,
+        )
+
     def _is_exploration_candidate(self, target: TargetState, now: float) -> bool:
         """Return whether an idle target with few failures, not cold, may be better than its estimate."""
         estimate = target.estimate
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -9,14 +9,30 @@
 from cranberrylever.target_http import TargetAnswer
 
 
+@attrs.frozen
+class DispatchEstimate:
+    """The estimates by which an entry decided on a target for a request; times are in seconds.
+
+    ``service_time`` is the expected service time of the route at an average target. ``queue_time`` and
+    ``completion_time`` are those at the target, and ``load_age`` is the age of its last load report, infinite
+    without one.
+    """
+
+    service_time: float
+    queue_time: float
+    completion_time: float
+    load_age: float
+
+
 @attrs.define(eq=False)
 class RoutedRequest:
     """A request as read from its caller; times are loop times in seconds.
 
     ``send_count`` counts how often it was sent to a target and ``attempts`` how often it may have run;
     ``may_have_run`` reports whether there was such an attempt. ``tried_targets`` lists the targets that were
-    sent the request and ``reason`` describes the last result for the log. ``is_caller_retry`` reports that
-    the caller has waited before: it has less time left than the timeout of the route.
+    sent the request and ``reason`` describes the last result for the log. ``estimate`` holds the estimates
+    behind the last decision. ``is_caller_retry`` reports that the caller has waited before: it has less time
+    left than the timeout of the route.
     """
 
     request_id: bytes
@@ -34,6 +50,7 @@
     may_have_run: bool = False
     tried_targets: list[str] = attrs.field(factory=list)
     reason: str = ""
+    estimate: DispatchEstimate | None = None
     is_caller_retry: bool = False
     _fingerprint: str = ""
 
--- a/tests/route_entry/test_dispatcher.py
+++ b/tests/route_entry/test_dispatcher.py
@@ -4,6 +4,7 @@
 
 from cranberrylever.logs import Log
 from cranberrylever.route_control._sections import Section
+from cranberrylever.route_entry._app import _estimate_fields
 from cranberrylever.route_entry._default_format import NOT_RUN, OUTCOME, DefaultHeaderFormat
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._permits import PermitClient
@@ -39,8 +40,12 @@
     return RangesView((ServiceRanges("ledger", (RangeView(0, KEYS - 1, name),)),))
 
 
+def keyed_request():
+    return RoutedRequest(b"q", b"GET", b"/x", [], b"", ROUTE, SERVICE, 7, 0.0, 1.0)
+
+
 class MisdirectedTest(testtools.TestCase):
-    def run_request(self, change_owner):
+    def run_request(self, change_owner, request=None):
         """Send a keyed request whose owner answers 421; return the addresses and the status or ``None``."""
 
         async def scenario():
@@ -63,9 +68,8 @@
                     return answer
 
                 pool.exchange = exchange_and_move
-            request = RoutedRequest(b"q", b"GET", b"/x", [], b"", ROUTE, SERVICE, 7, 0.0, 1.0)
             try:
-                result = await dispatcher.run(request)
+                result = await dispatcher.run(request or keyed_request())
             except RefusedError:
                 return pool.sent, None
             return pool.sent, result.answer.status
@@ -82,3 +86,12 @@
     def test_request_follows_its_key_to_another_owner(self):
         """Guards against refusals while a key moves."""
         assert self.run_request(change_owner=True) == (["a:80", "b:80"], 200)
+
+    def test_request_line_has_the_estimates_that_decided(self):
+        """Guards against a failure whose choice of target cannot be explained from the log."""
+        request = keyed_request()
+        self.run_request(change_owner=True, request=request)
+        fields = _estimate_fields(request.estimate)
+        assert fields["expected_ms"] > 0, fields
+        assert fields["completion_ms"] >= fields["queue_ms"] == 0, fields
+        assert fields["load_age_ms"] is None, fields
