--- /dev/null
+++ b/bench/experiments/pool.py
@@ -0,0 +1,319 @@
+"""Simulation of a pooled service: the dispatchers of many entries against targets of different speeds.
+
+The entries run the decisions of ``cranberrylever.route_entry`` in simulated time. They report service times
+to a ``SpeedTracker`` and receive the measured speeds, as from control.
+"""
+
+import asyncio
+import collections
+import math
+import random
+
+import attrs
+import looptime
+
+from bench.experiments.model import NOISE_STEP_S
+from cranberrylever.logs import Log
+from cranberrylever.route_control._speeds import SpeedTracker
+from cranberrylever.route_entry._default_format import LOAD, NOT_RUN, OUTCOME, DefaultHeaderFormat
+from cranberrylever.route_entry._dispatcher import Dispatcher
+from cranberrylever.route_entry._permits import PermitClient
+from cranberrylever.route_entry._reports import ReportCollector
+from cranberrylever.route_entry._request import OutcomeUnknownError, RefusedError, RoutedRequest
+from cranberrylever.route_entry._view import EntryView
+from cranberrylever.route_plan import Route, RoutedService, RouteShare
+from cranberrylever.settings import LimitSettings
+from cranberrylever.target_http import TargetAnswer
+from cranberrylever.wire import FeedReply, FleetView, RoutedTarget
+
+REPORT_INTERVAL_S = 0.45
+NETWORK_DELAY_S = 0.0014
+CALLER_DELAY_S = 0.016
+"""Time that a request and its answer spend between caller and entry."""
+
+MAX_RETRY_AFTER_SHARE = 1 / 3
+"""Share of its remaining time that a caller waits at most before it retries."""
+
+SERVICE = RoutedService("office", False, "/healthz", 130, 3.0, 4.3, 0.0)
+FAILURE_DOMAIN = "a"
+
+
+@attrs.frozen
+class PoolLoad:
+    """Requests of one route, and the targets and entries that serve them; times are in seconds.
+
+    Attributes:
+        rates: Requests per second, each for one second of simulated time.
+        entries: Number of entries.
+        speeds: Relative speeds of the targets, in turn.
+        targets: Number of targets.
+        slots: Requests that a target runs at once.
+        queue: Requests that a target queues; further ones are rejected.
+        work: Mean service time at speed 1.0, without slow periods.
+        spread: Standard deviation of the logarithm of the service time.
+        timeout: Timeout of the route.
+        objective: Latency up to which an answer has a credit of 1.
+        deadline: Time that the caller waits.
+        late_credit: Credit of an answer after the objective.
+        noise_share: Share of periods in which a target's machine is slow.
+        noise_factor: Factor on service times in a slow period.
+    """
+
+    rates: tuple[float, ...]
+    entries: int = 80
+    speeds: tuple[float, ...] = (0.7, 0.7, 1.6)
+    targets: int = 21
+    slots: int = 6
+    queue: int = 24
+    work: float = 0.29
+    spread: float = 0.8
+    timeout: float = 1.2
+    objective: float = 0.8
+    deadline: float = 2.0
+    late_credit: float = 0.3
+    noise_share: float = 0.2
+    noise_factor: float = 3.0
+
+
+@attrs.define
+class PoolResult:
+    """Outcome of one second of arrivals: numbers of requests, and their credit."""
+
+    asked: int = 0
+    credit: float = 0.0
+    on_time: int = 0
+    late: int = 0
+    refused: int = 0
+    timed_out: int = 0
+
+    def __add__(self, other: "PoolResult") -> "PoolResult":
+        return PoolResult(*(a + b for a, b in zip(attrs.astuple(self), attrs.astuple(other), strict=True)))
+
+    @property
+    def credit_share(self) -> float:
+        """Credit earned per request."""
+        return self.credit / max(1, self.asked)
+
+
+class PoolTarget:
+    """Simulated target with slots, a queue and slow periods of its machine."""
+
+    def __init__(self, load: PoolLoad, speed: float, seed: str) -> None:
+        self.load = load
+        self.speed = speed
+        self.rng = random.Random(seed)
+        self.slot_limit = asyncio.Semaphore(load.slots)
+        self.running = 0
+        self.waiting = 0
+        self.step = -1
+        self.slowdown = 1.0
+
+    async def run(self, work: float) -> bool:
+        """Run a request of ``work`` seconds; return ``False`` when the queue is full."""
+        if self.waiting >= self.load.queue:
+            return False
+        self.waiting += 1
+        try:
+            await self.slot_limit.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            await self._work(work / self.speed)
+        finally:
+            self.running -= 1
+            self.slot_limit.release()
+        return True
+
+    async def _work(self, work: float) -> None:
+        now = asyncio.get_running_loop().time()
+        while work > 0:
+            slowdown = self.current_slowdown(now)
+            period_end = (self.step + 1) * NOISE_STEP_S
+            elapsed = min(work * slowdown, period_end - now)
+            await asyncio.sleep(elapsed)
+            work -= elapsed / slowdown
+            now = max(period_end, asyncio.get_running_loop().time())
+
+    def current_slowdown(self, now: float) -> float:
+        """Return the factor on service times in the present period."""
+        while now >= (self.step + 1) * NOISE_STEP_S:
+            self.step += 1
+            is_slow = self.rng.random() < self.load.noise_share
+            self.slowdown = self.load.noise_factor if is_slow else 1.0
+        return self.slowdown
+
+    def answer(self, is_done: bool) -> TargetAnswer:
+        """Return an answer with the load that the target reports."""
+        slowdown = self.current_slowdown(asyncio.get_running_loop().time())
+        load = b"%d,%d,%d,%d" % (self.running, self.waiting, self.load.slots, slowdown * 100)
+        if is_done:
+            return TargetAnswer(200, [(OUTCOME, b"done"), (LOAD, load)])
+        return TargetAnswer(503, [(OUTCOME, NOT_RUN), (LOAD, load)])
+
+
+class PoolTransport:
+    """Stands in for the connections of an entry; the body of a request states its work in microseconds."""
+
+    def __init__(self, targets: dict[str, PoolTarget]) -> None:
+        self.targets = targets
+
+    async def exchange(
+        self,
+        address: str,
+        method: bytes,
+        request: bytes,
+        request_id: bytes = b"",
+        is_idempotent: bool = False,
+    ) -> TargetAnswer:
+        """Run a request at the target with an address."""
+        await asyncio.sleep(NETWORK_DELAY_S)
+        target = self.targets[address]
+        work = int(request.rpartition(b"\r\n")[2]) / 1e6
+        is_done = await target.run(work)
+        answer = target.answer(is_done)
+        await asyncio.sleep(NETWORK_DELAY_S)
+        return answer
+
+    def close_idle(self, address: str) -> None:
+        """Do nothing."""
+
+
+class PoolSimulation:
+    """Replays a load against the decisions of all entries."""
+
+    def __init__(self, load: PoolLoad, seed: int) -> None:
+        self.load = load
+        self.rng = random.Random(seed)
+        self.targets = {
+            f"t{number}:80": PoolTarget(load, load.speeds[number % len(load.speeds)], f"{seed} {number}")
+            for number in range(load.targets)
+        }
+        self.route = Route(
+            "r", "h", "/", (RouteShare("office", 1.0),), False, load.timeout, load.objective, 0, 2
+        )
+        self.tracker = SpeedTracker()
+        self.fleet_version = 0
+        self.entries = [self._create_entry() for _ in range(load.entries)]
+        self.results: collections.defaultdict[int, PoolResult] = collections.defaultdict(PoolResult)
+
+    def _create_entry(self) -> Dispatcher:
+        limits = LimitSettings()
+        dispatcher = Dispatcher(
+            EntryView(limits),
+            PoolTransport(self.targets),
+            DefaultHeaderFormat(),
+            ReportCollector(),
+            PermitClient(limits, lambda: None),
+            FAILURE_DOMAIN,
+            Log("entry", "e", "error"),
+        )
+        dispatcher.rng = random.Random(self.rng.random())
+        return dispatcher
+
+    async def run(self) -> dict[int, PoolResult]:
+        """Return the results by the second of arrival."""
+        loop = asyncio.get_running_loop()
+        self._publish(0.0)
+        control = loop.create_task(self._run_control())
+        requests = []
+        now = 0.0
+        for second, rate in enumerate(self.load.rates):
+            while now < second + 1:
+                await asyncio.sleep(max(0.0, now - loop.time()))
+                requests.append(loop.create_task(self._run_caller(int(now))))
+                now += self.rng.expovariate(rate)
+        await asyncio.gather(*requests)
+        control.cancel()
+        return dict(self.results)
+
+    async def _run_control(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            for entry in self.entries:
+                for service_time in entry.reports.take_service_times():
+                    self.tracker.record(service_time, now)
+            self._publish(now)
+
+    def _publish(self, now: float) -> None:
+        self.fleet_version += 1
+        incarnations = [(address, 1) for address in self.targets]
+        speeds = self.tracker.speeds(incarnations)
+        targets = tuple(
+            RoutedTarget(
+                address,
+                1,
+                SERVICE.name,
+                address,
+                FAILURE_DOMAIN,
+                self.load.slots,
+                True,
+                0.0,
+                round(speeds[address, 1], 2),
+            )
+            for address in self.targets
+        )
+        fleet = FleetView(targets, self.load.entries, ())
+        for entry in self.entries:
+            reply = FeedReply("c", 0, True, "m", (), -1, None, self.fleet_version, fleet, -1, None, ())
+            entry.view.apply(reply, now)
+
+    def _draw_work(self) -> float:
+        load = self.load
+        mean_log = math.log(load.work) - load.spread**2 / 2
+        return min(self.rng.lognormvariate(mean_log, load.spread), 7.5 * load.work)
+
+    async def _run_caller(self, second: int) -> None:
+        """Send a request, and once more after a refusal, as callers do."""
+        loop = asyncio.get_running_loop()
+        load = self.load
+        started_at = loop.time()
+        deadline = started_at + load.deadline
+        result = self.results[second]
+        result.asked += 1
+        work = b"%d" % (self._draw_work() * 1e6)
+        for is_retry in (False, True):
+            await asyncio.sleep(CALLER_DELAY_S / 2)
+            now = loop.time()
+            time_limit = min(load.timeout, deadline - now)
+            request = RoutedRequest(
+                b"q", b"PUT", b"/", [], work, self.route, SERVICE, None, now, now + time_limit
+            )
+            request.is_caller_retry = time_limit < load.timeout
+            try:
+                async with asyncio.timeout(time_limit):
+                    await self.rng.choice(self.entries).run(request)
+            except RefusedError as error:
+                delay = min(error.retry_after, MAX_RETRY_AFTER_SHARE * (deadline - loop.time()))
+                if is_retry:
+                    result.refused += 1
+                    return
+                await asyncio.sleep(CALLER_DELAY_S / 2 + delay)
+                continue
+            except (OutcomeUnknownError, TimeoutError):
+                result.timed_out += 1
+                return
+            elapsed = loop.time() + CALLER_DELAY_S / 2 - started_at
+            is_on_time = elapsed <= load.objective
+            result.on_time += is_on_time
+            result.late += not is_on_time
+            result.credit += 1.0 if is_on_time else load.late_credit
+            return
+
+
+def simulate(
+    load: PoolLoad, seed: int, simulation: type[PoolSimulation] = PoolSimulation
+) -> dict[int, PoolResult]:
+    """Return the results of a load by the second of arrival."""
+
+    async def run() -> dict[int, PoolResult]:
+        return await simulation(load, seed).run()
+
+    loop = looptime.new_event_loop(start=0, noop_cycles=0)
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(run())
+    finally:
+        loop.close()
+        asyncio.set_event_loop(None)
