Compare a few random candidates for a pooled request, fewer with more entries

Cause: each entry chose the target with the least estimate of all. With 80 entries one sends a target a request in ten seconds; those with like estimates chose alike, and nothing told them of each other. Class: a least-loaded choice on information older than the choices of the others (herd). Change: an entry draws candidates by capacity and takes the best of them: 2 with many entries, 6 with 10, as all with few. Warm and cold targets are drawn apart. The choice is a module of its own.

--- a/bench/experiments/pool.py
+++ b/bench/experiments/pool.py
@@ -208,7 +208,7 @@
             FAILURE_DOMAIN,
             Log("entry", "e", "error"),
         )
-        dispatcher.rng = random.Random(self.rng.random())
+        dispatcher.chooser.rng = random.Random(self.rng.random())
         return dispatcher
 
     async def run(self) -> dict[int, PoolResult]:
--- /dev/null
+++ b/cranberrylever/route_entry/_choice.py
@@ -0,0 +1,119 @@
+"""Choice of a target for a request to a pooled service, by estimated completion time.
+
+An entry learns the load of a target from its own answers. With many entries each sends a target only an
+occasional request, and what the others send there meanwhile is unknown to it. If each entry chose the target
+with the least estimate of all, those with similar estimates would all choose the same one, and continue to
+do so until the answers come late. So an entry compares only a few random candidates: the fewer, the smaller
+its share of the requests. Candidates are drawn in proportion to capacity.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+
+from cranberrylever.route_entry._view import TargetState
+
+MIN_CANDIDATES = 2
+"""Candidates that are compared however many entries there are."""
+
+MAX_COMPARED_PER_ROUND = 64
+"""Candidates that all entries together compare when each has one request; divided among the entries."""
+
+CROSS_DOMAIN_COST_S = 0.01
+"""Time by which a target in another failure domain must be faster, since traffic between domains costs."""
+
+EXPLORATION_SHARE = 0.03
+"""Share of requests that go to a random idle target; a target without requests reports no load."""
+
+MAX_EXPLORATION_FAILURES = 0.1
+"""Decayed count of recent failures from which a target is not chosen for exploration."""
+
+CHOICE_NOISE = 0.02
+"""Relative noise on estimates, so that entries with equal data do not all choose the same target."""
+
+MAX_COLD_DELAY_S = 10.0
+"""Limit on the delay of a target in cold start in comparisons, since it may be infinite."""
+
+MIN_CAPACITY = 0.01
+"""Lowest capacity of a target as a weight in draws, in slots."""
+
+
+def candidate_count(entries: int) -> int:
+    """Return how many targets an entry compares for a request in a cluster of ``entries`` entries."""
+    return max(MIN_CANDIDATES, round(MAX_COMPARED_PER_ROUND / entries))
+
+
+class PooledChooser:
+    """Chooses targets of pooled services for one entry.
+
+    Args:
+        failure_domain: Failure domain of this entry; targets in it are slightly preferred.
+        cold_delay: Returns the seconds until a request may be sent to a target, 0 for a warm one.
+        rng: Random source.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        cold_delay: Callable[[TargetState, float], float],
+        rng: random.Random,
+    ) -> None:
+        self.failure_domain = failure_domain
+        self.cold_delay = cold_delay
+        self.rng = rng
+
+    def choose(
+        self, targets: Sequence[TargetState], entries: int, service_time: float, now: float
+    ) -> TargetState:
+        """Return the target for one request.
+
+        Args:
+            targets: The targets that may be chosen, at least one.
+            entries: Number of entries.
+            service_time: Expected service time at an average target in seconds.
+            now: Loop time.
+        """
+        if self.rng.random() < EXPLORATION_SHARE:
+            idle = [target for target in targets if self._is_exploration_candidate(target, now)]
+            if idle:
+                return self.rng.choice(idle)
+        candidates = self._draw_candidates(targets, candidate_count(entries), now)
+        return min(candidates, key=lambda target: self._cost(target, service_time, now))
+
+    def _draw_candidates(
+        self, targets: Sequence[TargetState], count: int, now: float
+    ) -> Sequence[TargetState]:
+        """Return ``count`` warm targets and as many cold ones, all of them if there are no more.
+
+        Warm and cold targets are drawn apart, because a request must not wait for a permit while a warm
+        target has free capacity.
+        """
+        if count >= len(targets):
+            return targets
+        warm = [target for target in targets if not target.is_cold(now)]
+        cold = [target for target in targets if target.is_cold(now)]
+        return [*self._draw(warm, count), *self._draw(cold, count)]
+
+    def _draw(self, targets: list[TargetState], count: int) -> list[TargetState]:
+        """Return ``count`` different targets at random in proportion to capacity."""
+        if count >= len(targets):
+            return targets
+        # The largest of these keys are a weighted random sample without replacement.
+        return sorted(targets, key=lambda target: self.rng.random() ** (1 / _capacity(target)))[-count:]
+
+    def _is_exploration_candidate(self, target: TargetState, now: float) -> bool:
+        """Return whether an idle target with few failures, not cold, may be better than its estimate."""
+        estimate = target.estimate
+        is_idle = (
+            estimate.expected_load(now) < 1.0 and estimate.recent_failures(now) < MAX_EXPLORATION_FAILURES
+        )
+        return is_idle and self.cold_delay(target, now) == 0.0
+
+    def _cost(self, target: TargetState, service_time: float, now: float) -> float:
+        noise = 1.0 + CHOICE_NOISE * self.rng.random()
+        delay = min(self.cold_delay(target, now), MAX_COLD_DELAY_S)
+        domain_cost = 0.0 if target.info.failure_domain == self.failure_domain else CROSS_DOMAIN_COST_S
+        return (target.estimate.completion_time(service_time, now) + delay + domain_cost) * noise
+
+
+def _capacity(target: TargetState) -> float:
+    return max(MIN_CAPACITY, target.info.slots * target.info.speed)
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -7,6 +7,7 @@
 
 from cranberrylever.logs import Log
 from cranberrylever.route_entry._admission import MIN_RETRY_AFTER_S, AdmissionRequest, Verdict, admit
+from cranberrylever.route_entry._choice import PooledChooser
 from cranberrylever.route_entry._estimates import ServiceTimeEstimator
 from cranberrylever.route_entry._format import AnswerHeaders, HeaderFormat
 from cranberrylever.route_entry._limits import AnsweredRequests, RetryBudget
@@ -43,18 +44,6 @@
 CONNECT_RETRY_DELAY_S = 0.02
 """Time after a failed connection attempt in which a keyed request waits for a change of the view."""
 
-CROSS_DOMAIN_COST_S = 0.01
-"""Time by which a target in another failure domain must be faster, since traffic between domains costs."""
-
-EXPLORATION_SHARE = 0.03
-"""Share of unkeyed requests that go to a random idle target; a target without requests reports no load."""
-
-MAX_EXPLORATION_FAILURES = 0.1
-"""Decayed count of recent failures from which a target is not chosen for exploration."""
-
-CHOICE_NOISE = 0.02
-"""Relative noise on estimates, so that entries with equal data do not all choose the same target."""
-
 NEWER_VIEW_WAIT_S = 0.1
 """Time that a request waits for a newer view after a target has answered that it does not hold the key."""
 
@@ -109,12 +98,11 @@
         self.format = header_format
         self.reports = reports
         self.permits = permits
-        self.failure_domain = failure_domain
         self.log = log
         self.service_times = ServiceTimeEstimator()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answered = AnsweredRequests()
-        self.rng = random.Random()
+        self.chooser = PooledChooser(failure_domain, self._cold_delay, random.Random())
 
     async def run(self, request: RoutedRequest) -> AttemptResult:
         """Send a request to targets until one answers it.
@@ -186,12 +174,8 @@
         untried = [target for target in candidates if target.info.target_id not in state.excluded_targets]
         if not (untried or candidates):
             self._raise_failure(request, "the service has no usable target", 0.5)
-        if self.rng.random() < EXPLORATION_SHARE:
-            idle = [target for target in untried if self._is_exploration_candidate(target, now)]
-            if idle:
-                return self.rng.choice(idle)
         service_time = self.service_times.expected(request.route.name)
-        return min(untried or candidates, key=lambda target: self._estimate_cost(target, service_time, now))
+        return self.chooser.choose(untried or candidates, self.view.entries, service_time, now)
 
     def _estimate(self, request: RoutedRequest, target: TargetState, now: float) -> DispatchEstimate:
         service_time = self.service_times.expected(request.route.name)
@@ -202,20 +186,6 @@
             now - target.estimate.reported_at,
         )
 
-    def _is_exploration_candidate(self, target: TargetState, now: float) -> bool:
-        """Return whether an idle target with few failures, not cold, may be better than its estimate."""
-        estimate = target.estimate
-        is_idle = (
-            estimate.expected_load(now) < 1.0 and estimate.recent_failures(now) < MAX_EXPLORATION_FAILURES
-        )
-        return is_idle and self._cold_delay(target, now) == 0.0
-
-    def _estimate_cost(self, target: TargetState, service_time: float, now: float) -> float:
-        noise = 1.0 + CHOICE_NOISE * self.rng.random()
-        delay = min(self._cold_delay(target, now), 10.0)
-        domain_cost = 0.0 if target.info.failure_domain == self.failure_domain else CROSS_DOMAIN_COST_S
-        return (target.estimate.completion_time(service_time, now) + delay + domain_cost) * noise
-
     async def _wait_for_owner(self, request: RoutedRequest) -> TargetState:
         """Return the owner of the request's key; wait briefly while the key moves."""
         now = self._now()
--- a/tests/route_entry/test_pooled_load.py
+++ b/tests/route_entry/test_pooled_load.py
@@ -2,6 +2,7 @@
 
 import functools
 import operator
+import random
 
 import testtools
 
@@ -16,11 +17,12 @@
 
     def _create_entry(self):
         dispatcher = super()._create_entry()
+        rng = random.Random(self.rng.random())
 
         async def choose_at_random(request, state):
             targets = dispatcher.view.usable_targets(request.service.name)
             capacities = [target.info.slots * target.info.speed for target in targets]
-            return dispatcher.rng.choices(targets, capacities)[0]
+            return rng.choices(targets, capacities)[0]
 
         dispatcher._choose_target = choose_at_random
         return dispatcher
@@ -41,14 +43,14 @@
         """
         for rate in (163, 260):
             chosen = replay(rate, 80).credit_share
-            random = replay(rate, 80, RandomChoiceSimulation).credit_share
-            assert chosen >= random, (rate, chosen, random)
+            at_random = replay(rate, 80, RandomChoiceSimulation).credit_share
+            assert chosen >= at_random, (rate, chosen, at_random)
 
     def test_few_entries_use_what_they_know_of_the_targets(self):
         """Guards against a random choice where each entry sees much of the load, so that it knows better."""
         chosen = replay(163, 10).credit_share
-        random = replay(163, 10, RandomChoiceSimulation).credit_share
-        assert chosen >= random, (chosen, random)
+        at_random = replay(163, 10, RandomChoiceSimulation).credit_share
+        assert chosen >= at_random, (chosen, at_random)
 
 
 class ServiceTimeTest(testtools.TestCase):
