Publish the load of pooled targets from the answers of all entries

Cause: control published how busy targets are for keyed services only. An entry of 80 hears from a pooled target once in ten seconds, and its own report counts for 0.4 s, so it decided without any. Class: a decision on information that each process gathers alone, thinner with more processes. Change: entries report the loads that pooled targets tell with their answers; control publishes the mean of the last half second. BusyTracker holds this and the work of owners of keys; what was cut to the slots at the entry is cut there, for owners of keys only, as a queue must be seen. The new field of reports has a default, so entries and control of other versions still work together.

--- a/bench/experiments/pool.py
+++ b/bench/experiments/pool.py
@@ -1,7 +1,7 @@
 """Simulation of a pooled service: the dispatchers of many entries against targets of different speeds.
 
 The entries run the decisions of ``cranberrylever.route_entry`` in simulated time. They report service times
-to a ``SpeedTracker`` and receive the measured speeds, as from control.
+and loads to the trackers of control and receive the measured speeds and loads.
 """
 
 import asyncio
@@ -14,6 +14,7 @@
 
 from bench.experiments.model import NOISE_STEP_S
 from cranberrylever.logs import Log
+from cranberrylever.route_control._busy import BusyTracker
 from cranberrylever.route_control._speeds import SpeedTracker
 from cranberrylever.route_entry._default_format import LOAD, NOT_RUN, OUTCOME, DefaultHeaderFormat
 from cranberrylever.route_entry._dispatcher import Dispatcher
@@ -24,7 +25,8 @@
 from cranberrylever.route_plan import Route, RoutedService, RouteShare
 from cranberrylever.settings import LimitSettings
 from cranberrylever.target_http import TargetAnswer
-from cranberrylever.wire import FeedReply, FleetView, RoutedTarget
+from cranberrylever.target_registry import RegisteredTarget
+from cranberrylever.wire import UNKNOWN, FeedReply, FleetView, RoutedTarget
 
 REPORT_INTERVAL_S = 0.45
 NETWORK_DELAY_S = 0.0014
@@ -192,7 +194,8 @@
         self.route = Route(
             "r", "h", "/", (RouteShare("office", 1.0),), False, load.timeout, load.objective, 0, 2
         )
-        self.tracker = SpeedTracker()
+        self.speed_tracker = SpeedTracker()
+        self.busy_tracker = BusyTracker()
         self.fleet_version = 0
         self.entries = [self._create_entry() for _ in range(load.entries)]
         self.results: collections.defaultdict[int, PoolResult] = collections.defaultdict(PoolResult)
@@ -233,13 +236,15 @@
             now = asyncio.get_running_loop().time()
             for entry in self.entries:
                 for service_time in entry.reports.take_service_times():
-                    self.tracker.record(service_time, now)
+                    self.speed_tracker.record(service_time, now)
+                for load in entry.reports.take_loads():
+                    self.busy_tracker.record(load, now)
             self._publish(now)
 
     def _publish(self, now: float) -> None:
         self.fleet_version += 1
         incarnations = [(address, 1) for address in self.targets]
-        speeds = self.tracker.speeds(incarnations)
+        speeds = self.speed_tracker.speeds(incarnations)
         targets = tuple(
             RoutedTarget(
                 address,
@@ -251,6 +256,7 @@
                 True,
                 0.0,
                 round(speeds[address, 1], 2),
+                self._busy(address, now),
             )
             for address in self.targets
         )
@@ -259,6 +265,11 @@
             reply = FeedReply("c", 0, True, "m", (), -1, None, self.fleet_version, fleet, -1, None, ())
             entry.view.apply(reply, now)
 
+    def _busy(self, address: str, now: float) -> float:
+        target = RegisteredTarget(address, 1, SERVICE.name, address, FAILURE_DOMAIN, self.load.slots)
+        busy = self.busy_tracker.busy(target, 1.0, now)
+        return UNKNOWN if busy is None else round(busy, 1)
+
     def _draw_work(self) -> float:
         load = self.load
         mean_log = math.log(load.work) - load.spread**2 / 2
--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -215,7 +215,7 @@
                 self.state.may_receive_work(target) and not leader.is_overdue(target, now),
                 leader.liveness.cold_for(target, now) if leader.liveness.has_announced(target) else UNKNOWN,
                 self._published_speed(target),
-                self._published_busy(target),
+                self._published_busy(target, now),
             )
             for target in self.state.fleet.targets.values()
         )
@@ -229,9 +229,9 @@
             published = self.published_speeds[target.incarnation] = round(current, 2)
         return published
 
-    def _published_busy(self, target: RegisteredTarget) -> float:
+    def _published_busy(self, target: RegisteredTarget, now: float) -> float:
         """Return the concurrent requests published last, or the current ones when they differ enough."""
-        current = self.leader.busy(target)
+        current = self.leader.busy(target, now)
         if current is None:
             return UNKNOWN
         published = self.published_busy.get(target.incarnation, 0.0)
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -15,13 +15,12 @@
     PlanOwner,
     RangeEdit,
     RangeTable,
-    cumulative_work,
     fair_weight,
     plan_keys,
     plan_merges,
-    work_in_range,
 )
 from cranberrylever.logs import Log
+from cranberrylever.route_control._busy import BusyTracker
 from cranberrylever.route_control._commands import (
     EditRanges,
     ForgetTarget,
@@ -102,7 +101,7 @@
         self.speed_tracker = SpeedTracker()
         self.permits = PermitLedger(now)
         self.speeds: dict[tuple[str, int], float] = {}
-        self.work: dict[tuple[str, int], float] = {}
+        self.busy_tracker = BusyTracker()
         self.pending_edits: dict[str, _PendingEdits] = {}
         self.next_plan_at = now
         self.first_owner_at: dict[str, float] = {}
@@ -132,7 +131,7 @@
             self.wake.set()
 
     def record_report(self, report: FeedReport) -> None:
-        """Record the work and service times that an entry measured."""
+        """Record the work, service times and loads that an entry measured."""
         now = asyncio.get_running_loop().time()
         if report.entry_id not in self.state.entries:
             self.propose_in_background(RecordEntry(report.entry_id))
@@ -142,6 +141,8 @@
         self.speed_tracker.inherit(report.speeds, now)
         for measurement in report.paces:
             self.speed_tracker.record(measurement, now)
+        for load in report.loads:
+            self.busy_tracker.record(load, now)
 
     def is_overdue(self, target: RegisteredTarget, now: float) -> bool:
         """Return whether a target's announcements are overdue."""
@@ -164,21 +165,9 @@
         """Return the relative speed of a target, as last measured; 1.0 is the average of its service."""
         return self.speeds.get(target.incarnation, 1.0)
 
-    def busy(self, target: RegisteredTarget) -> float | None:
-        """Return the average number of requests that run at once at a target of a keyed service, if known."""
-        work = self.work.get(target.incarnation)
-        return work / self.speed(target) if work is not None else None
-
-    def _update_work(self, service: str, table: RangeTable) -> None:
-        """Add the recent work of one service to that of its owners, in seconds of work per second."""
-        load = self.loads.get(service)
-        if load is None:
-            return
-        sums = cumulative_work(load.work)
-        for item in table.ranges:
-            if item.phase == HELD:
-                work = work_in_range(item.first, item.last, sums)
-                self.work[item.incarnation] = self.work.get(item.incarnation, 0.0) + work
+    def busy(self, target: RegisteredTarget, now: float) -> float | None:
+        """Return the recent number of requests that run at once at a target, ``None`` if unknown."""
+        return self.busy_tracker.busy(target, self.speed(target), now)
 
     def _update_speeds(self) -> None:
         incarnations: dict[str, list[tuple[str, int]]] = {}
@@ -198,15 +187,15 @@
         if may_plan:
             self.next_plan_at = now + PLAN_INTERVAL_S
             self._update_speeds()
-            self.work = {}
+            self.busy_tracker.clear_work()
         targets = {target.incarnation: target for target in self.state.fleet.targets.values()}
         range_keys = set()
         for name, table in self.state.tables.items():
             service = self._service(name)
             if service is None:
                 continue
-            if may_plan:
-                self._update_work(name, table)
+            if may_plan and name in self.loads:
+                self.busy_tracker.add_work(table, self.loads[name])
             self._propose_edits(service, table, targets, now, may_plan)
             self.lease_manager.step(table.ranges, targets, service.health_path, now)
             range_keys.update((item.incarnation, item.first, item.last, item.fence) for item in table.ranges)
@@ -375,6 +364,7 @@
         """Drop measurements of removed targets, and propose to remove lost targets that hold no keys."""
         self.liveness.keep_only(set(targets))
         self.speed_tracker.keep_only(set(targets))
+        self.busy_tracker.keep_only(set(targets))
         self.permits.keep_only(set(targets))
         holders = {
             item.incarnation
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -306,6 +306,10 @@
         if load is None:
             return
         target.estimate.record_load(load, now)
+        if request.key is None:
+            self.reports.record_load(
+                target.info.target_id, target.info.started_ms, load.running + load.waiting
+            )
         is_unqueued = load.waiting == 0 and load.running <= load.slots and not target.is_cold(now)
         if is_unqueued and not answer_headers.did_not_run and answer.status < _SERVER_ERROR:
             expected = self.service_times.expected(request.route.name)
--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -111,11 +111,7 @@
         """Return the expected number of requests of other entries at the target."""
         if self.entries == 1:
             return 0.0
-        busy = (
-            DEFAULT_BUSY_SHARE * self.slots
-            if self.reported_busy is None
-            else min(self.reported_busy, self.slots)
-        )
+        busy = DEFAULT_BUSY_SHARE * self.slots if self.reported_busy is None else self.reported_busy
         other_load = busy * (self.entries - 1) / self.entries
         own_estimate = (self.entries - 1) * self.average_outstanding
         evidence = EVIDENCE_REQUESTS_PER_ENTRY * self.entries
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -128,6 +128,7 @@
             self.reports.take_crashes(),
             self.view.speeds() if is_first else (),
             self.permits.build_requests(sequence, asyncio.get_running_loop().time()),
+            self.reports.take_loads(),
         )
 
     def _on_reply(self, reply: FeedReply) -> None:
--- a/cranberrylever/route_entry/_reports.py
+++ b/cranberrylever/route_entry/_reports.py
@@ -1,18 +1,19 @@
 """Data that an entry collects for its next report to control."""
 
 from cranberrylever.keyspace import part_of
-from cranberrylever.wire import PartWork, ServiceWork, TargetServiceTime
+from cranberrylever.wire import PartWork, ReportedLoad, ServiceWork, TargetServiceTime
 
 MAX_CRASHES_REPORTED = 64
 """Limit on the crashes in one report; further ones are dropped."""
 
 
 class ReportCollector:
-    """Work by part of each key space, service times of targets and crashes since the last report."""
+    """Work by part of each key space, measurements of targets and crashes since the last report."""
 
     def __init__(self) -> None:
         self.work: dict[str, dict[int, float]] = {}
         self.service_times: dict[tuple[str, int], tuple[float, float]] = {}
+        self.loads: dict[tuple[str, int], tuple[int, int]] = {}
         self.crashes: dict[tuple[str, str], None] = {}
 
     def record_work(self, service: str, key: int, seconds: float) -> None:
@@ -26,6 +27,11 @@
         previous = self.service_times.get((target_id, started_ms), (0.0, 0.0))
         self.service_times[target_id, started_ms] = (previous[0] + elapsed, previous[1] + expected)
 
+    def record_load(self, target_id: str, started_ms: int, requests: int) -> None:
+        """Add the number of requests that ran or were queued at a target at the time of an answer."""
+        total, count = self.loads.get((target_id, started_ms), (0, 0))
+        self.loads[target_id, started_ms] = (total + requests, count + 1)
+
     def record_crash(self, fingerprint: str, incarnation: str) -> None:
         """Add a request during which the connection to a target closed."""
         if len(self.crashes) < MAX_CRASHES_REPORTED:
@@ -47,6 +53,11 @@
             for incarnation, (elapsed, expected) in service_times.items()
         )
 
+    def take_loads(self) -> tuple[ReportedLoad, ...]:
+        """Return and clear the collected loads."""
+        loads, self.loads = self.loads, {}
+        return tuple(ReportedLoad(*incarnation, *load) for incarnation, load in loads.items())
+
     def take_crashes(self) -> tuple[tuple[str, str], ...]:
         """Return and clear the fingerprints and incarnations of the collected crashes."""
         crashes, self.crashes = self.crashes, {}
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -42,6 +42,19 @@
     usual: float
 
 
+@attrs.frozen
+class ReportedLoad:
+    """Loads that a target of a pooled service reported with its answers since the last report.
+
+    ``total`` is the sum of the requests that ran or were queued there at each of ``count`` answers.
+    """
+
+    target_id: str
+    started_ms: int
+    total: int
+    count: int
+
+
 @attrs.frozen
 class TargetSpeed:
     """Relative speed of one incarnation of a target as last published to the entry; 1.0 is the average."""
@@ -84,7 +97,7 @@
 
     ``crashed`` pairs the fingerprints of requests during which a connection was lost with the target.
     ``paces`` are service times and ``wishes`` permit requests. ``speeds`` is set in the first report on a
-    stream, for a leader that has not measured any yet.
+    stream, for a leader that has not measured any yet. ``loads`` are those of targets of pooled services.
     """
 
     cluster_id: str
@@ -98,6 +111,7 @@
     crashed: tuple[tuple[str, str], ...] = ()
     speeds: tuple[TargetSpeed, ...] = ()
     wishes: tuple[PermitRequest, ...] = ()
+    loads: tuple[ReportedLoad, ...] = ()
 
 
 UNKNOWN = -1.0
@@ -110,7 +124,8 @@
 
     ``usable`` permits new requests. ``cold_for`` is the remaining time of its cold start when the view is
     sent, in seconds. ``speed`` is relative; 1.0 is the average of the service. ``busy`` is the recent mean
-    number of requests that run there at once. ``cold_for`` and ``busy`` may be ``UNKNOWN``.
+    number of requests that run there at once, for a pooled service with those queued. ``cold_for`` and
+    ``busy`` may be ``UNKNOWN``.
     """
 
     target_id: str
