Reset connections on which a target sends bytes without end that are no answer

Cause: only the body of one answer had a limit. Class: a limit on one part of an input from outside where each part needs one, and none on all inputs together. Ruled out: refusing any interim or foreign answer (a late duplicate must not cost the next request).

--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -7,9 +7,20 @@
 import attrs
 import httptools
 
+from cranberrylever.target_http._budget import BufferBudget, BufferingConnection
+
 MAX_ANSWER_BYTES = 16 * 1_048_576
 """Limit on the body of an answer, since complete answers are held in memory."""
 
+MAX_HEAD_BYTES = 64 * 1_024
+"""Limit on the bytes of an answer that are not its body, without those between chunks."""
+
+MAX_FRAMING_RATIO = 8
+"""Limit on the bytes between chunks per byte of the body; chunks of one byte have five."""
+
+MAX_SKIPPED_ANSWERS = 16
+"""Limit on interim answers and answers to other requests before the one that is expected."""
+
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time for which sent bytes may stay unacknowledged before the kernel closes the connection."""
 
@@ -46,16 +57,21 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.Protocol, BufferingConnection):
     """Connection to the address of a target.
 
+    A target may send bytes that are no answer, and never end. The connection is reset once they exceed a
+    limit.
+
     Args:
         id_header: Lower-case name of the header in which a target repeats the request id; empty when the
             answers on this connection need no id.
+        budget: Limit on the bytes of unfinished answers over several connections.
     """
 
-    def __init__(self, id_header: bytes = b"") -> None:
+    def __init__(self, id_header: bytes = b"", budget: BufferBudget | None = None) -> None:
         self.id_header = id_header
+        self.budget = budget or BufferBudget()
         self.transport: asyncio.Transport | None = None
         self.is_closed = False
         self.keep_alive_s: float | None = None
@@ -64,6 +80,8 @@
         self._waiter: asyncio.Future[TargetAnswer] | None = None
         self._request_id = b""
         self._method = b""
+        self._has_failed = False
+        self._skipped_answers = 0
         self._parser = httptools.HttpResponseParser(self)
         self._reset_message()
 
@@ -80,6 +98,7 @@
             raise NotSentError("the connection is closed")
         self._method = method
         self._request_id = request_id
+        self._skipped_answers = 0
         self._waiter = asyncio.get_running_loop().create_future()
         self.use_count += 1
         self.transport.write(request)
@@ -99,6 +118,7 @@
     def abort(self) -> None:
         """Reset the connection; bytes in transit are lost."""
         self.is_closed = True
+        self.budget.release(self)
         if self.transport is not None:
             self.transport.abort()
 
@@ -118,10 +138,14 @@
         if self._waiter is None or self._waiter.done():
             self.abort()
             return
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(AnswerLostError(f"the answer is not valid HTTP: {error}", is_disconnect=False))
+            self._fail_answer(f"the answer is not valid HTTP: {error}")
+            return
+        if self._received - self._size > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self._size:
+            self._fail_answer(f"the answer has more than {MAX_HEAD_BYTES} bytes that are not its body")
 
     def eof_received(self) -> bool:
         """Complete an answer without a length, which ends when the target closes the connection."""
@@ -137,8 +161,18 @@
             AnswerLostError(f"the connection was lost: {error!r}" if error else "the connection was closed")
         )
 
+    def give_up_answer(self, reason: str) -> None:
+        """Fail the pending request and reset the connection."""
+        self._fail_answer(reason)
+
+    def _fail_answer(self, reason: str) -> None:
+        """Fail the pending request for an answer that is invalid, not for a lost connection."""
+        self._has_failed = True
+        self._fail(AnswerLostError(reason, is_disconnect=False))
+
     def _fail(self, error: AnswerLostError) -> None:
         self.is_closed = True
+        self.budget.release(self)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
         if self.transport is not None:
@@ -150,13 +184,17 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._size = 0
+        self._received = 0
+        self.budget.release(self)
         self._in_message = False
         self._has_headers = False
         self._has_length = False
 
     def on_message_begin(self) -> None:
         """Start an answer."""
+        received = self._received
         self._reset_message()
+        self._received = received
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -174,26 +212,36 @@
 
     def on_body(self, body: bytes) -> None:
         """Record a part of the body."""
+        if self._has_failed:
+            return
         self._size += len(body)
         if self._size > MAX_ANSWER_BYTES:
-            self._fail(AnswerLostError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes", is_disconnect=False))
+            self._fail_answer(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
             return
         self._body.append(body)
+        self.budget.add(self, len(body))
 
     def on_message_complete(self) -> None:
         """Deliver an answer to the pending request, unless it answers another one."""
         status = self._parser.get_status_code()
         answer = TargetAnswer(status, self._headers, b"".join(self._body))
         self._reset_message()
-        if status < 200:
-            return
-        if self._request_id and self.id_header and answer.header(self.id_header) != self._request_id:
-            # A duplicate answer to an earlier request; the expected one may still follow.
+        if status < 200 or self._is_for_other_request(answer):
+            self._skip_answer()
             return
         self.keep_alive_s = _parse_keep_alive(answer.header(b"keep-alive"))
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(answer)
 
+    def _is_for_other_request(self, answer: TargetAnswer) -> bool:
+        """Return whether an answer repeats that to an earlier request; the expected one may follow."""
+        return bool(self._request_id and self.id_header and answer.header(self.id_header) != self._request_id)
+
+    def _skip_answer(self) -> None:
+        self._skipped_answers += 1
+        if self._skipped_answers > MAX_SKIPPED_ANSWERS:
+            self._fail_answer(f"more than {MAX_SKIPPED_ANSWERS} answers came before the expected one")
+
 
 def _parse_keep_alive(value: bytes | None) -> float | None:
     """Return the timeout in a ``Keep-Alive`` header in seconds, ``None`` if there is none."""
--- a/cranberrylever/target_http/_pool.py
+++ b/cranberrylever/target_http/_pool.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cranberrylever.settings import split_address
+from cranberrylever.target_http._budget import DEFAULT_MAX_BUFFERED_BYTES, BufferBudget
 from cranberrylever.target_http._connection import NotSentError, TargetAnswer, TargetConnection
 
 CONNECT_TIMEOUT_S = 0.4
@@ -40,6 +41,7 @@
         max_idle: Longest idle time in seconds after which a connection is reused for a request that may run
             at most once.
         max_idle_connections: Limit on idle connections to one address.
+        max_buffered_bytes: Limit on the bytes of unfinished answers on all connections.
     """
 
     def __init__(
@@ -47,12 +49,19 @@
         id_header: bytes = b"",
         max_idle: float = DEFAULT_MAX_IDLE_S,
         max_idle_connections: int = DEFAULT_MAX_IDLE_CONNECTIONS,
+        max_buffered_bytes: int = DEFAULT_MAX_BUFFERED_BYTES,
     ) -> None:
         self.id_header = id_header
         self.max_idle = max_idle
         self.max_idle_connections = max_idle_connections
+        self.budget = BufferBudget(max_buffered_bytes)
         self.idle: dict[str, list[TargetConnection]] = {}
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of unfinished answers on all connections."""
+        return self.budget.total
+
     async def exchange(
         self,
         address: str,
@@ -143,7 +152,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: TargetConnection(self.id_header), host, port
+                    lambda: TargetConnection(self.id_header, self.budget), host, port
                 )
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"cannot connect to {address}: {error!r}") from error
