Ask the ledger again before a freed range is assigned

Cause: a range was proposed to be freed while no call for it had begun; its target answered again and was granted the range before the commit; then the free range was assigned at once, because answered calls of a registered target were taken for released. Class: a check at the time of a proposal that is acted upon after the commit. Change: the ledger keeps for each call the keys that were not released since; a confirmed release revokes the calls that were answered when it was sent. Freeing and assigning ask the same question. A new leader also waits for ranges that were free before it, since its predecessor may have granted them between proposal and commit. range_edit lines say how long the range may be held (held_for_s), by which fence and after how many failures. Ruled out: not granting ranges whose edit is pending (needs an end when the edit is lost).

--- a/cranberrylever/keyspace/_leases.py
+++ b/cranberrylever/keyspace/_leases.py
@@ -9,24 +9,45 @@
 """Time after the end of a call within which its bytes may still arrive at the target."""
 
 
-@attrs.define
+@attrs.define(eq=False)
 class GrantCall:
     """One grant call for the keys ``first`` to ``last``.
 
     ``may_hold_until`` is the loop time after which the target cannot hold keys because of the call. It is
-    infinite while the call is in progress, because the call may arrive at any time until its end.
+    infinite while the call is in progress, because the call may arrive at any time until its end. ``kept``
+    lists the parts of the keys that the target has not confirmed to have released since.
     """
 
     first: int
     last: int
     may_hold_until: float = float("inf")
     answered: bool = False
+    kept: list[tuple[int, int]] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.kept = [(self.first, self.last)]
+
+    def may_grant(self, first: int, last: int) -> bool:
+        """Return whether the target may hold one of the keys ``first`` to ``last`` because of the call."""
+        return any(low <= last and first <= high for low, high in self.kept)
+
+    def drop(self, first: int, last: int) -> None:
+        """Record that the target has released the keys ``first`` to ``last`` after the call."""
+        kept: list[tuple[int, int]] = []
+        for low, high in self.kept:
+            if low < first:
+                kept.append((low, min(high, first - 1)))
+            if last < high:
+                kept.append((max(low, last + 1), high))
+        self.kept = kept
 
 
 class LeaseLedger:
     """The grant calls of one leader, by incarnation of the target.
 
-    A new leader does not know the calls of its predecessor, so it treats all keys as held for one lease.
+    Whether keys may be freed or assigned is asked here at the time of the decision, never concluded from the
+    phase of a range: a call may have been sent between a proposal and its commit. A new leader does not know
+    the calls of its predecessor, so it treats all keys as held for one lease.
 
     Args:
         lease_s: Lifetime of a grant in seconds.
@@ -58,6 +79,13 @@
         call.may_hold_until = float("-inf")
         call.answered = True
 
+    def answered_calls(self, incarnation: tuple[str, int], first: int, last: int) -> list[GrantCall]:
+        """Return the answered calls for one of the keys, which a release that is sent now revokes.
+
+        A call without an answer may arrive after the release.
+        """
+        return [call for call in self._overlapping(incarnation, first, last) if call.answered]
+
     def is_call_running(self, incarnation: tuple[str, int], first: int, last: int) -> bool:
         """Return whether a call for one of the keys is in progress."""
         return any(
@@ -65,28 +93,28 @@
         )
 
     def held_until(self, incarnation: tuple[str, int], first: int, last: int) -> float:
-        """Return the loop time until which an incarnation may hold one of the keys."""
+        """Return the loop time until which an incarnation may hold one of the keys.
+
+        Calls whose keys it has released since do not count.
+        """
         ends = [call.may_hold_until for call in self._overlapping(incarnation, first, last)]
         return max([self.predecessor_grants_until, *ends])
 
-    def uncertain_until(self, incarnation: tuple[str, int], first: int, last: int) -> float:
-        """Return the loop time until which an incarnation may hold one of the keys by an unanswered call."""
-        calls = self._overlapping(incarnation, first, last)
-        return max(
-            [self.predecessor_grants_until, *(call.may_hold_until for call in calls if not call.answered)]
-        )
+    def is_held_by_call(self, incarnation: tuple[str, int], first: int, last: int, now: float) -> bool:
+        """Return whether an incarnation may hold one of the keys because of a call of this leader."""
+        return any(call.may_hold_until > now for call in self._overlapping(incarnation, first, last))
 
     def expire(self, now: float) -> None:
         """Drop the calls that grant nothing any more."""
         for incarnation, calls in list(self.calls.items()):
-            active = [call for call in calls if call.may_hold_until > now]
+            active = [call for call in calls if call.may_hold_until > now and call.kept]
             if active:
                 self.calls[incarnation] = active
             else:
                 del self.calls[incarnation]
 
     def _overlapping(self, incarnation: tuple[str, int], first: int, last: int) -> list[GrantCall]:
-        return [call for call in self.calls.get(incarnation, []) if call.first <= last and first <= call.last]
+        return [call for call in self.calls.get(incarnation, []) if call.may_grant(first, last)]
 
     def _latest_end(self, now: float) -> float:
         return now + DELIVERY_MARGIN_S + self.lease_s * CLOCK_DRIFT_FACTOR
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -230,7 +230,7 @@
             return
         edits = edits[:MAX_EDITS_PER_PROPOSAL]
         self.pending_edits[service.name] = _PendingEdits(table.version, now)
-        self._log_edits(service.name, table, edits)
+        self._log_edits(service.name, table, edits, now)
         self.propose_in_background(EditRanges(service.name, table.version, tuple(edits)))
 
     def _required_edits(
@@ -270,12 +270,7 @@
         owners = self._owners(service, load.total(), now)
         if not owners or not self._is_initial_delay_over(service.name, table, now):
             return []
-        registered = {target.incarnation for target in self.state.fleet.targets.values()}
-        possibly_held = {
-            item
-            for item in free
-            if self.lease_manager.may_still_hold(item, item.incarnation in registered, now)
-        }
+        possibly_held = {item for item in free if self.lease_manager.may_still_hold(item, now)}
         successor_assignments = self._successor_assignments(
             possibly_held, {owner.incarnation for owner in owners}
         )
@@ -345,8 +340,9 @@
             return max(0.05, min(capacity / 2, service.cold_rate * EXPECTED_SERVICE_TIME_S))
         return capacity
 
-    def _log_edits(self, service: str, table: RangeTable, edits: list[RangeEdit]) -> None:
+    def _log_edits(self, service: str, table: RangeTable, edits: list[RangeEdit], now: float) -> None:
         for edit in edits:
+            item = table.find(edit.first)
             self.log.info(
                 "range_edit",
                 service=service,
@@ -354,7 +350,11 @@
                 last=edit.last,
                 phase=edit.phase,
                 target=edit.target_id,
-                before=table.find(edit.first).target_id,
+                before=item.target_id,
+                before_phase=item.phase,
+                before_fence=item.fence,
+                held_for_s=round(self.lease_manager.hold_bound(item, now), 3),
+                failures=self.lease_manager.failures(item.incarnation),
                 table_version=table.version,
             )
 
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -126,32 +126,25 @@
 
     def is_released(self, item: KeyRange, now: float) -> bool:
         """Return whether no target can still hold a range whose phase is held or releasing."""
-        if now >= self.ledger.held_until(item.incarnation, item.first, item.last):
-            return True
-        release = self.releases.get(_range_key(item))
-        is_confirmed = release is not None and release.is_confirmed
-        return is_confirmed and now >= self.ledger.uncertain_until(item.incarnation, item.first, item.last)
+        return now >= self.ledger.held_until(item.incarnation, item.first, item.last)
 
-    def may_still_hold(self, item: KeyRange, is_registered: bool, now: float) -> bool:
+    def may_still_hold(self, item: KeyRange, now: float) -> bool:
         """Return whether the last holder of a free range, or its successor, may still hold it.
 
-        Each call to an ended incarnation counts, answered or not. If the target restarted before the answer,
-        the new process, which does not know earlier fences, sent that answer.
-
-        Args:
-            item: The free range.
-            is_registered: Whether the incarnation that held it last is still registered.
-            now: Loop time.
+        A call may have been sent after the range was proposed to be freed, by this leader or its predecessor.
         """
         was_held = item.fence > 0
-        if was_held and not is_registered and now < self.ledger.predecessor_grants_until:
+        if was_held and now < self.ledger.predecessor_grants_until:
             return True
-        return any(
-            item.overlaps(call.first, call.last)
-            and call.may_hold_until > now
-            and not (is_registered and call.answered)
-            for call in self.ledger.calls.get(item.incarnation, ())
-        )
+        return self.ledger.is_held_by_call(item.incarnation, item.first, item.last, now)
+
+    def hold_bound(self, item: KeyRange, now: float) -> float:
+        """Return the seconds for which the holder of a range may hold it; infinite during a call."""
+        return max(0.0, self.ledger.held_until(item.incarnation, item.first, item.last) - now)
+
+    def failures(self, incarnation: Incarnation) -> int:
+        """Return the number of grants to a target that failed in a row."""
+        return self.consecutive_failures.get(incarnation, 0)
 
     def step(
         self,
@@ -286,6 +279,7 @@
 
     async def _send_release(self, item: KeyRange, target: RegisteredTarget, release: _ReleaseState) -> None:
         token = None
+        revoked = self.ledger.answered_calls(item.incarnation, item.first, item.last)
         try:
             token = await self.grant_client.release(target.address, item.first, item.last, item.fence)
         finally:
@@ -295,6 +289,8 @@
             self.log.warning("release_failed", target=target.target_id, first=item.first, last=item.last)
             return
         release.is_confirmed = True
+        for call in revoked:
+            call.drop(item.first, item.last)
         if token:
             released_at = asyncio.get_running_loop().time()
             self.tokens.append(_HandoverToken(item.first, item.last, token, released_at))
--- a/tests/route_control/fakes.py
+++ b/tests/route_control/fakes.py
@@ -6,6 +6,9 @@
 from bench.routes.held_ranges import HeldRanges
 from cranberrylever.route_control import GrantAnswer, GrantClient, KeyGrant
 
+FLAKY_LOST_RATIO = 0.6
+"""Share of grants to a flaky target whose connection is reset before they are applied."""
+
 
 class FakeTarget:
     """One incarnation of a target."""
@@ -35,6 +38,7 @@
         self.delayed_ratio = delayed_ratio
         self.targets = {}
         self.unreachable = set()
+        self.flaky = set()
         self.grants = 0
         self.violations = []
 
@@ -47,6 +51,8 @@
         if address in self.unreachable:
             await asyncio.sleep(0.5)
             return GrantAnswer.LOST
+        if address in self.flaky and self.rng.random() < FLAKY_LOST_RATIO:
+            return GrantAnswer.LOST
         arrived_at = asyncio.get_running_loop().time()
         if self.rng.random() < self.delayed_ratio:
             # The grant is applied late, but its lease counts from the arrival.
