Let a new leader wait for calls that its predecessor began last

Cause: the leader before may begin a grant as long as it leads; the call may take 0.5 s and its bytes 0.3 s more, and the new leader counted 0.3 s from its election. Class: a bound that leaves out the time between a check and its effect. Change: the bound on grants of the leader before includes the longest time of a call, which is now part of the interface of grant clients. Test: with 0.5 s and a clock 2% slow the grant ends at 102.84 s; the bound was 102.4 s, is 102.9 s. Cost: keys of targets that were lost with the leader wait 0.5 s longer. Ruled out: a shorter call limit; calls to targets with a queue take 0.3 s.

--- a/cranberrylever/keyspace/_leases.py
+++ b/cranberrylever/keyspace/_leases.py
@@ -52,11 +52,12 @@
     Args:
         lease_s: Lifetime of a grant in seconds.
         now: Loop time in seconds at which this member became the leader.
+        call_s: Longest time of a grant call; the leader before may have begun one until ``now``.
     """
 
-    def __init__(self, lease_s: float, now: float) -> None:
+    def __init__(self, lease_s: float, now: float, call_s: float) -> None:
         self.lease_s = lease_s
-        self.predecessor_grants_until = self._latest_end(now)
+        self.predecessor_grants_until = self._latest_end(now + call_s)
         self.calls: dict[tuple[str, int], list[GrantCall]] = {}
 
     def begin(self, incarnation: tuple[str, int], first: int, last: int) -> GrantCall:
--- a/cranberrylever/route_control/_grant_client.py
+++ b/cranberrylever/route_control/_grant_client.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+GRANT_TIMEOUT_S = 0.5
+"""Longest time of a grant call, after which its connection is reset."""
+
 
 class GrantAnswer(enum.Enum):
     """Outcome of a grant call: ``NOT_SENT`` and ``REFUSED`` granted nothing, ``LOST`` may have."""
@@ -34,7 +37,7 @@
 
     @abc.abstractmethod
     async def grant(self, address: str, grant: KeyGrant) -> GrantAnswer:
-        """Grant keys, or renew a grant."""
+        """Grant keys, or renew a grant, within ``GRANT_TIMEOUT_S``."""
 
     @abc.abstractmethod
     async def release(self, address: str, first: int, last: int, fence: int) -> str | None:
--- a/cranberrylever/route_control/_http_grant_client.py
+++ b/cranberrylever/route_control/_http_grant_client.py
@@ -3,10 +3,9 @@
 import abc
 from collections.abc import Mapping
 
-from cranberrylever.route_control._grant_client import GrantAnswer, GrantClient, KeyGrant
+from cranberrylever.route_control._grant_client import GRANT_TIMEOUT_S, GrantAnswer, GrantClient, KeyGrant
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetAnswer, TargetPool
 
-GRANT_TIMEOUT_S = 0.5
 RELEASE_TIMEOUT_S = 2.0
 """Seconds for a release, which a target answers only once the work on its keys has ended."""
 
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -8,7 +8,7 @@
 from cranberrylever.keyspace import HELD, RELEASING, GrantCall, KeyRange, LeaseLedger
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
-from cranberrylever.route_control._grant_client import GrantAnswer, GrantClient, KeyGrant
+from cranberrylever.route_control._grant_client import GRANT_TIMEOUT_S, GrantAnswer, GrantClient, KeyGrant
 from cranberrylever.target_registry import RegisteredTarget
 
 LEASE_S = 2.5
@@ -99,7 +99,7 @@
 
         The calls of the leader before are unknown, so all keys count as held for one lease.
         """
-        self.ledger = LeaseLedger(LEASE_S, now)
+        self.ledger = LeaseLedger(LEASE_S, now, GRANT_TIMEOUT_S)
         self.renewals: dict[RangeKey, _RenewalState] = {}
         self.releases: dict[RangeKey, _ReleaseState] = {}
         self.tokens: list[_HandoverToken] = []
