--- a/bench/rules_soak.py
+++ b/bench/rules_soak.py
@@ -25,12 +25,13 @@
     seed = options.seed
     failed = 0
     while time.monotonic() < end:
-        for name, run, extent in (
-            ("ownership", ownership.run_faults, OWNERSHIP_SECONDS),
-            ("membership", membership.run_changes, MEMBERSHIP_STEPS),
+        for name, run, arguments in (
+            ("ownership", ownership.run_faults, (OWNERSHIP_SECONDS,)),
+            ("ownership with slow commits", ownership.run_slow_commits, (OWNERSHIP_SECONDS,)),
+            ("membership", membership.run_changes, (MEMBERSHIP_STEPS,)),
         ):
             try:
-                run(seed, extent)
+                run(seed, *arguments)
             except Exception as error:
                 failed += 1
                 print(f"{name} seed {seed}: {error!r}")
--- a/tests/route_control/test_ownership.py
+++ b/tests/route_control/test_ownership.py
@@ -214,7 +214,10 @@
         The keys were then assigned to another target at once (pbdtc-gate-grown, trouble-1).
         """
         for seed in range(4):
-            self.run_faults(seed, 40.0, MAX_COMMIT_DELAY_S, FAULTS + ("flaky",) * 6)
+            self.run_slow_commits(seed, 40.0)
+
+    def run_slow_commits(self, seed, seconds):
+        self.run_faults(seed, seconds, MAX_COMMIT_DELAY_S, FAULTS + ("flaky",) * 6)
 
     def run_faults(self, seed, seconds, max_commit_delay=None, faults=FAULTS):
         async def scenario():
