Test the choice of pooled targets by itself

Six tests of the module: all targets with few entries, spread with many, draws by capacity, cold targets beside warm ones. They pass on the code as it is; no change of logic.

--- /dev/null
+++ b/tests/route_entry/test_choice.py
@@ -0,0 +1,82 @@
+"""Tests of the choice of a target of a pooled service."""
+
+import collections
+import random
+
+import attrs
+import testtools
+
+from cranberrylever.route_entry._choice import MIN_CANDIDATES, PooledChooser, candidate_count
+from cranberrylever.route_entry._estimates import TargetLoadEstimate
+from cranberrylever.route_entry._view import TargetState
+from tests.route_entry.test_view import target
+
+NOW = 10.0
+MANY_ENTRIES = 80
+SERVICE_TIME_S = 0.1
+
+
+def state(name, speed=1.0, cold_until=0.0):
+    info = attrs.evolve(target(name), speed=speed)
+    return TargetState(info, TargetLoadEstimate(info.slots, speed), cold_until)
+
+
+def chooser(cold_delay=0.0):
+    def delay(target_state, now):
+        return cold_delay if target_state.is_cold(now) else 0.0
+
+    return PooledChooser("a", delay, random.Random(1))
+
+
+def choose_often(targets, entries, cold_delay=0.0, times=300):
+    """Return how often each target is chosen."""
+    choice = chooser(cold_delay)
+    chosen = (choice.choose(targets, entries, SERVICE_TIME_S, NOW) for _ in range(times))
+    return collections.Counter(item.info.target_id for item in chosen)
+
+
+class PooledChooserTest(testtools.TestCase):
+    def test_few_entries_compare_all_targets(self):
+        """Guards against a random choice where an entry knows the targets well."""
+        targets = [state(f"t{number}") for number in range(8)]
+        for item in targets[1:]:
+            for _ in range(6):
+                item.estimate.record_start(NOW)
+        counts = choose_often(targets, entries=2)
+        assert counts["t0"] > 290, counts
+
+    def test_many_entries_spread_requests_over_like_targets(self):
+        """Guards against many entries with like estimates that choose the same target."""
+        targets = [state(f"t{number}") for number in range(20)]
+        targets[0].estimate.speed = 1.3
+        counts = choose_often(targets, MANY_ENTRIES)
+        assert len(counts) == 20, counts
+        assert counts["t0"] < 300 / 4, counts
+
+    def test_candidates_are_drawn_by_capacity(self):
+        """Guards against slow targets that are sent as much as fast ones."""
+        targets = [state("slow", speed=0.5), state("fast", speed=2.0), state("even")]
+        counts = choose_often(targets, MANY_ENTRIES)
+        assert counts["slow"] < counts["even"] < counts["fast"], counts
+
+    def test_warm_target_is_chosen_while_others_wait_for_permits(self):
+        """Guards against a request that waits for a cold target although a warm one is idle."""
+        targets = [state(f"cold{number}", cold_until=NOW + 3.0) for number in range(18)]
+        targets += [state("warm1"), state("warm2")]
+        counts = choose_often(targets, MANY_ENTRIES, cold_delay=1.0)
+        assert set(counts) == {"warm1", "warm2"}, counts
+
+    def test_cold_target_with_a_permit_is_chosen_while_warm_ones_are_full(self):
+        """Guards against a queue at warm targets while cold ones could take requests."""
+        targets = [state(f"cold{number}", cold_until=NOW + 3.0) for number in range(4)]
+        targets += [state("warm1"), state("warm2")]
+        for item in targets[-2:]:
+            for _ in range(30):
+                item.estimate.record_start(NOW)
+        counts = choose_often(targets, MANY_ENTRIES)
+        assert not {"warm1", "warm2"} & set(counts), counts
+
+    def test_there_are_always_two_candidates(self):
+        """Guards against a choice without any comparison in very large clusters."""
+        assert candidate_count(10_000) == MIN_CANDIDATES
+        assert candidate_count(8) == 8
