--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -25,11 +25,13 @@
     EditRanges,
     ForgetTarget,
     RecordEntry,
+    RecordTarget,
     RouteControlCommand,
     command_codec,
 )
 from cranberrylever.route_control._lease_manager import LeaseManager
 from cranberrylever.route_control._permits import PermitLedger
+from cranberrylever.route_control._range_log import log_edits, log_freed_ranges
 from cranberrylever.route_control._speeds import SpeedTracker
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_plan import RoutedService
@@ -110,8 +112,10 @@
         self.lease_manager.start_term(now)
 
     def on_applied(self, index: int, command: object, result: object) -> None:
-        """Run the next step immediately after a change."""
+        """Run the next step immediately after a change, and log the ranges that it freed without an edit."""
         self.wake.set()
+        if isinstance(command, RecordTarget) and result and self.is_serving():
+            log_freed_ranges(self.log, self.lease_manager, result, asyncio.get_running_loop().time())
 
     def encode(self, command: RouteControlCommand) -> bytes:
         """Return the form in which a command is written to the replicated log."""
@@ -230,7 +234,7 @@
             return
         edits = edits[:MAX_EDITS_PER_PROPOSAL]
         self.pending_edits[service.name] = _PendingEdits(table.version, now)
-        self._log_edits(service.name, table, edits, now)
+        log_edits(self.log, self.lease_manager, service.name, table, edits, now)
         self.propose_in_background(EditRanges(service.name, table.version, tuple(edits)))
 
     def _required_edits(
@@ -340,24 +344,6 @@
             return max(0.05, min(capacity / 2, service.cold_rate * EXPECTED_SERVICE_TIME_S))
         return capacity
 
-    def _log_edits(self, service: str, table: RangeTable, edits: list[RangeEdit], now: float) -> None:
-        for edit in edits:
-            item = table.find(edit.first)
-            self.log.info(
-                "range_edit",
-                service=service,
-                first=edit.first,
-                last=edit.last,
-                phase=edit.phase,
-                target=edit.target_id,
-                before=item.target_id,
-                before_phase=item.phase,
-                before_fence=item.fence,
-                held_for_s=round(self.lease_manager.hold_bound(item, now), 3),
-                failures=self.lease_manager.failures(item.incarnation),
-                table_version=table.version,
-            )
-
     # Targets -------------------------------------------------------------------------------------
 
     def _clean_up(self, targets: dict[tuple[str, int], RegisteredTarget], now: float) -> None:
--- a/cranberrylever/route_control/_state.py
+++ b/cranberrylever/route_control/_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cranberrylever.keyspace import FREE, RangeEdit, RangeTable, RangeTableRecord
+from cranberrylever.keyspace import FREE, KeyRange, RangeEdit, RangeTable, RangeTableRecord
 from cranberrylever.route_control._commands import (
     EditRanges,
     EndTarget,
@@ -125,12 +125,13 @@
             self.withdrawn.discard(command.failure_domain)
         self.fleet_version = index
 
-    def _record_target(self, index: int, command: RecordTarget) -> None:
+    def _record_target(self, index: int, command: RecordTarget) -> tuple[KeyRange, ...]:
+        """Record an announcement and return the ranges that the end of other incarnations freed."""
         if not self.fleet.would_change(command.notice):
-            return
-        for ended in self.fleet.record(command.notice):
-            self._free_ranges(index, ended)
+            return ()
+        ended_targets = self.fleet.record(command.notice)
         self.fleet_version = index
+        return tuple(item for ended in ended_targets for item in self._free_ranges(index, ended))
 
     def _end_target(self, index: int, command: EndTarget) -> None:
         # The process still serves for a while, so the leader releases its ranges as for any leaving target.
@@ -154,16 +155,16 @@
         self.next_fence = table.apply(command.base_version, command.edits, self.next_fence)
         self.ranges_version = index
 
-    def _free_ranges(self, index: int, ended: RegisteredTarget) -> None:
-        """Free the ranges of an incarnation that is known to have ended."""
+    def _free_ranges(self, index: int, ended: RegisteredTarget) -> list[KeyRange]:
+        """Free the ranges of an incarnation that is known to have ended; return them as they were."""
         table = self.tables.get(ended.service)
         if table is None:
-            return
-        edits = tuple(
-            RangeEdit(item.first, item.last, FREE)
-            for item in table.ranges
-            if item.phase != FREE and item.incarnation == ended.incarnation
-        )
-        if edits:
+            return []
+        freed = [
+            item for item in table.ranges if item.phase != FREE and item.incarnation == ended.incarnation
+        ]
+        if freed:
+            edits = tuple(RangeEdit(item.first, item.last, FREE) for item in freed)
             self.next_fence = table.apply(table.version, edits, self.next_fence)
             self.ranges_version = index
+        return freed
--- a/cranberrylever/tracing.py
+++ b/cranberrylever/tracing.py
@@ -24,7 +24,7 @@
         "grant_failed",
     }
 )
-_KEY_EVENTS = frozenset({"range_edit", "keys_granted", "release_failed"})
+_KEY_EVENTS = frozenset({"range_edit", "range_freed", "keys_granted", "release_failed"})
 _CLUSTER_EVENTS = frozenset({"domain_set", "plan_submitted", "leadership_started", "member_restarts"})
 _ENTRY_EVENTS = frozenset({"control_lost", "control_attached", "entry_draining", "answer_lost"})
 
