Move the form of a request and of its estimates out of the dispatcher

What a request sends and records of its attempts is with the request, the estimates of one more request with the target's load.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -9,10 +9,10 @@
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
 from cranberrylever.route_entry._dispatcher import Dispatcher
+from cranberrylever.route_entry._estimates import DispatchEstimate
 from cranberrylever.route_entry._format import HeaderFormat, Headers
 from cranberrylever.route_entry._request import (
     AttemptResult,
-    DispatchEstimate,
     OutcomeUnknownError,
     RefusedError,
     RoutedRequest,
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -15,7 +15,6 @@
 from cranberrylever.route_entry._reports import ReportCollector
 from cranberrylever.route_entry._request import (
     AttemptResult,
-    DispatchEstimate,
     OutcomeUnknownError,
     RefusedError,
     RoutedRequest,
@@ -148,7 +147,8 @@
         while True:
             target = await self._choose_target(request, state)
             now = self._now()
-            estimate = self._estimate(request, target, now)
+            service_time = self.service_times.expected(request.route.name)
+            estimate = target.estimate.dispatch_estimate(service_time, now)
             request.estimate = estimate
             admission_request = AdmissionRequest(
                 request.route.priority,
@@ -177,15 +177,6 @@
         service_time = self.service_times.expected(request.route.name)
         return self.chooser.choose(untried or candidates, self.view.entries, service_time, now)
 
-    def _estimate(self, request: RoutedRequest, target: TargetState, now: float) -> DispatchEstimate:
-        service_time = self.service_times.expected(request.route.name)
-        return DispatchEstimate(
-            service_time,
-            target.estimate.queue_time(service_time, now),
-            target.estimate.completion_time(service_time, now),
-            now - target.estimate.reported_at,
-        )
-
     async def _wait_for_owner(self, request: RoutedRequest) -> TargetState:
         """Return the owner of the request's key; wait briefly while the key moves."""
         now = self._now()
@@ -237,7 +228,7 @@
         """
         estimate = target.estimate
         started_at = self._now()
-        request_bytes = self._encode_request(request, target, started_at)
+        request_bytes = request.encode(self.format, target.info.target_id, started_at)
         estimate.record_start(started_at)
         is_lost = True
         try:
@@ -255,12 +246,12 @@
         finally:
             estimate.record_end(self._now())
             if is_lost:
-                self._record_attempt(request, target, may_have_run=True)
+                request.record_attempt(target.info.target_id, may_have_run=True)
         answer_headers = self.format.read_answer(answer.status, answer.headers)
         now = self._now()
         self._update_estimates(request, target, answer_headers, answer, now - started_at, now)
         request.reason = f"{answer.status} of {target.info.target_id}"
-        self._record_attempt(request, target, may_have_run=not answer_headers.did_not_run)
+        request.record_attempt(target.info.target_id, may_have_run=not answer_headers.did_not_run)
         if not (answer_headers.did_not_run or answer_headers.is_genuine):
             raise AnswerLostError(
                 f"the answer with status {answer.status} lacks the header that marks results of the target",
@@ -268,13 +259,6 @@
             )
         return AttemptResult(answer, target.info.target_id, answer_headers.did_not_run)
 
-    @staticmethod
-    def _record_attempt(request: RoutedRequest, target: TargetState, may_have_run: bool) -> None:
-        request.send_count += 1
-        request.tried_targets.append(target.info.target_id)
-        request.attempts += may_have_run
-        request.may_have_run = request.may_have_run or may_have_run
-
     def _should_retry(self, request: RoutedRequest, target: TargetState, result: AttemptResult) -> bool:
         """Return whether an answer with a server error is retried at another target."""
         if result.answer.status < _SERVER_ERROR or not request.route.idempotent:
@@ -282,14 +266,6 @@
         target.estimate.record_failure(self._now())
         return self._try_spend_retry(request)
 
-    def _encode_request(self, request: RoutedRequest, target: TargetState, now: float) -> bytes:
-        headers = self.format.target_headers(request.headers, target.info.target_id, request.remaining(now))
-        lines = [request.method + b" " + request.url + b" HTTP/1.1"]
-        lines.extend(name + b": " + value for name, value in headers)
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-            lines.append(b"content-length: %d" % len(request.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
-
     def _update_estimates(
         self,
         request: RoutedRequest,
--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -45,6 +45,21 @@
 """Weight of each new sample in the mean service time, once there are many."""
 
 
+@attrs.frozen
+class DispatchEstimate:
+    """The estimates by which an entry decided on a target for a request; times are in seconds.
+
+    ``service_time`` is the expected service time of the route at an average target. ``queue_time`` and
+    ``completion_time`` are those at the target, and ``load_age`` is the age of its last load report, infinite
+    without one.
+    """
+
+    service_time: float
+    queue_time: float
+    completion_time: float
+    load_age: float
+
+
 @attrs.define
 class TargetLoadEstimate:
     """One entry's estimate of the load of one incarnation of a target; times are loop times in seconds.
@@ -132,6 +147,15 @@
         penalty = FAILURE_PENALTY_S * self.recent_failures(now)
         return self.queue_time(service_time, now) + service_time * self.relative_service_time(now) + penalty
 
+    def dispatch_estimate(self, service_time: float, now: float) -> DispatchEstimate:
+        """Return all estimates for one more request of ``service_time`` seconds."""
+        return DispatchEstimate(
+            service_time,
+            self.queue_time(service_time, now),
+            self.completion_time(service_time, now),
+            now - self.reported_at,
+        )
+
 
 @attrs.define
 class _RouteServiceTime:
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -4,24 +4,13 @@
 
 import attrs
 
-from cranberrylever.route_entry._format import Headers
+from cranberrylever.route_entry._estimates import DispatchEstimate
+from cranberrylever.route_entry._format import HeaderFormat, Headers
 from cranberrylever.route_plan import Route, RoutedService
 from cranberrylever.target_http import TargetAnswer
 
-
-@attrs.frozen
-class DispatchEstimate:
-    """The estimates by which an entry decided on a target for a request; times are in seconds.
-
-    ``service_time`` is the expected service time of the route at an average target. ``queue_time`` and
-    ``completion_time`` are those at the target, and ``load_age`` is the age of its last load report, infinite
-    without one.
-    """
-
-    service_time: float
-    queue_time: float
-    completion_time: float
-    load_age: float
+METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
+"""Methods whose requests state no length when they have no body."""
 
 
 @attrs.define(eq=False)
@@ -65,6 +54,22 @@
             self._fingerprint = digest.hexdigest()
         return self._fingerprint
 
+    def record_attempt(self, target_id: str, may_have_run: bool) -> None:
+        """Record that the request was sent to a target, where it may have run or certainly did not."""
+        self.send_count += 1
+        self.tried_targets.append(target_id)
+        self.attempts += may_have_run
+        self.may_have_run = self.may_have_run or may_have_run
+
+    def encode(self, header_format: HeaderFormat, target_id: str, now: float) -> bytes:
+        """Return the bytes to send to a target at the loop time ``now``."""
+        headers = header_format.target_headers(self.headers, target_id, self.remaining(now))
+        lines = [self.method + b" " + self.url + b" HTTP/1.1"]
+        lines.extend(name + b": " + value for name, value in headers)
+        if self.body or self.method not in METHODS_WITHOUT_BODY:
+            lines.append(b"content-length: %d" % len(self.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + self.body
+
     def remaining(self, now: float) -> float:
         """Return the seconds until the caller's deadline."""
         return self.deadline - now
