--- a/cranberrylever/keyspace/__init__.py
+++ b/cranberrylever/keyspace/__init__.py
@@ -1,15 +1,20 @@
 """Key ranges of keyed services: the replicated table, grant leases, work per part and the planner."""
 
 from cranberrylever.keyspace._leases import GrantCall, LeaseLedger
-from cranberrylever.keyspace._loads import KEYS_PER_PART, PART_COUNT, KeyLoads, part_of
+from cranberrylever.keyspace._loads import (
+    KEYS_PER_PART,
+    PART_COUNT,
+    KeyLoads,
+    cumulative_work,
+    part_of,
+    work_in_range,
+)
 from cranberrylever.keyspace._planner import (
     KeyPlan,
     PlanOwner,
-    cumulative_work,
     fair_weight,
     plan_keys,
     plan_merges,
-    work_in_range,
 )
 from cranberrylever.keyspace._ranges import (
     FREE,
--- a/cranberrylever/keyspace/_planner.py
+++ b/cranberrylever/keyspace/_planner.py
@@ -4,12 +4,9 @@
 
 import attrs
 
-from cranberrylever.keyspace._loads import KEYS_PER_PART, PART_COUNT
+from cranberrylever.keyspace._loads import KEYS_PER_PART, cumulative_work, work_in_range
 from cranberrylever.keyspace._ranges import FREE, HELD, KEY_SPACE_SIZE, RELEASING, KeyRange, RangeEdit
 
-BASE_WORK = 0.02
-"""Work in seconds per second added over all parts, so that keys without requests are divided too."""
-
 BUSY_RELEASE_RATIO = 1.4
 """Ratio of work to fair work above which a busy target releases keys."""
 
@@ -156,32 +153,6 @@
     return left.phase == HELD and right.phase == HELD and left.incarnation == right.incarnation
 
 
-def cumulative_work(work: Sequence[float]) -> list[float]:
-    """Return the prefix sums of the work of the parts, with a share of ``BASE_WORK`` in each part.
-
-    Element ``i`` is the work of all parts below ``i``; the last element is the total.
-    """
-    base_per_part = BASE_WORK / PART_COUNT
-    prefix_sums = [0.0]
-    total = 0.0
-    for value in work:
-        total += value + base_per_part
-        prefix_sums.append(total)
-    return prefix_sums
-
-
-def work_in_range(first: int, last: int, prefix_sums: Sequence[float]) -> float:
-    """Return the work of a range of keys; a part that it covers partly counts in proportion."""
-    return _work_before(last + 1, prefix_sums) - _work_before(first, prefix_sums)
-
-
-def _work_before(key: int, prefix_sums: Sequence[float]) -> float:
-    part, offset = divmod(key, KEYS_PER_PART)
-    if offset == 0:
-        return prefix_sums[part]
-    return prefix_sums[part] + (prefix_sums[part + 1] - prefix_sums[part]) * offset / KEYS_PER_PART
-
-
 def _target_loads(
     ranges: Sequence[KeyRange], owners: Sequence[PlanOwner], prefix_sums: Sequence[float]
 ) -> dict[tuple[str, int], _TargetLoad]:
