Fuzz ownership with slow calls, slow clocks and leaders that follow at once

Grants take up to 0.45 s, leases last 2% longer at targets, and a new leader starts while calls of the last one go on. Both fuzzes run in make soak-rules.

--- a/bench/rules_soak.py
+++ b/bench/rules_soak.py
@@ -28,6 +28,7 @@
         for name, run, arguments in (
             ("ownership", ownership.run_faults, (OWNERSHIP_SECONDS,)),
             ("ownership with slow commits", ownership.run_slow_commits, (OWNERSHIP_SECONDS,)),
+            ("ownership with slow calls", ownership.run_slow_calls, (OWNERSHIP_SECONDS,)),
             ("membership", membership.run_changes, (MEMBERSHIP_STEPS,)),
         ):
             try:
