--- a/cranberrylever/route_control/_range_log.py
+++ b/cranberrylever/route_control/_range_log.py
@@ -25,10 +25,7 @@
             last=edit.last,
             phase=edit.phase,
             target=edit.target_id,
-            before=item.target_id,
-            before_phase=item.phase,
-            before_fence=item.fence,
-            held_for_s=round(lease_manager.hold_bound(item, now), 3),
+            **_holder_fields(lease_manager, item, now),
             failures=lease_manager.failures(item.incarnation),
             table_version=table.version,
         )
@@ -42,8 +39,15 @@
             reason="the target ended",
             first=item.first,
             last=item.last,
-            before=item.target_id,
-            before_phase=item.phase,
-            before_fence=item.fence,
-            held_for_s=round(lease_manager.hold_bound(item, now), 3),
+            **_holder_fields(lease_manager, item, now),
         )
+
+
+def _holder_fields(lease_manager: LeaseManager, item: KeyRange, now: float) -> dict[str, object]:
+    """Return the log fields of the present holder of a range, with the time for which it may hold it."""
+    return {
+        "before": item.target_id,
+        "before_phase": item.phase,
+        "before_fence": item.fence,
+        "held_for_s": round(lease_manager.hold_bound(item, now), 3),
+    }
