Give up an answer in one way

give_up_answer only called _fail_answer; there is one method now, and it drops the body that its interface says is dropped (it was kept until the connection object went). Same limits, same errors, same tests.

--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -142,10 +142,10 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail_answer(f"the answer is not valid HTTP: {error}")
+            self.give_up_answer(f"the answer is not valid HTTP: {error}")
             return
         if self._received - self._size > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self._size:
-            self._fail_answer(f"the answer has more than {MAX_HEAD_BYTES} bytes that are not its body")
+            self.give_up_answer(f"the answer has more than {MAX_HEAD_BYTES} bytes that are not its body")
 
     def eof_received(self) -> bool:
         """Complete an answer without a length, which ends when the target closes the connection."""
@@ -162,12 +162,9 @@
         )
 
     def give_up_answer(self, reason: str) -> None:
-        """Fail the pending request and reset the connection."""
-        self._fail_answer(reason)
-
-    def _fail_answer(self, reason: str) -> None:
-        """Fail the pending request for an answer that is invalid, not for a lost connection."""
+        """Fail the pending request for an invalid answer, drop it and reset the connection."""
         self._has_failed = True
+        self._body.clear()
         self._fail(AnswerLostError(reason, is_disconnect=False))
 
     def _fail(self, error: AnswerLostError) -> None:
@@ -216,7 +213,7 @@
             return
         self._size += len(body)
         if self._size > MAX_ANSWER_BYTES:
-            self._fail_answer(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+            self.give_up_answer(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
             return
         self._body.append(body)
         self.budget.add(self, len(body))
@@ -240,7 +237,7 @@
     def _skip_answer(self) -> None:
         self._skipped_answers += 1
         if self._skipped_answers > MAX_SKIPPED_ANSWERS:
-            self._fail_answer(f"more than {MAX_SKIPPED_ANSWERS} answers came before the expected one")
+            self.give_up_answer(f"more than {MAX_SKIPPED_ANSWERS} answers came before the expected one")
 
 
 def _parse_keep_alive(value: bytes | None) -> float | None:
