Log the rate limit that a target states with its answer

Change: the limit is decoded once (platform/ for the users' header, a header of the product's own), kept with the request and written as rate_limit on the request line; no decision uses it. Ruled out: a line per answer of its own, which would double the volume.

--- a/cranberrylever/route_entry/__init__.py
+++ b/cranberrylever/route_entry/__init__.py
@@ -1,7 +1,14 @@
 """Route entry: matches requests to routes, chooses targets by estimated load and retries within limits."""
 
 from cranberrylever.route_entry._default_format import DefaultHeaderFormat
-from cranberrylever.route_entry._format import AnswerHeaders, CallerHeaders, HeaderFormat, Headers, LoadSample
+from cranberrylever.route_entry._format import (
+    AnswerHeaders,
+    CallerHeaders,
+    HeaderFormat,
+    Headers,
+    LoadSample,
+    parse_rate,
+)
 from cranberrylever.route_entry._program import (
     RouteEntryProgram,
     RouteEntryTuning,
@@ -18,4 +25,5 @@
     "RouteEntryProgram",
     "RouteEntryTuning",
     "create_route_entry",
+    "parse_rate",
 ]
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -293,6 +293,7 @@
             status=record.status,
             outcome=record.outcome,
             reason=record.reason or (request.reason if request else ""),
+            rate_limit=request.rate_limit if request else None,
             ms=round(elapsed * 1000, 1),
             plan=self.view.plan_version,
             fleet=self.view.fleet_version,
--- a/cranberrylever/route_entry/_default_format.py
+++ b/cranberrylever/route_entry/_default_format.py
@@ -1,9 +1,17 @@
 """Default header format between callers, entries and targets."""
 
-from cranberrylever.route_entry._format import AnswerHeaders, HeaderFormat, Headers, LoadSample, parse_decimal
+from cranberrylever.route_entry._format import (
+    AnswerHeaders,
+    HeaderFormat,
+    Headers,
+    LoadSample,
+    parse_decimal,
+    parse_rate,
+)
 
 OUTCOME = b"cranberrylever-outcome"
 LOAD = b"cranberrylever-load"
+RATE_LIMIT = b"cranberrylever-rate-limit"
 NOT_RUN = b"not-run"
 DONE = b"done"
 
@@ -22,7 +30,12 @@
         """Parse the headers of a target's answer."""
         values = dict(headers)
         outcome = values.get(OUTCOME)
-        return AnswerHeaders(outcome == NOT_RUN, outcome == DONE, _read_load(values.get(LOAD)))
+        return AnswerHeaders(
+            outcome == NOT_RUN,
+            outcome == DONE,
+            _read_load(values.get(LOAD)),
+            parse_rate(values.get(RATE_LIMIT)),
+        )
 
 
 def _read_load(value: bytes | None) -> LoadSample | None:
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -249,6 +249,7 @@
                 request.record_attempt(target.info.target_id, may_have_run=True)
         answer_headers = self.format.read_answer(answer.status, answer.headers)
         now = self._now()
+        request.rate_limit = answer_headers.rate_limit
         self._update_estimates(request, target, answer_headers, answer, now - started_at, now)
         request.reason = f"{answer.status} of {target.info.target_id}"
         request.record_attempt(target.info.target_id, may_have_run=not answer_headers.did_not_run)
--- a/cranberrylever/route_entry/_format.py
+++ b/cranberrylever/route_entry/_format.py
@@ -43,12 +43,14 @@
     """Values from the headers of a target's answer.
 
     ``did_not_run`` reports that the target states it did not run the request. ``is_genuine`` reports whether
-    the answer has the header by which a target marks each result as its own.
+    the answer has the header by which a target marks each result as its own. ``rate_limit`` is the number of
+    requests per second that the target accepts from all entries together, ``None`` without a limit.
     """
 
     did_not_run: bool
     is_genuine: bool
     load: LoadSample | None
+    rate_limit: float | None = None
 
 
 class HeaderFormat(abc.ABC):
@@ -97,3 +99,10 @@
 def parse_decimal(value: bytes | None) -> int | None:
     """Return a decimal number, ``None`` if there is none or it has more than ``MAX_DIGITS`` digits."""
     return int(value) if value is not None and value.isdigit() and len(value) <= MAX_DIGITS else None
+
+
+def parse_rate(value: bytes | None) -> float | None:
+    """Return a number with an optional fraction, ``None`` if there is none or it has too many digits."""
+    if value is None or len(value) > MAX_DIGITS or not value.replace(b".", b"", 1).isdigit():
+        return None
+    return float(value)
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -20,8 +20,9 @@
     ``send_count`` counts how often it was sent to a target and ``attempts`` how often it may have run;
     ``may_have_run`` reports whether there was such an attempt. ``tried_targets`` lists the targets that were
     sent the request and ``reason`` describes the last result for the log. ``estimate`` holds the estimates
-    behind the last decision. ``is_caller_retry`` reports that the caller has waited before: it has less time
-    left than the timeout of the route.
+    behind the last decision and ``rate_limit`` is the one that the last answer stated, in requests per
+    second. ``is_caller_retry`` reports that the caller has waited before: it has less time left than the
+    timeout of the route.
     """
 
     request_id: bytes
@@ -40,6 +41,7 @@
     tried_targets: list[str] = attrs.field(factory=list)
     reason: str = ""
     estimate: DispatchEstimate | None = None
+    rate_limit: float | None = None
     is_caller_retry: bool = False
     _fingerprint: str = ""
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -214,3 +214,11 @@
         assert answer.is_genuine
         assert answer.load == LoadSample(3, 1, 8, 2.5)
         assert read(200, [(b"cranberrylever-upstream-load", b"garbage")]).load is None
+
+    def test_rate_limit_of_an_answer(self):
+        """Guards against a limit that is not read, and against text that is read as a limit."""
+        for value, rate in ((b"3", 3.0), (b"1.3", 1.3), (b"0", 0.0)):
+            assert self.FORMAT.read_answer(200, [(b"server-limit", value)]).rate_limit == rate
+        for value in (b"", b".", b"nan", b"-1", b"1e9", b"1.2.3", b"9" * 40):
+            assert self.FORMAT.read_answer(200, [(b"server-limit", value)]).rate_limit is None, value
+        assert self.FORMAT.read_answer(200, []).rate_limit is None
