--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -11,7 +11,8 @@
     """A target that serves grants, releases, probes and requests.
 
     ``born`` is its start time in Unix milliseconds, ``work`` the duration of each request in seconds.
-    ``heartbeat`` returns the body of its next heartbeat.
+    ``heartbeat`` returns the body of its next heartbeat. ``rate_limit`` is the limit that its
+    answers name and ``arrivals`` are the loop times of all requests.
     """
 
     def __init__(self, target_id, service, zone, born, sharded=True, work=0.005):
@@ -26,6 +27,8 @@
         self.holds = []
         self.ran = []
         self.refused = 0
+        self.rate_limit = ""
+        self.arrivals = []
         self.writers = set()
 
     async def start(self):
@@ -87,6 +90,9 @@
             return 200, {"Cranberrylever-Instance-Id": self.target_id}, b""
         request_id = headers.get("cranberrylever-request-id", "")
         echo = {"Cranberrylever-Request-Id": request_id, "Cranberrylever-Upstream-Load": "1,0,3,100"}
+        if self.rate_limit:
+            echo["Server-Limit"] = self.rate_limit
+        self.arrivals.append(asyncio.get_running_loop().time())
         if headers.get("cranberrylever-target-instance") != self.target_id:
             self.refused += 1
             return 421, {**echo, "Cranberrylever-Not-Executed": "1"}, b""
