State rate limits of targets in the soak of real processes

Change: targets of the soak state 0.5, 1.4 or 4 requests a second for 5 to 9 s, and each checks, counting every request that reaches it, 1.5 times that in 4 s and 5 more from 3 s on; nothing is excused for faults around it.

--- a/bench/routes/faults.py
+++ b/bench/routes/faults.py
@@ -15,6 +15,8 @@
 FAULT_DURATION_S = (0.3, 3.0)
 LINK_DELAY_S = (0.02, 0.3)
 DOWNTIME_S = (0.1, 1.5)
+LIMIT_DURATION_S = (5.0, 9.0)
+RATE_LIMITS_PER_S = (0.5, 1.4, 4.0)
 REPAIR_TIME_S = 6.0
 """Time after a fault of a control member without a fault of another, so that a lost member can rejoin."""
 
@@ -51,6 +53,7 @@
             self.crash_target,
             self.freeze_target,
             self.drain_target,
+            self.limit_target,
             self.disrupt_link,
             self.disrupt_link,
             self.change_plan,
@@ -159,6 +162,19 @@
         await target.crash()
         await target.start()
 
+    async def limit_target(self) -> None:
+        """Let a target state a rate limit with its answers for some seconds."""
+        target = self._healthy_target()
+        if target is None or target.rate_limit:
+            return
+        duration = self.random.uniform(*LIMIT_DURATION_S)
+        rate = self.random.choice(RATE_LIMITS_PER_S)
+        now = asyncio.get_running_loop().time()
+        self.history.append(f"{now:.2f} {target.name} states a limit of {rate} a second for {duration:.2f} s")
+        target.limit_rate(rate)
+        await asyncio.sleep(duration)
+        target.limit_rate(0.0)
+
     async def disrupt_link(self) -> None:
         """Delay, reset, silence or cut the link to a target."""
         target = self.random.choice(self.cluster.targets)
--- a/bench/routes/target.py
+++ b/bench/routes/target.py
@@ -16,6 +16,14 @@
 # Range from which the duration of a request is drawn.
 SERVICE_TIME_S = (0.01, 0.06)
 
+LIMIT_GRACE_S = 3.0
+"""Time after a target first stated a rate limit from which its arrivals are checked."""
+
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+"""In any window, a target may get that multiple of its rate limit and so many requests more."""
+
 
 @attrs.define
 class TargetObservations:
@@ -70,6 +78,9 @@
         self.sequence = 0
         self.holds = HeldRanges()
         self.started_ms = 0
+        self.rate_limit = 0.0
+        self.limited_at = 0.0
+        self.limited_arrivals: list[float] = []
 
     async def start(self) -> None:
         """Start a new incarnation at the same address."""
@@ -89,6 +100,23 @@
         self.relay.reset()
         self.holds = HeldRanges()
 
+    def limit_rate(self, rate: float) -> None:
+        """State a limit of ``rate`` requests per second with each answer, 0 for none."""
+        self.rate_limit = rate
+        self.limited_at = asyncio.get_running_loop().time()
+        self.limited_arrivals = []
+
+    def _check_rate_limit(self, now: float) -> None:
+        """Record the arrival of a request while a limit is stated, and check the window that it ends."""
+        first = max(now - LIMIT_WINDOW_S, self.limited_at + LIMIT_GRACE_S)
+        self.limited_arrivals = [at for at in (*self.limited_arrivals, now) if at > first]
+        allowed = LIMIT_FACTOR * self.rate_limit * LIMIT_WINDOW_S + LIMIT_EXTRA
+        if len(self.limited_arrivals) > allowed:
+            self.observations.problems.append(
+                f"{now:.2f} {self.name} got {len(self.limited_arrivals)} requests in {LIMIT_WINDOW_S} s, "
+                f"its limit is {self.rate_limit} a second since {self.limited_at:.2f}"
+            )
+
     def announcement(self) -> bytes:
         """Return the next announcement as JSON."""
         self.sequence += 1
@@ -168,6 +196,8 @@
     async def _run_request(self, headers: dict[str, str]) -> tuple[int, list[str], bytes]:
         now = asyncio.get_running_loop().time()
         request_id = headers.get("cranberrylever-request-id", "")
+        if self.rate_limit:
+            self._check_rate_limit(now)
         echo = f"cranberrylever-request-id: {request_id}"
         refused = 421, [echo, "cranberrylever-outcome: not-run"], b""
         if headers.get("cranberrylever-target", self.name) != self.name:
@@ -186,5 +216,7 @@
         self.observations.runs.setdefault(request_id, []).append(self.name)
         self.observations.starts.append((now, self.domain, request_id))
         await asyncio.sleep(random.uniform(*SERVICE_TIME_S))
-        load = f"cranberrylever-load: {len(self.tasks)},0,{SLOTS},100"
-        return 200, [echo, load, "cranberrylever-outcome: done"], f"ran {request_id}".encode()
+        extra = [f"cranberrylever-load: {len(self.tasks)},0,{SLOTS},100"]
+        if self.rate_limit:
+            extra.append(f"cranberrylever-rate-limit: {self.rate_limit}")
+        return 200, [echo, *extra, "cranberrylever-outcome: done"], f"ran {request_id}".encode()
