Log when an entry loses and regains its links to all targets

Cause: a request line shows one target that cannot be reached; no line says that none can. Change: the outcomes of new connections decide it, four different targets in a row (two where there are few) without one that works, and two that work end it; targets_unreachable and targets_reachable lines. No decision uses it yet. Ruled out: open connections as evidence, which stay silent or still work when new ones are refused.

--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -17,6 +17,7 @@
 from cranberrylever.route_entry._feed import FeedClient
 from cranberrylever.route_entry._format import HeaderFormat
 from cranberrylever.route_entry._permit_gate import create_permit_gate
+from cranberrylever.route_entry._reachability import TargetReachability
 from cranberrylever.route_entry._reports import ReportCollector
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.settings import RouteEntrySettings
@@ -66,7 +67,8 @@
         settings = self.settings
         self.installed_log = install_log(settings.log)
         self.metrics = create_exposed_metrics()
-        self.pool = TargetPool(self.format.id_header)
+        self.reachability = TargetReachability(self._usable_target_count, lambda: None, self.log)
+        self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record)
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         permit_gate = create_permit_gate(settings.rules, self.feed.request_report)
         self.permits, self.rate_limits = permit_gate.permits, permit_gate.rate_limits
@@ -106,6 +108,9 @@
         self.feed.contacts = contacts
         self.log.info("settings_reloaded", contacts=contacts)
 
+    def _usable_target_count(self) -> int:
+        return sum(target.info.usable for target in self.view.targets.values())
+
     def _ready_app(self) -> Starlette:
         return Starlette(routes=[Route("/readyz", self._readyz, methods=["GET"])])
 
--- a/cranberrylever/target_http/_pool.py
+++ b/cranberrylever/target_http/_pool.py
@@ -1,6 +1,7 @@
 """Pool of connections to targets, which stay open between requests."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -42,6 +43,7 @@
             at most once.
         max_idle_connections: Limit on idle connections to one address.
         max_buffered_bytes: Limit on the bytes of unfinished answers on all connections.
+        on_connect: Called with the address of each new connection and whether it was established.
     """
 
     def __init__(
@@ -50,10 +52,12 @@
         max_idle: float = DEFAULT_MAX_IDLE_S,
         max_idle_connections: int = DEFAULT_MAX_IDLE_CONNECTIONS,
         max_buffered_bytes: int = DEFAULT_MAX_BUFFERED_BYTES,
+        on_connect: Callable[[str, bool], None] = lambda address, is_connected: None,
     ) -> None:
         self.id_header = id_header
         self.max_idle = max_idle
         self.max_idle_connections = max_idle_connections
+        self.on_connect = on_connect
         self.budget = BufferBudget(max_buffered_bytes)
         self.idle: dict[str, list[TargetConnection]] = {}
 
@@ -145,17 +149,40 @@
         while len(connections) > self.max_idle_connections:
             connections.pop(0).abort()
 
-    async def _connect(self, address: str) -> TargetConnection:
+    async def probe(self, address: str) -> None:
+        """Open a connection to an address and reset it; ``on_connect`` gets the outcome."""
+        try:
+            connection = await self._open(address)
+        except NotSentError:
+            return
+        connection.abort()
+
+    async def open_connection(self, address: str) -> TargetConnection:
+        """Open a TCP connection to an address.
+
+        Raises:
+            OSError: It cannot be opened.
+        """
         host, port = split_address(address)
-        loop = asyncio.get_running_loop()
-        started = loop.time()
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: TargetConnection(self.id_header, self.budget), host, port
+        )
+        return connection
+
+    async def _open(self, address: str) -> TargetConnection:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: TargetConnection(self.id_header, self.budget), host, port
-                )
+                connection = await self.open_connection(address)
         except (OSError, TimeoutError) as error:
+            self.on_connect(address, False)
             raise NotSentError(f"cannot connect to {address}: {error!r}") from error
+        self.on_connect(address, True)
+        return connection
+
+    async def _connect(self, address: str) -> TargetConnection:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        connection = await self._open(address)
         await self._wait_for_reset(connection, loop.time() - started)
         return connection
 
--- a/cranberrylever/tracing.py
+++ b/cranberrylever/tracing.py
@@ -27,7 +27,16 @@
 )
 _KEY_EVENTS = frozenset({"range_edit", "range_freed", "keys_granted", "release_failed"})
 _CLUSTER_EVENTS = frozenset({"domain_set", "plan_submitted", "leadership_started", "member_restarts"})
-_ENTRY_EVENTS = frozenset({"control_lost", "control_attached", "entry_draining", "answer_lost"})
+_ENTRY_EVENTS = frozenset(
+    {
+        "control_lost",
+        "control_attached",
+        "entry_draining",
+        "answer_lost",
+        "targets_unreachable",
+        "targets_reachable",
+    }
+)
 
 
 @attrs.frozen
