Pass requests on to other entries while an entry reaches no target

Cause: an entry had no way to a target but its own link, waited for it, and counted what hung as load. Class: a single path that is taken as the only one although a peer has another. Change: when four new connections in a row to different targets fail, an entry stops using its links and passes requests on to entries that control names, which serve them like those of their own callers; two probes that work end it. Control names only entries that report that they reach targets and are not stopping. One request goes to one entry unless that one certainly did not run it; it is never passed on again; time left, retry budget, permits, keys, drain and withdrawn domains are those of the entry that sends it to the target, in its own view. A refusal there is a refusal here; a lost or late answer is an unknown outcome. Ruled out: readiness alone (with most of a zone cut the balancer uses all its entries again, and open connections stay); open connections as a sign of life; a list of all entries in the view, which would be sent with each change of targets (about 18 KB a second for 71 entries).

--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -1,6 +1,7 @@
 """Server of the feed: streams that send entries the sections of the view that they lack."""
 
 import asyncio
+import random
 
 import attrs
 import grpclib.server
@@ -9,6 +10,7 @@
 from cranberrylever.keyspace import RangeTable
 from cranberrylever.logs import Log
 from cranberrylever.route_control._leader import RouteControlLeader
+from cranberrylever.route_control._peers import Peer, choose_peers
 from cranberrylever.route_control._sections import Section, is_same_fleet
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_control._suspects import SuspectTracker
@@ -41,7 +43,10 @@
 
 @attrs.define(eq=False)
 class _AttachedEntry:
-    """Stream of one entry with the versions of the sections that it holds."""
+    """Stream of one entry with the versions of the sections that it holds.
+
+    ``peer`` is where it takes requests of other entries.
+    """
 
     stream: "grpclib.server.Stream[FeedReport, FeedReply]"
     entry_id: str = ""
@@ -49,6 +54,7 @@
     plan_version: int = -1
     fleet_version: int = -1
     ranges_version: int = -1
+    peer: Peer = Peer("", 0.0)
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -85,6 +91,7 @@
         self.published_busy: dict[tuple[str, int], float] = {}
         self.source_versions: tuple[int, ...] = ()
         self.next_refresh_at = 0.0
+        self.rng = random.Random()
 
     async def attach(self, stream: "grpclib.server.Stream[FeedReport, FeedReply]") -> None:
         """Serve one entry until its stream closes or names another cluster."""
@@ -129,10 +136,16 @@
         entry.fleet_version = report.fleet_version
         entry.ranges_version = report.ranges_version
         now = asyncio.get_running_loop().time()
+        entry.peer = Peer(report.peer_address, now)
         self.leader.record_report(report)
         self.suspects.record(report.crashed, now)
         self._refresh(now)
-        await self._send(entry, self.leader.permits.grant(report.wishes, now))
+        peers = self._choose_peers(report, now) if report.wants_peers else None
+        await self._send(entry, self.leader.permits.grant(report.wishes, now), peers)
+
+    def _choose_peers(self, report: FeedReport, now: float) -> tuple[str, ...]:
+        attached = (entry for entry in self.attached_entries if entry.entry_id != report.entry_id)
+        return choose_peers((entry.peer for entry in attached), now, self.rng)
 
     async def _push_to(self, entry: _AttachedEntry) -> None:
         try:
@@ -141,7 +154,12 @@
             # The loop that reads this stream also ends, and detaches the entry.
             self.log.write("debug", "push_failed", entry=entry.entry_id, error=repr(error))
 
-    async def _send(self, entry: _AttachedEntry, permits: tuple[GrantedPermits, ...] = ()) -> None:
+    async def _send(
+        self,
+        entry: _AttachedEntry,
+        permits: tuple[GrantedPermits, ...] = (),
+        peers: tuple[str, ...] | None = None,
+    ) -> None:
         """Send the sections that an entry lacks; it counts as holding them once they are written."""
         async with entry.lock:
             plan_version = self.state.plan_version
@@ -161,6 +179,7 @@
                 ranges_version,
                 self.ranges.since(entry.ranges_version),
                 permits,
+                peers,
             )
             await entry.stream.send_message(reply)
             if needs_plan:
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -11,6 +11,8 @@
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._estimates import DispatchEstimate
 from cranberrylever.route_entry._format import HeaderFormat, Headers
+from cranberrylever.route_entry._peer_relay import CANNOT_SERVE_STATUS
+from cranberrylever.route_entry._reachability import TargetReachability
 from cranberrylever.route_entry._request import (
     AttemptResult,
     OutcomeUnknownError,
@@ -46,6 +48,9 @@
 DEADLINE_MARGIN_S = 0.02
 """Time before the caller's deadline at which a request is ended, so that the answer arrives in time."""
 
+_RELAYED = "cranberrylever.relayed"
+"""Key in the scope of a request that another entry has passed on."""
+
 _STATUS_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -74,6 +79,7 @@
         view: The view in force.
         dispatcher: Sends requests to targets.
         header_format: Reads headers.
+        reachability: Links of this entry to the targets.
         metrics: Metrics of the process.
         log: Program log.
     """
@@ -83,10 +89,12 @@
         view: EntryView,
         dispatcher: Dispatcher,
         header_format: HeaderFormat,
+        reachability: TargetReachability,
         metrics: Metrics,
         log: Log,
     ) -> None:
         self.view = view
+        self.reachability = reachability
         self.dispatcher = dispatcher
         self.format = header_format
         self.metrics = metrics
@@ -143,6 +151,9 @@
     ) -> RoutedRequest | None:
         now = record.started_at
         headers: Headers = scope["headers"]
+        is_relayed = scope.get(_RELAYED, False)
+        if is_relayed and self.reachability.is_lost:
+            raise _AnsweredError(CANNOT_SERVE_STATUS, "refused", "this entry reaches no target either")
         host = next((value for name, value in headers if name == b"host"), None)
         if host is None:
             raise _AnsweredError(400, "invalid", "the Host header is missing")
@@ -180,6 +191,7 @@
             arrived_at=now,
             deadline=now + time_limit,
             is_caller_retry=time_limit < CALLER_RETRY_SHARE * route.timeout,
+            is_relayed=is_relayed,
         )
 
     async def _wait_for_first_view(self, arrived_at: float, deadline: float | None) -> None:
@@ -266,7 +278,7 @@
         ]
         if error.retry_after is not None:
             headers.append((b"retry-after", f"{error.retry_after:.3f}".encode()))
-        if error.status in (408, 413):
+        if error.status in (408, 413, CANNOT_SERVE_STATUS):
             # The rest of the body is still in transit and must not be parsed as the next request.
             headers.append((b"connection", b"close"))
         await self._send_response(send, error.status, headers, body)
@@ -294,6 +306,7 @@
             outcome=record.outcome,
             reason=record.reason or (request.reason if request else ""),
             rate_limit=request.rate_limit if request else None,
+            relayed=request.is_relayed if request else False,
             ms=round(elapsed * 1000, 1),
             plan=self.view.plan_version,
             fleet=self.view.fleet_version,
@@ -303,6 +316,22 @@
         )
 
 
+class PeerRequestApp:
+    """ASGI application for requests that other entries pass on.
+
+    Args:
+        app: Application of this entry.
+    """
+
+    def __init__(self, app: RouteEntryApp) -> None:
+        self.app = app
+
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        scope[_RELAYED] = True
+        await self.app(scope, receive, send)
+
+
 def _estimate_fields(estimate: DispatchEstimate | None) -> dict[str, int | None]:
     """Return the log fields of the estimates that decided on a target, in ms; ``None`` if unknown."""
     if estimate is None:
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -3,14 +3,14 @@
 import asyncio
 import random
 
-import attrs
-
 from cranberrylever.logs import Log
 from cranberrylever.route_entry._admission import MIN_RETRY_AFTER_S, AdmissionRequest, Verdict, admit
 from cranberrylever.route_entry._choice import PooledChooser
+from cranberrylever.route_entry._dispatch_state import DispatchState
 from cranberrylever.route_entry._estimates import ServiceTimeEstimator
 from cranberrylever.route_entry._format import AnswerHeaders, HeaderFormat
 from cranberrylever.route_entry._limits import AnsweredRequests, RetryBudget
+from cranberrylever.route_entry._peer_relay import PeerRelay
 from cranberrylever.route_entry._permit_gate import PermitGate
 from cranberrylever.route_entry._reports import ReportCollector
 from cranberrylever.route_entry._request import (
@@ -56,21 +56,6 @@
 _MISDIRECTED = 421
 
 
-@attrs.define
-class _DispatchState:
-    """State of one request's dispatch.
-
-    ``connect_failures`` counts attempts that reached no target, ``permit_deadline`` is the loop time at which
-    the wait for a permit ends, ``permit_target`` is the target for which a permit was awaited last, and
-    ``excluded_targets`` failed to connect or did not run the request.
-    """
-
-    connect_failures: int = 0
-    permit_deadline: float | None = None
-    permit_target: TargetState | None = None
-    excluded_targets: set[str] = attrs.field(factory=set)
-
-
 class Dispatcher:
     """Sends requests to targets according to the view in force.
 
@@ -82,6 +67,7 @@
         permits: Permits for targets in cold start or with a rate limit.
         failure_domain: Failure domain of this entry; targets in it are slightly preferred.
         log: Program log.
+        relay: Sends requests to other entries while this one reaches no target.
     """
 
     def __init__(
@@ -93,6 +79,7 @@
         permits: PermitGate,
         failure_domain: str,
         log: Log,
+        relay: PeerRelay | None = None,
     ) -> None:
         self.view = view
         self.pool = pool
@@ -100,6 +87,7 @@
         self.reports = reports
         self.permits = permits
         self.log = log
+        self.relay = relay
         self.service_times = ServiceTimeEstimator()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answered = AnsweredRequests()
@@ -112,6 +100,8 @@
             RefusedError: The request has not run and will not run.
             OutcomeUnknownError: It may have run and there is no answer.
         """
+        if self._needs_relay(request):
+            return await self.relay.run(request)
         now = self._now()
         self._retry_budget(request).record_request(now)
         if request.key is not None:
@@ -120,12 +110,14 @@
             )
         if request.fingerprint in self.view.suspects:
             raise RefusedError("identical requests have crashed targets", request.route.timeout)
-        state = _DispatchState()
+        state = DispatchState()
         while True:
             target = await self._wait_for_admission(request, state)
             try:
                 result = await self._send(request, target)
             except NotSentError as error:
+                if self._needs_relay(request):
+                    return await self.relay.run(request)
                 await self._handle_connect_failure(request, target, state, error)
                 continue
             except AnswerLostError as error:
@@ -137,9 +129,12 @@
                 self.answered.add(request.fingerprint)
                 return result
 
+    def _needs_relay(self, request: RoutedRequest) -> bool:
+        return self.relay is not None and self.relay.is_needed(request)
+
     # Choice of the target ------------------------------------------------------------------------
 
-    async def _wait_for_admission(self, request: RoutedRequest, state: _DispatchState) -> TargetState:
+    async def _wait_for_admission(self, request: RoutedRequest, state: DispatchState) -> TargetState:
         """Return the target to which the request is sent now.
 
         Raises:
@@ -169,7 +164,7 @@
                 return target
             await self._wait_for_permit(request, target, decision.delay, state)
 
-    async def _choose_target(self, request: RoutedRequest, state: _DispatchState) -> TargetState:
+    async def _choose_target(self, request: RoutedRequest, state: DispatchState) -> TargetState:
         if request.key is not None:
             return await self._wait_for_owner(request)
         now = self._now()
@@ -201,7 +196,7 @@
             await self.view.wait_for_change(wait_until - current_time)
 
     async def _wait_for_permit(
-        self, request: RoutedRequest, target: TargetState, delay: float, state: _DispatchState
+        self, request: RoutedRequest, target: TargetState, delay: float, state: DispatchState
     ) -> None:
         now = self._now()
         if state.permit_deadline is None:
@@ -224,7 +219,10 @@
         """
         estimate = target.estimate
         started_at = self._now()
-        request_bytes = request.encode(self.format, target.info.target_id, started_at)
+        remaining = request.remaining(started_at)
+        request_bytes = request.encode(
+            self.format.target_headers(request.headers, target.info.target_id, remaining)
+        )
         estimate.record_start(started_at)
         is_lost = True
         try:
@@ -295,7 +293,7 @@
     # Failures ------------------------------------------------------------------------------------
 
     async def _handle_connect_failure(
-        self, request: RoutedRequest, target: TargetState, state: _DispatchState, error: NotSentError
+        self, request: RoutedRequest, target: TargetState, state: DispatchState, error: NotSentError
     ) -> None:
         now = self._now()
         target.estimate.record_failure(now)
@@ -332,7 +330,7 @@
             raise OutcomeUnknownError(request.reason) from error
 
     async def _handle_rejection(
-        self, request: RoutedRequest, target: TargetState, state: _DispatchState, status: int
+        self, request: RoutedRequest, target: TargetState, state: DispatchState, status: int
     ) -> None:
         """Return if the request, which the target did not run, may be sent again.
 
--- a/cranberrylever/route_entry/_format.py
+++ b/cranberrylever/route_entry/_format.py
@@ -85,12 +85,16 @@
             target_id: The target that may run the request; another target at its address must refuse it.
             remaining: Seconds until the caller's deadline.
         """
-        entry_headers = (self.deadline_header, self.target_header)
-        kept = [pair for pair in headers if pair[0] not in entry_headers]
-        kept.append((self.deadline_header, b"%d" % max(1, int(remaining * 1000))))
+        kept = self.peer_headers(headers, remaining)
         kept.append((self.target_header, target_id.encode("latin-1", "replace")))
         return kept
 
+    def peer_headers(self, headers: Headers, remaining: float) -> Headers:
+        """Return a caller's headers as they are sent to another entry, with the seconds that it has."""
+        kept = [pair for pair in headers if pair[0] not in (self.deadline_header, self.target_header)]
+        kept.append((self.deadline_header, b"%d" % max(1, int(remaining * 1000))))
+        return kept
+
     @abc.abstractmethod
     def read_answer(self, status: int, headers: Headers) -> AnswerHeaders:
         """Parse the headers of a target's answer."""
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -12,12 +12,13 @@
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
-from cranberrylever.route_entry._app import RouteEntryApp
+from cranberrylever.route_entry._app import PeerRequestApp, RouteEntryApp
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._feed import FeedClient
 from cranberrylever.route_entry._format import HeaderFormat
+from cranberrylever.route_entry._peer_relay import PeerRelay
 from cranberrylever.route_entry._permit_gate import create_permit_gate
-from cranberrylever.route_entry._reachability import TargetReachability
+from cranberrylever.route_entry._reachability import TargetReachability, probe_until_reachable
 from cranberrylever.route_entry._reports import ReportCollector
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.settings import RouteEntrySettings
@@ -57,6 +58,7 @@
         self.log = Log("entry", settings.entry_id, settings.log.level)
         self.view = EntryView(settings.rules)
         self.reports = ReportCollector()
+        self.link_probe: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Open the listeners and connect to control.
@@ -67,21 +69,34 @@
         settings = self.settings
         self.installed_log = install_log(settings.log)
         self.metrics = create_exposed_metrics()
-        self.reachability = TargetReachability(self._usable_target_count, lambda: None, self.log)
+        self.reachability = TargetReachability(self._usable_target_count, self._on_links_lost, self.log)
+        self.relay = PeerRelay(self.format, self.reachability)
         self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record)
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         permit_gate = create_permit_gate(settings.rules, self.feed.request_report)
         self.permits, self.rate_limits = permit_gate.permits, permit_gate.rate_limits
         self.dispatcher = Dispatcher(
-            self.view, self.pool, self.format, self.reports, permit_gate, settings.failure_domain, self.log
+            self.view,
+            self.pool,
+            self.format,
+            self.reports,
+            permit_gate,
+            settings.failure_domain,
+            self.log,
+            self.relay,
         )
-        self.app = RouteEntryApp(self.view, self.dispatcher, self.format, self.metrics, self.log)
-        self.server = CallerServer(self.app, settings.listen, self.tuning)
+        self.app = RouteEntryApp(
+            self.view, self.dispatcher, self.format, self.reachability, self.metrics, self.log
+        )
+        self.servers = [CallerServer(self.app, settings.listen, self.tuning)]
+        if settings.peer_listen:
+            self.servers.append(CallerServer(PeerRequestApp(self.app), settings.peer_listen, self.tuning))
         self.ready = HttpServer(self._ready_app(), settings.ready_listen)
         self.metrics_server = (
             HttpServer(self.metrics.app(), settings.metrics_listen) if settings.metrics_listen else None
         )
-        await self.server.start()
+        for server in self.servers:
+            await server.start()
         await self.ready.start()
         if self.metrics_server is not None:
             await self.metrics_server.start()
@@ -93,10 +108,14 @@
         self.app.draining = True
         self.log.info("entry_draining", requests=self.app.requests)
         await asyncio.sleep(self.settings.drain_delay)
-        self.server.stop_accepting()
-        await self.server.wait_finished(self.settings.finish_timeout)
+        for server in self.servers:
+            server.stop_accepting()
+        await asyncio.gather(*(server.wait_finished(self.settings.finish_timeout) for server in self.servers))
         await self.feed.close()
+        if self.link_probe is not None:
+            self.link_probe.cancel()
         self.pool.close()
+        self.relay.close()
         if self.metrics_server is not None:
             await self.metrics_server.close()
         await self.ready.close()
@@ -111,6 +130,17 @@
     def _usable_target_count(self) -> int:
         return sum(target.info.usable for target in self.view.targets.values())
 
+    def _on_links_lost(self) -> None:
+        """Stop using idle connections, tell control, and probe until the links are back."""
+        self.pool.close()
+        self.feed.request_report()
+        self.link_probe = asyncio.get_running_loop().create_task(
+            probe_until_reachable(self.reachability, self.pool, self._usable_addresses)
+        )
+
+    def _usable_addresses(self) -> list[str]:
+        return [target.info.address for target in self.view.targets.values() if target.info.usable]
+
     def _ready_app(self) -> Starlette:
         return Starlette(routes=[Route("/readyz", self._readyz, methods=["GET"])])
 
@@ -137,6 +167,8 @@
             self.permits.build_requests(sequence, now),
             self.reports.take_loads(),
             self.rate_limits.build_observations(sequence, is_first, now),
+            "" if self.app.draining or self.reachability.is_lost else self.settings.peer_listen,
+            self.relay.wants_peers(now),
         )
 
     def _on_reply(self, reply: FeedReply) -> None:
@@ -144,6 +176,8 @@
         if reply.permits:
             self.permits.record(reply.permits, reply.sequence, now)
             self.view.notify_change()
+        if reply.peers is not None:
+            self.relay.set_peers(reply.peers, now)
         addresses_before = {target.info.address for target in self.view.targets.values()}
         is_changed = self.view.apply(reply, now)
         self.rate_limits.record_reply(
--- a/cranberrylever/route_entry/_reachability.py
+++ b/cranberrylever/route_entry/_reachability.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from cranberrylever.logs import Log
+from cranberrylever.target_http import TargetPool
 
 MIN_FAILED_TARGETS = 4
 """Different targets that cannot be reached, without one that can, after which links count as lost."""
@@ -19,6 +21,9 @@
 RESTORING_CONNECTIONS = 2
 """Connections in a row, without a failed one, after which the links count as restored."""
 
+PROBE_INTERVAL_S = 0.2
+"""Time between two connections that test whether lost links are back."""
+
 
 class TargetReachability:
     """Links of one entry to the targets.
@@ -61,3 +66,20 @@
 
     def _min_failed_targets(self) -> int:
         return max(MIN_FAILED_TARGETS_OF_FEW, min(MIN_FAILED_TARGETS, self.target_count()))
+
+
+async def probe_until_reachable(
+    reachability: TargetReachability, pool: TargetPool, addresses: Callable[[], list[str]]
+) -> None:
+    """Open connections to random targets until the links are back.
+
+    Args:
+        reachability: Links to the targets; it gets the outcomes from the pool.
+        pool: Connections to targets.
+        addresses: Returns the addresses of the targets that may receive work.
+    """
+    while reachability.is_lost:
+        candidates = addresses()
+        if candidates:
+            await pool.probe(random.choice(candidates))
+        await asyncio.sleep(PROBE_INTERVAL_S)
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -5,7 +5,7 @@
 import attrs
 
 from cranberrylever.route_entry._estimates import DispatchEstimate
-from cranberrylever.route_entry._format import HeaderFormat, Headers
+from cranberrylever.route_entry._format import Headers
 from cranberrylever.route_plan import Route, RoutedService
 from cranberrylever.target_http import TargetAnswer
 
@@ -22,7 +22,7 @@
     sent the request and ``reason`` describes the last result for the log. ``estimate`` holds the estimates
     behind the last decision and ``rate_limit`` is the one that the last answer stated, in requests per
     second. ``is_caller_retry`` reports that the caller has waited before: it has less time left than the
-    timeout of the route.
+    timeout of the route. ``is_relayed`` reports that another entry has passed it on.
     """
 
     request_id: bytes
@@ -43,6 +43,7 @@
     estimate: DispatchEstimate | None = None
     rate_limit: float | None = None
     is_caller_retry: bool = False
+    is_relayed: bool = False
     _fingerprint: str = ""
 
     @property
@@ -63,9 +64,8 @@
         self.attempts += may_have_run
         self.may_have_run = self.may_have_run or may_have_run
 
-    def encode(self, header_format: HeaderFormat, target_id: str, now: float) -> bytes:
-        """Return the bytes to send to a target at the loop time ``now``."""
-        headers = header_format.target_headers(self.headers, target_id, self.remaining(now))
+    def encode(self, headers: Headers) -> bytes:
+        """Return the bytes to send with the given headers."""
         lines = [self.method + b" " + self.url + b" HTTP/1.1"]
         lines.extend(name + b": " + value for name, value in headers)
         if self.body or self.method not in METHODS_WITHOUT_BODY:
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -59,6 +59,12 @@
         is_list=True,
     )
     failure_domain: str = setting("Failure domain (zone) of this instance.", plain_text, "")
+    peer_listen: str = setting(
+        "Address for requests that other entries pass on while they reach no target, host:port (default: "
+        "takes none).",
+        optional_address,
+        "",
+    )
     metrics_listen: str = setting("Address of the metrics endpoint, host:port.", optional_address, "")
     drain_delay: float = setting(
         "Seconds between failing readiness checks and closing the listener.", number(0.0, MAX_TIME_S), 2.2
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -120,7 +120,8 @@
     ``crashed`` pairs the fingerprints of requests during which a connection was lost with the target.
     ``paces`` are service times and ``wishes`` permit requests. ``speeds`` is set in the first report on a
     stream, for a leader that has not measured any yet. ``loads`` are those of targets of pooled services and
-    ``rate_limits`` those that targets stated.
+    ``rate_limits`` those that targets stated. ``peer_address`` is where the entry takes requests of other
+    entries, empty while it takes none, and ``wants_peers`` asks for entries that take its own.
     """
 
     cluster_id: str
@@ -136,6 +137,8 @@
     wishes: tuple[PermitRequest, ...] = ()
     loads: tuple[ReportedLoad, ...] = ()
     rate_limits: tuple[ObservedRateLimit, ...] = ()
+    peer_address: str = ""
+    wants_peers: bool = False
 
 
 UNKNOWN = -1.0
@@ -221,7 +224,8 @@
     """Sections of the view that an entry does not hold yet, or the leader to connect to.
 
     ``permits`` answers the permit requests of the report ``sequence``. ``control`` lists the RPC addresses of
-    the control members. ``is_leader`` is false when the sender is not the leader; only ``leader`` and
+    the control members and ``peers`` the addresses of entries that take requests of others, ``None`` when the
+    report did not ask for them. ``is_leader`` is false when the sender is not the leader; only ``leader`` and
     ``control`` are valid then.
     """
 
@@ -237,6 +241,7 @@
     ranges_version: int = -1
     ranges: RangesView | None = None
     permits: tuple[GrantedPermits, ...] = ()
+    peers: tuple[str, ...] | None = None
 
 
 class FeedBase(abc.ABC):
--- a/tests/platform/running_system.py
+++ b/tests/platform/running_system.py
@@ -80,6 +80,7 @@
             (rpc,),
             drain_delay=0.1,
             finish_timeout=1.0,
+            peer_listen=free_address(),
             log=QUIET,
         )
         return create_route_entry(settings, call_headers.PlatformFormat())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -71,6 +71,7 @@
         assert settings.contacts == ("10.1.0.13:7720", "10.2.0.43:7720")
         assert (settings.rules.cold_factor, settings.rules.retry_extra) == (1.5, 56.0)
         assert settings.failure_domain == "puget"
+        assert settings.peer_listen == "10.1.0.10:7721"
 
     def test_control(self):
         """Guards against a founding member whose own RPC address is not among the founders."""
