Read the published rate limits only when the view has changed

Cause: each reply of the leader went through all targets of the view, and the limits that end were written to the log as a number that JSON does not have. Change: the view's limits are read when it changes, replies only confirm observations; an ended limit is null on the leader's line; candidates are split in one pass; a counter of requests that other entries passed on. Ruled out as worth a change: one record for cold and stated bounds.

--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -1,6 +1,7 @@
 """Leader loop of route control: targets, key ranges and what entries are sent about them."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -161,7 +162,7 @@
             self.log.info(
                 "target_rate_limit",
                 target=observed.target_id,
-                rate=observed.rate,
+                rate=observed.rate if math.isfinite(observed.rate) else None,
                 age=round(observed.age, 3),
                 entry=entry_id,
             )
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -294,6 +294,8 @@
         self.metrics.count(f"requests_{record.outcome.replace(' ', '_')}")
         self.metrics.timing("request_ms", elapsed * 1000)
         request = record.request
+        if request is not None and request.is_relayed:
+            self.metrics.count("requests_relayed")
         self.log.info(
             "request",
             request_id=record.request_id(self.format),
--- a/cranberrylever/route_entry/_choice.py
+++ b/cranberrylever/route_entry/_choice.py
@@ -91,8 +91,10 @@
         """
         if count >= len(targets):
             return targets
-        limited = [target for target in targets if self.permits.is_required(target, now)]
-        unlimited = [target for target in targets if not self.permits.is_required(target, now)]
+        limited: list[TargetState] = []
+        unlimited: list[TargetState] = []
+        for target in targets:
+            (limited if self.permits.is_required(target, now) else unlimited).append(target)
         return [*self._draw(unlimited, count), *self._draw(limited, count)]
 
     def _draw(self, targets: list[TargetState], count: int) -> list[TargetState]:
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -154,7 +154,7 @@
                 estimate.queue_time,
                 estimate.completion_time,
                 self.permits.delay(target, now),
-                self.permits.reason(target, now),
+                self.permits.reason(target),
                 request.is_caller_retry,
             )
             decision = admit(admission_request)
@@ -202,7 +202,7 @@
         if state.permit_deadline is None:
             state.permit_deadline = now + min(MAX_PERMIT_WAIT_S, MAX_WAIT_SHARE * request.remaining(now))
         if now >= state.permit_deadline:
-            reason = f"{self.permits.reason(target, now)} ({target.info.target_id})"
+            reason = f"{self.permits.reason(target)} ({target.info.target_id})"
             self._raise_failure(request, reason, max(delay, MIN_RETRY_AFTER_S))
         state.permit_target = target
         with self.permits.waiting(target, request.service, now):
--- a/cranberrylever/route_entry/_permit_gate.py
+++ b/cranberrylever/route_entry/_permit_gate.py
@@ -59,7 +59,7 @@
             return delay
         return min(delay, target.cold_until - now)
 
-    def reason(self, target: TargetState, now: float) -> str:
+    def reason(self, target: TargetState) -> str:
         """Return why a request to the target needs a permit, for the caller and the log."""
         return "target limits its rate" if self._is_rate_limited(target) else "target is cold"
 
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -180,9 +180,9 @@
             self.relay.set_peers(reply.peers, now)
         addresses_before = {target.info.address for target in self.view.targets.values()}
         is_changed = self.view.apply(reply, now)
-        self.rate_limits.record_reply(
-            reply.sequence, (target.info for target in self.view.targets.values()), now
-        )
+        if is_changed:
+            self.rate_limits.set_published((target.info for target in self.view.targets.values()), now)
+        self.rate_limits.confirm(reply.sequence)
         if not is_changed:
             return
         self.permits.keep_only({target.info.incarnation for target in self.view.targets.values()})
--- a/cranberrylever/route_entry/_rate_limits.py
+++ b/cranberrylever/route_entry/_rate_limits.py
@@ -79,8 +79,8 @@
                 item.sequence = sequence
         return tuple(ObservedRateLimit(*key, rate, now - since) for key, (rate, since) in rates.items())
 
-    def record_reply(self, sequence: int, targets: Iterable[RoutedTarget], now: float) -> None:
-        """Record the limits of the view after the leader's reply to the report ``sequence``."""
+    def set_published(self, targets: Iterable[RoutedTarget], now: float) -> None:
+        """Set the limits of all targets in a new view."""
         incarnations = set()
         for target in targets:
             incarnations.add(target.incarnation)
@@ -88,8 +88,12 @@
             if target.rate_limit != UNKNOWN and (published is None or published.rate != target.rate_limit):
                 self.published[target.incarnation] = _PublishedRate(target.rate_limit, now)
         self.published = {key: item for key, item in self.published.items() if key in incarnations}
+        self.unconfirmed = {key: item for key, item in self.unconfirmed.items() if key in incarnations}
+
+    def confirm(self, sequence: int) -> None:
+        """Follow the published limits for all observations that the report ``sequence`` carried."""
         self.unconfirmed = {
             key: item
             for key, item in self.unconfirmed.items()
-            if key in incarnations and (item.sequence is None or item.sequence > sequence)
+            if item.sequence is None or item.sequence > sequence
         }
--- a/tests/route_entry/test_rate_limits.py
+++ b/tests/route_entry/test_rate_limits.py
@@ -12,8 +12,10 @@
 INCARNATION = TARGET.incarnation
 
 
-def published(rate):
-    return [attrs.evolve(TARGET, rate_limit=rate)]
+def reply(limits, sequence, rate, now):
+    """Apply the leader's reply to the report ``sequence`` with the limit that control publishes."""
+    limits.set_published([attrs.evolve(TARGET, rate_limit=rate)], now)
+    limits.confirm(sequence)
 
 
 class TargetRateLimitsTest(testtools.TestCase):
@@ -28,22 +30,22 @@
     def test_limit_holds_before_control_knows_it(self):
         """Guards against an entry that sends freely until the limit has come back from control."""
         assert self.limits.observe(INCARNATION, 1.3, 0.0)
-        self.limits.record_reply(0, published(-1.0), 0.1)
+        reply(self.limits, 0, -1.0, 0.1)
         assert self.limits.rate(INCARNATION) == 1.3
         assert self.report_requests == 1
 
     def test_limit_of_another_entry_holds(self):
         """Guards against a limit that only the entry keeps that got the answer."""
-        self.limits.record_reply(1, published(2.0), 0.1)
+        reply(self.limits, 1, 2.0, 0.1)
         assert self.limits.rate(INCARNATION) == 2.0
 
     def test_older_published_limit_does_not_replace_an_observation(self):
         """Guards against a limit that a reply ends which control sent before it knew of the limit."""
         self.limits.observe(INCARNATION, 1.3, 0.0)
         self.limits.build_observations(7, False, 0.0)
-        self.limits.record_reply(6, published(math.inf), 0.1)
+        reply(self.limits, 6, math.inf, 0.1)
         assert self.limits.rate(INCARNATION) == 1.3
-        self.limits.record_reply(7, published(math.inf), 0.2)
+        reply(self.limits, 7, math.inf, 0.2)
         assert self.limits.rate(INCARNATION) == math.inf
 
     def test_limit_is_reported_until_it_is_confirmed(self):
@@ -52,19 +54,19 @@
         assert len(self.limits.build_observations(1, True, 0.1)) == 1
         observed = self.limits.build_observations(2, True, 0.5)[0]
         assert (observed.rate, observed.age) == (1.3, 0.5)
-        self.limits.record_reply(2, published(1.3), 0.6)
+        reply(self.limits, 2, 1.3, 0.6)
         assert self.limits.build_observations(3, False, 0.7) == ()
 
     def test_new_leader_learns_limits_from_entries(self):
         """Guards against limits that end when the leader changes."""
-        self.limits.record_reply(1, published(2.0), 1.0)
-        self.limits.record_reply(2, published(-1.0), 2.0)
+        reply(self.limits, 1, 2.0, 1.0)
+        reply(self.limits, 2, -1.0, 2.0)
         observed = self.limits.build_observations(3, True, 4.0)[0]
         assert (observed.rate, observed.age) == (2.0, 3.0)
 
     def test_limit_ends_with_an_answer_that_has_none(self):
         """Guards against a target that is limited after it has recovered."""
-        self.limits.record_reply(1, published(2.0), 1.0)
+        reply(self.limits, 1, 2.0, 1.0)
         assert self.limits.observe(INCARNATION, None, 2.0)
         assert self.limits.rate(INCARNATION) == math.inf
         assert self.limits.build_observations(2, False, 2.1)[0].rate == math.inf
