Let the entries of the soak take requests of each other

Change: a peer address for each entry. Links cannot be cut for one entry alone there, since the entries share the relay before a target; the platform test and stranded.toml do that.

--- a/bench/routes/cluster.py
+++ b/bench/routes/cluster.py
@@ -150,7 +150,7 @@
             listen, ready = free_address(), free_address()
             arguments = ["route-entry", "--cluster-id", "soak", "--entry-id", f"entry-{number}"]
             arguments += ["--listen", listen, "--ready-listen", ready, "--log", "stdout"]
-            arguments += ["--drain-delay", "0.3", "--finish-timeout", "3"]
+            arguments += ["--drain-delay", "0.3", "--finish-timeout", "3", "--peer-listen", free_address()]
             for member in self.members:
                 arguments += ["--contacts", member.relay.address]
             process = ManagedProcess(f"entry-{number}", tuple(arguments), self.root / f"entry-{number}.log")
