End a peer link that is closed while its stream is lost

Cause: a task group that ends because a child failed raises the child's error although its own task was cancelled meanwhile; the link took the error for a lost stream and connected again, and close() waited for a task that had swallowed its cancellation. Change: a link that is closing starts no further stream.

--- a/cranberrylever/control_member/_peers.py
+++ b/cranberrylever/control_member/_peers.py
@@ -58,6 +58,7 @@
         self._unanswered_since: float | None = None
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
+        self._is_closing = False
 
     def start(self) -> None:
         """Start connecting and sending."""
@@ -65,6 +66,7 @@
 
     async def close(self) -> None:
         """Drop queued frames and close the stream."""
+        self._is_closing = True
         if self._task is not None:
             self._task.cancel()
             await asyncio.wait([self._task])
@@ -82,7 +84,8 @@
         """Reconnect each time the stream is lost, after an exponential delay with random jitter."""
         loop = asyncio.get_running_loop()
         reconnect_delay = MIN_RECONNECT_DELAY_S
-        while True:
+        # A task group that ends with an error hides a cancellation that came meanwhile.
+        while not self._is_closing:
             started = loop.time()
             try:
                 await self._exchange_frames()
--- a/tests/control_member/test_peers.py
+++ b/tests/control_member/test_peers.py
@@ -102,6 +102,32 @@
 
         self.run_pair(scenario, cluster_id="other")
 
+    def test_link_that_is_closed_while_its_stream_is_lost_ends(self):
+        """Guards against a close that waits forever because the lost stream hides its cancellation."""
+
+        async def scenario(sender, receiver, port):
+            link = sender.transport.links["b"]
+            is_ending = asyncio.Event()
+
+            async def lose_stream(stream):
+                raise ConnectionError("lost")
+
+            async def end_slowly(stream):
+                try:
+                    await asyncio.sleep(60)
+                finally:
+                    is_ending.set()
+                    await asyncio.sleep(0.05)
+
+            link._receive_echoes = lose_stream
+            link._send_frames = end_slowly
+            await is_ending.wait()
+            async with asyncio.timeout(5.0):
+                await link.close()
+            self.assertTrue(link._task.done())
+
+        self.run_pair(scenario)
+
     def test_queue_is_bounded(self):
         """Guards against memory that grows without bound while a peer is down."""
 
