End the stream of an entry that is closed while it is lost

Operators would see an entry that does not stop. Change: gather, which does not hide the cancellation of the task that awaits; errors other than those of a stream are raised as before. The stream of ticket entries had the same lines and the same change. Searched for the same: task groups and suppressed cancellations in cranberrylever and platform; two more are in close() of a program, which waits once and does not loop.

--- a/cranberrylever/entry/_link.py
+++ b/cranberrylever/entry/_link.py
@@ -100,8 +100,10 @@
                 self.link.receive(self, reply)
         finally:
             sender.cancel()
-            with contextlib.suppress(asyncio.CancelledError, *_STREAM_ERRORS):
-                await sender
+            # Unlike a suppressed error, gather does not hide the cancellation of this task.
+            (error,) = await asyncio.gather(sender, return_exceptions=True)
+            if isinstance(error, Exception) and not isinstance(error, _STREAM_ERRORS):
+                raise error
 
     async def _send_frames(self, stream) -> None:  # noqa: ANN001
         while True:
--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -118,8 +118,10 @@
                     await self._receive(stream, address)
                 finally:
                     sender.cancel()
-                    with contextlib.suppress(asyncio.CancelledError, *_STREAM_ERRORS):
-                        await sender
+                    # Unlike a suppressed error, gather does not hide the cancellation of this task.
+                    (error,) = await asyncio.gather(sender, return_exceptions=True)
+                    if isinstance(error, Exception) and not isinstance(error, _STREAM_ERRORS):
+                        raise error
         finally:
             channel.close()
 
