--- a/tests/control_member/test_peers.py
+++ b/tests/control_member/test_peers.py
@@ -8,6 +8,7 @@
 from cranberrylever.control_member import PeerTransport, _peers
 from cranberrylever.wire import MsgpackCodec, PeerFrame
 from tests.consensus.cluster import wait_for
+from tests.support import end_slowly
 
 CLUSTER = "test"
 HOST = "127.0.0.1"
@@ -112,15 +113,8 @@
             async def lose_stream(stream):
                 raise ConnectionError("lost")
 
-            async def end_slowly(stream):
-                try:
-                    await asyncio.sleep(60)
-                finally:
-                    is_ending.set()
-                    await asyncio.sleep(0.05)
-
             link._receive_echoes = lose_stream
-            link._send_frames = end_slowly
+            link._send_frames = end_slowly(is_ending)
             await is_ending.wait()
             async with asyncio.timeout(5.0):
                 await link.close()
--- a/tests/route_entry/test_feed.py
+++ b/tests/route_entry/test_feed.py
@@ -8,6 +8,7 @@
 from cranberrylever.logs import Log
 from cranberrylever.route_entry._feed import FeedClient
 from cranberrylever.wire import FeedBase, FeedReport, MsgpackCodec
+from tests.support import end_slowly
 
 HOST = "127.0.0.1"
 
@@ -39,15 +40,8 @@
                 await asyncio.sleep(0.01)
                 raise ConnectionError("lost")
 
-            async def end_slowly(stream):
-                try:
-                    await asyncio.sleep(60)
-                finally:
-                    is_ending.set()
-                    await asyncio.sleep(0.05)
-
             feed._receive = lose_stream
-            feed._send_reports = end_slowly
+            feed._send_reports = end_slowly(is_ending)
             feed.start()
             await is_ending.wait()
             async with asyncio.timeout(5.0):
--- a/tests/support.py
+++ b/tests/support.py
@@ -19,3 +19,16 @@
     finally:
         loop.close()
         asyncio.set_event_loop(None)
+
+
+def end_slowly(is_ending: asyncio.Event) -> Callable[[object], Awaitable[None]]:
+    """Return a sender of a stream that sets ``is_ending`` when it is cancelled and ends 50 ms later."""
+
+    async def send(stream: object) -> None:
+        try:
+            await asyncio.sleep(60)
+        finally:
+            is_ending.set()
+            await asyncio.sleep(0.05)
+
+    return send
