Read the answer of another entry once

Cause: the path of passed-on requests decoded the headers of each answer twice. Change: the first reading is handed on. Behaviour is unchanged.

--- a/cranberrylever/route_entry/_peer_relay.py
+++ b/cranberrylever/route_entry/_peer_relay.py
@@ -85,7 +85,7 @@
         """
         for address in self._candidates():
             try:
-                answer = await self._exchange(request, address)
+                answer, is_genuine = await self._exchange(request, address)
             except NotSentError as error:
                 self._drop(address)
                 request.reason = str(error)
@@ -94,7 +94,7 @@
                 self._drop(address)
                 raise OutcomeUnknownError(f"entry {address}: {error}") from error
             if answer.status != CANNOT_SERVE_STATUS:
-                return self._read_answer(request, address, answer)
+                return self._read_answer(request, address, answer, is_genuine)
             self._drop(address)
         if request.may_have_run:
             raise OutcomeUnknownError(request.reason)
@@ -116,7 +116,8 @@
             tried.add(address)
             yield address
 
-    async def _exchange(self, request: RoutedRequest, address: str) -> TargetAnswer:
+    async def _exchange(self, request: RoutedRequest, address: str) -> tuple[TargetAnswer, bool]:
+        """Return the other entry's answer and whether it is a result of a target."""
         now = asyncio.get_running_loop().time()
         remaining = request.remaining(now) - ANSWER_MARGIN_S
         request_bytes = request.encode(self.format.peer_headers(request.headers, remaining))
@@ -126,19 +127,21 @@
             answer = await self.pool.exchange(
                 address, request.method, request_bytes, is_idempotent=request.route.idempotent
             )
-            may_have_run = self.format.read_answer(answer.status, answer.headers).is_genuine
-            may_have_run = may_have_run or answer.status not in (*_REFUSED_STATUS_CODES, CANNOT_SERVE_STATUS)
+            is_genuine = self.format.read_answer(answer.status, answer.headers).is_genuine
+            may_have_run = is_genuine or answer.status not in (*_REFUSED_STATUS_CODES, CANNOT_SERVE_STATUS)
         except NotSentError:
             may_have_run = False
             raise
         finally:
             self.outstanding[address] -= 1
             request.record_attempt(address, may_have_run)
-        return answer
+        return answer, is_genuine
 
-    def _read_answer(self, request: RoutedRequest, address: str, answer: TargetAnswer) -> AttemptResult:
+    def _read_answer(
+        self, request: RoutedRequest, address: str, answer: TargetAnswer, is_genuine: bool
+    ) -> AttemptResult:
         request.reason = f"{answer.status} of entry {address}"
-        if self.format.read_answer(answer.status, answer.headers).is_genuine:
+        if is_genuine:
             return AttemptResult(answer, address)
         if answer.status in _REFUSED_STATUS_CODES and not request.may_have_run:
             raise RefusedError(request.reason, _retry_after(answer))
