Grant keys in the answers to announcements

Change: a service states how its targets get their keys. AnnouncedGranter builds the answers from the same ranges, fences, ledger and planner as the calls. The ledger counts a grant from the moment the answer is built, which is later than the sending of the announcement from which the target counts, so an answer that is lost, late or repeated cannot extend it. What an answer leaves out counts as held until it is reported as released or its lease is over. An owner whose range is releasing is published until an answer leaves it out; a new owner as soon as the answer has arrived, not an announcement later. The leader's measurements and the handover tokens became modules of their own. Ruled out: leases of 2.5 s, which two lost announcements outlast; a wait for the next announcement before entries learn the owner, 0.87 s more a move.

--- a/cranberrylever/keyspace/_leases.py
+++ b/cranberrylever/keyspace/_leases.py
@@ -53,11 +53,15 @@
         lease_s: Lifetime of a grant in seconds.
         now: Loop time in seconds at which this member became the leader.
         call_s: Longest time of a grant call; the leader before may have begun one until ``now``.
+        predecessor_lease_s: Longest lifetime of a grant of the leader before, ``None`` for ``lease_s``.
     """
 
-    def __init__(self, lease_s: float, now: float, call_s: float) -> None:
+    def __init__(
+        self, lease_s: float, now: float, call_s: float, predecessor_lease_s: float | None = None
+    ) -> None:
         self.lease_s = lease_s
-        self.predecessor_grants_until = self._latest_end(now + call_s)
+        longest_lease = max(lease_s, predecessor_lease_s or 0.0)
+        self.predecessor_grants_until = now + call_s + DELIVERY_MARGIN_S + longest_lease * CLOCK_DRIFT_FACTOR
         self.calls: dict[tuple[str, int], list[GrantCall]] = {}
 
     def begin(self, incarnation: tuple[str, int], first: int, last: int) -> GrantCall:
@@ -71,6 +75,22 @@
         call.answered = answered
         call.may_hold_until = now + self.lease_s * CLOCK_DRIFT_FACTOR if answered else self._latest_end(now)
 
+    def record_answer_grant(
+        self, incarnation: tuple[str, int], first: int, last: int, lease: float, now: float
+    ) -> None:
+        """Record a grant in the answer to a target's announcement, which was sent before ``now``.
+
+        Its ``lease`` seconds run from the sending of the announcement, however late the answer arrives.
+        """
+        call = self.begin(incarnation, first, last)
+        call.answered = True
+        call.may_hold_until = now + lease * CLOCK_DRIFT_FACTOR
+
+    def drop(self, incarnation: tuple[str, int], first: int, last: int) -> None:
+        """Record that a target holds none of the keys ``first`` to ``last`` any more by earlier grants."""
+        for call in self._overlapping(incarnation, first, last):
+            call.drop(first, last)
+
     def cancel(self, call: GrantCall) -> None:
         """Record that no byte of a call was sent, so that it grants nothing."""
         call.may_hold_until = float("-inf")
--- a/cranberrylever/route_control/_api.py
+++ b/cranberrylever/route_control/_api.py
@@ -20,6 +20,7 @@
     ProposalLostError,
     TicketError,
 )
+from cranberrylever.route_control._announced_grants import KeyReport
 from cranberrylever.route_control._service import RouteControlService
 from cranberrylever.route_plan import RoutePlan
 from cranberrylever.target_registry import TargetAnnouncement
@@ -84,6 +85,13 @@
     return Response(msgspec.json.encode(content), status, media_type="application/json")
 
 
+@attrs.frozen
+class _AnnouncedKeys:
+    """The keys in the body of an announcement."""
+
+    keys: KeyReport | None = None
+
+
 class _RouteApi(LeaderForwardingApi):
     """Plans, failure domains and announcements of targets under ``/v1``."""
 
@@ -130,8 +138,17 @@
                 "the target id in the body differs from the one in the path", "send the same id in both"
             )
         self._check_domain(announcement.failure_domain)
-        await self.service.announce(announcement)
-        return json_response({})
+        answer = await self.service.announce(announcement, self._key_report(body))
+        return json_response(answer if answer is not None else {})
+
+    @staticmethod
+    def _key_report(body: bytes) -> KeyReport | None:
+        """Return the keys that an announcement states in ``keys``, ``None`` without that field."""
+        report = _decode(body, _AnnouncedKeys, AnnouncementError).keys
+        error = report.find_error() if report is not None else ""
+        if error:
+            raise AnnouncementError(error, "state ranges of keys from 0 to 65535 with a fence from 0")
+        return report
 
     async def deregister(self, request: Request, body: bytes) -> Response:
         """Mark a target as leaving."""
--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -14,6 +14,7 @@
 from cranberrylever.route_control._sections import Section, is_same_fleet
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_control._suspects import SuspectTracker
+from cranberrylever.route_plan import RoutedService
 from cranberrylever.target_registry import RegisteredTarget
 from cranberrylever.wire import (
     UNKNOWN,
@@ -203,7 +204,7 @@
             state.fleet_version,
             state.ranges_version,
             self.leader.lease_manager.change_count,
-            self.leader.rate_limits.version,
+            self.leader.measurements.rate_limits.version,
         )
         if versions == self.source_versions and now < self.next_refresh_at:
             return
@@ -217,7 +218,6 @@
             self.ranges.update(ranges, term)
 
     def _fleet_view(self, now: float) -> FleetView:
-        leader = self.leader
         incarnations = {target.incarnation for target in self.state.fleet.targets.values()}
         self.published_speeds = {
             incarnation: speed
@@ -229,27 +229,32 @@
             for incarnation, busy in self.published_busy.items()
             if incarnation in incarnations
         }
-        targets = tuple(
-            RoutedTarget(
-                target.target_id,
-                target.started_ms,
-                target.service,
-                target.address,
-                target.failure_domain,
-                target.slots,
-                self.state.may_receive_work(target) and not leader.is_overdue(target, now),
-                leader.liveness.cold_for(target, now) if leader.liveness.has_announced(target) else UNKNOWN,
-                self._published_speed(target),
-                self._published_busy(target, now),
-                leader.rate_limits.published(target.incarnation),
-            )
-            for target in self.state.fleet.targets.values()
-        )
+        targets = tuple(self._routed_target(target, now) for target in self.state.fleet.targets.values())
         return FleetView(targets, max(1, len(self.state.entries)), self.suspects.blocked(now))
 
+    def _routed_target(self, target: RegisteredTarget, now: float) -> RoutedTarget:
+        measurements = self.leader.measurements
+        liveness = measurements.liveness
+        may_receive_work = self.state.may_receive_work(target)
+        is_overdue = measurements.is_overdue(target, now)
+        return RoutedTarget(
+            target.target_id,
+            target.started_ms,
+            target.service,
+            target.address,
+            target.failure_domain,
+            target.slots,
+            usable=may_receive_work and not is_overdue,
+            cold_for=liveness.cold_for(target, now) if liveness.has_announced(target) else UNKNOWN,
+            speed=self._published_speed(target),
+            busy=self._published_busy(target, now),
+            rate_limit=measurements.rate_limits.published(target.incarnation),
+            draining=not may_receive_work and not is_overdue,
+        )
+
     def _published_speed(self, target: RegisteredTarget) -> float:
         """Return the speed published last, or the current one when it differs enough."""
-        current = self.leader.speed(target)
+        current = self.leader.measurements.speed(target)
         published = self.published_speeds.get(target.incarnation, 1.0)
         if abs(current - published) > MIN_RELATIVE_SPEED_CHANGE * published:
             published = self.published_speeds[target.incarnation] = round(current, 2)
@@ -257,7 +262,7 @@
 
     def _published_busy(self, target: RegisteredTarget, now: float) -> float:
         """Return the concurrent requests published last, or the current ones when they differ enough."""
-        current = self.leader.busy(target, now)
+        current = self.leader.measurements.busy(target, now)
         if current is None:
             return UNKNOWN
         published = self.published_busy.get(target.incarnation, 0.0)
@@ -268,16 +273,16 @@
     def _ranges_view(self) -> RangesView:
         return RangesView(
             tuple(
-                ServiceRanges(name, self._published_ranges(table))
+                ServiceRanges(name, self._published_ranges(table, self.leader.service(name)))
                 for name, table in self.state.tables.items()
             )
         )
 
-    def _published_ranges(self, table: RangeTable) -> tuple[RangeView, ...]:
+    def _published_ranges(self, table: RangeTable, service: RoutedService | None) -> tuple[RangeView, ...]:
         """Return the ranges of one service; adjacent ranges of the same owner are joined."""
         published: list[RangeView] = []
         for item in table.ranges:
-            owner = self.leader.published_owner(item)
+            owner = self.leader.published_owner(item, service)
             if published and published[-1].owner == owner:
                 published[-1] = RangeView(published[-1].first, item.last, owner)
             else:
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -11,7 +11,6 @@
     FREE,
     HELD,
     RELEASING,
-    KeyLoads,
     KeyRange,
     PlanOwner,
     RangeEdit,
@@ -21,23 +20,23 @@
     plan_merges,
 )
 from cranberrylever.logs import Log
-from cranberrylever.route_control._busy import BusyTracker
+from cranberrylever.route_control._announced_grants import ANNOUNCED_LEASE_S, AnnouncedGranter
 from cranberrylever.route_control._commands import (
     EditRanges,
+    EndTarget,
     ForgetTarget,
     RecordEntry,
     RecordTarget,
     RouteControlCommand,
     command_codec,
 )
-from cranberrylever.route_control._lease_manager import LeaseManager
+from cranberrylever.route_control._lease_manager import LEASE_S, LeaseManager, range_key_of
+from cranberrylever.route_control._measurements import TargetMeasurements
 from cranberrylever.route_control._permits import PermitLedger
 from cranberrylever.route_control._range_log import log_edits, log_freed_ranges
-from cranberrylever.route_control._rate_limits import RateLimitRegistry
-from cranberrylever.route_control._speeds import SpeedTracker
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_plan import RoutedService
-from cranberrylever.target_registry import RegisteredTarget, TargetAnnouncement, TargetLiveness
+from cranberrylever.target_registry import RegisteredTarget, TargetAnnouncement
 from cranberrylever.wire import FeedReport, ObservedRateLimit
 
 STEP_INTERVAL_S = 0.05
@@ -62,12 +61,6 @@
 OVERDUE_ANNOUNCEMENT_INTERVALS = 3.0
 """Number of missed announcement intervals after which a target gets no new work."""
 
-EXPECTED_SERVICE_TIME_S = 0.1
-"""Assumed service time of a request; turns the request rate that a target accepts into a capacity."""
-
-MIN_CAPACITY = 0.05
-"""Lowest capacity of a target in seconds of work per second."""
-
 
 @attrs.define
 class _PendingEdits:
@@ -99,23 +92,27 @@
         super().__init__(driver, STEP_INTERVAL_S, log)
         self.state = state
         self.lease_manager = lease_manager
+        self.granter = AnnouncedGranter(lease_manager, log)
         self.overdue_after = OVERDUE_ANNOUNCEMENT_INTERVALS * notice_interval
         self._start_term(0.0)
 
     def _start_term(self, now: float) -> None:
-        self.liveness = TargetLiveness(now)
-        self.loads: dict[str, KeyLoads] = {}
-        self.speed_tracker = SpeedTracker()
+        self.measurements = TargetMeasurements(now, self.overdue_after)
         self.permits = PermitLedger(now)
-        self.rate_limits = RateLimitRegistry()
-        self.speeds: dict[tuple[str, int], float] = {}
-        self.busy_tracker = BusyTracker()
         self.pending_edits: dict[str, _PendingEdits] = {}
         self.next_plan_at = now
         self.first_owner_at: dict[str, float] = {}
         self.removal_proposed_at: dict[tuple[str, int], float] = {}
+        self.departure_proposed_at: dict[tuple[str, int], float] = {}
         self.first_fence_of_term = self.state.next_fence
-        self.lease_manager.start_term(now)
+        self.lease_manager.start_term(now, self._predecessor_lease())
+        self.granter.start_term(item for table in self.state.tables.values() for item in table.ranges)
+
+    def _predecessor_lease(self) -> float:
+        """Return the longest lifetime in seconds of a grant of the leader before."""
+        services = [self.service(name) for name in self.state.tables]
+        is_any_announced = any(service is None or service.granted_in_answers for service in services)
+        return max(LEASE_S, ANNOUNCED_LEASE_S if is_any_announced else 0.0)
 
     def on_applied(self, index: int, command: object, result: object) -> None:
         """Run the next step immediately after a change, and log the ranges that it freed without an edit."""
@@ -129,9 +126,9 @@
 
     def record_announcement(self, announcement: TargetAnnouncement) -> None:
         """Record when a target announced itself and how long it stays cold."""
-        if self.state.fleet.is_outdated(announcement):
+        if self.state.fleet.is_outdated(announcement) and not self.state.fleet.is_leaving(announcement):
             return
-        if self.liveness.record(announcement, asyncio.get_running_loop().time()):
+        if self.measurements.liveness.record(announcement, asyncio.get_running_loop().time()):
             self.log.info(
                 "target_warmth",
                 target=announcement.target_id,
@@ -145,20 +142,26 @@
         now = asyncio.get_running_loop().time()
         if report.entry_id not in self.state.entries:
             self.propose_in_background(RecordEntry(report.entry_id))
-        for service in report.work:
-            parts = ((item.part, item.seconds) for item in service.parts)
-            self.loads.setdefault(service.service, KeyLoads(now)).record(parts, now)
-        self.speed_tracker.inherit(report.speeds, now)
-        for measurement in report.paces:
-            self.speed_tracker.record(measurement, now)
-        for load in report.loads:
-            self.busy_tracker.record(load, now)
+        self.measurements.record(report, now)
+        for incarnation in report.leaving:
+            self._record_departure(tuple(incarnation), report.entry_id, now)
         for observed in report.rate_limits:
             self._record_rate_limit(observed, report.entry_id, now)
 
+    def _record_departure(self, incarnation: tuple[str, int], entry_id: str, now: float) -> None:
+        """Mark a target as leaving whose answers said so; announcements of it have no effect any more."""
+        target = self.state.fleet.targets.get(incarnation[0])
+        if target is None or target.incarnation != incarnation or target.leaving:
+            return
+        if now - self.departure_proposed_at.get(incarnation, -math.inf) < PROPOSAL_RETRY_INTERVAL_S:
+            return
+        self.departure_proposed_at[incarnation] = now
+        self.log.info("target_leaves", target=target.target_id, started_ms=target.started_ms, entry=entry_id)
+        self.propose_in_background(EndTarget(*incarnation))
+
     def _record_rate_limit(self, observed: ObservedRateLimit, entry_id: str, now: float) -> None:
         """Record a limit that a target stated; a change is sent to all entries at once."""
-        if self.rate_limits.record(observed, now):
+        if self.measurements.rate_limits.record(observed, now):
             self.log.info(
                 "target_rate_limit",
                 target=observed.target_id,
@@ -168,38 +171,23 @@
             )
             self.wake.set()
 
-    def is_overdue(self, target: RegisteredTarget, now: float) -> bool:
-        """Return whether a target's announcements are overdue."""
-        return self.liveness.seconds_since_announcement(target, now) > self.overdue_after
-
-    def published_owner(self, item: KeyRange) -> str:
+    def published_owner(self, item: KeyRange, service: RoutedService | None = None) -> str:
         """Return the target that entries send the requests of a range to, empty while there is none.
 
         An assignment of this term is published once its target has acknowledged it; those of earlier terms
-        are published at once, as their targets serve them already.
+        are published at once, as their targets serve them already. A target that gets its grants in answers
+        serves a range that is releasing until an answer leaves it out.
         """
-        if item.phase != HELD:
-            return ""
-        if item.fence >= self.first_fence_of_term and not self.lease_manager.is_granted(item):
-            return ""
-        target = self.state.fleet.targets.get(item.target_id)
+        is_announced = service is not None and service.granted_in_answers
+        if item.phase == RELEASING and is_announced:
+            is_published = not self.granter.is_ended(item) and self._is_granted(item)
+        else:
+            is_published = item.phase == HELD and self._is_granted(item)
+        target = self.state.fleet.targets.get(item.target_id) if is_published else None
         return item.target_id if target is not None and target.incarnation == item.incarnation else ""
 
-    def speed(self, target: RegisteredTarget) -> float:
-        """Return the relative speed of a target, as last measured; 1.0 is the average of its service."""
-        return self.speeds.get(target.incarnation, 1.0)
-
-    def busy(self, target: RegisteredTarget, now: float) -> float | None:
-        """Return the recent number of requests that run at once at a target, ``None`` if unknown."""
-        return self.busy_tracker.busy(target, self.speed(target), now)
-
-    def _update_speeds(self) -> None:
-        incarnations: dict[str, list[tuple[str, int]]] = {}
-        for target in self.state.fleet.targets.values():
-            incarnations.setdefault(target.service, []).append(target.incarnation)
-        self.speeds = {}
-        for service_incarnations in incarnations.values():
-            self.speeds.update(self.speed_tracker.speeds(service_incarnations))
+    def _is_granted(self, item: KeyRange) -> bool:
+        return item.fence < self.first_fence_of_term or self.lease_manager.is_granted(item)
 
     def step(self, now: float) -> None:
         """Propose edits, start the calls to targets that are due, and drop state that is no longer needed."""
@@ -210,24 +198,27 @@
         may_plan = now >= self.next_plan_at
         if may_plan:
             self.next_plan_at = now + PLAN_INTERVAL_S
-            self._update_speeds()
-            self.busy_tracker.clear_work()
+            self.measurements.update_speeds(self.state.fleet.targets.values())
+            self.measurements.busy_tracker.clear_work()
         targets = {target.incarnation: target for target in self.state.fleet.targets.values()}
         range_keys = set()
         for name, table in self.state.tables.items():
-            service = self._service(name)
+            service = self.service(name)
             if service is None:
                 continue
-            if may_plan and name in self.loads:
-                self.busy_tracker.add_work(table, self.loads[name])
+            if may_plan and name in self.measurements.loads:
+                self.measurements.busy_tracker.add_work(table, self.measurements.loads[name])
             self._propose_edits(service, table, targets, now, may_plan)
-            self.lease_manager.step(table.ranges, targets, service.health_path, now)
-            range_keys.update((item.incarnation, item.first, item.last, item.fence) for item in table.ranges)
+            if not service.granted_in_answers:
+                self.lease_manager.step(table.ranges, targets, service.health_path, now)
+            range_keys.update(map(range_key_of, table.ranges))
         if may_plan:
             self.lease_manager.drop_removed_ranges(range_keys, now)
+            self.granter.drop_removed_ranges(range_keys)
             self._clean_up(targets, now)
 
-    def _service(self, name: str) -> RoutedService | None:
+    def service(self, name: str) -> RoutedService | None:
+        """Return a service of the plan in force, ``None`` for another name."""
         plan = self.state.plans.current
         return plan.service(name) if plan is not None else None
 
@@ -246,7 +237,7 @@
         is_pending = pending_edits is not None and pending_edits.base_version == table.version
         if is_pending and now - pending_edits.proposed_at < PROPOSAL_RETRY_INTERVAL_S:
             return
-        edits = self._required_edits(table, targets, now)
+        edits = self._required_edits(service, table, targets, now)
         edits.extend(self._planned_edits(service, table, now, may_plan and not edits))
         if not edits and may_plan:
             edits = plan_merges(table.ranges, MAX_MERGES_PER_PROPOSAL)
@@ -258,7 +249,11 @@
         self.propose_in_background(EditRanges(service.name, table.version, tuple(edits)))
 
     def _required_edits(
-        self, table: RangeTable, targets: dict[tuple[str, int], RegisteredTarget], now: float
+        self,
+        service: RoutedService,
+        table: RangeTable,
+        targets: dict[tuple[str, int], RegisteredTarget],
+        now: float,
     ) -> list[RangeEdit]:
         """Return edits that do not depend on load: releases, freed ranges and new fences for refused ones."""
         edits = []
@@ -266,18 +261,21 @@
             target = targets.get(item.incarnation)
             if item.phase == FREE:
                 continue
-            is_lost = target is None or self.lease_manager.is_unreachable(item.incarnation)
+            is_lost = target is None or self._is_lost(target, service, now)
             if (item.phase == RELEASING or is_lost) and self.lease_manager.is_released(item, now):
                 edits.append(RangeEdit(item.first, item.last, FREE))
             elif item.phase == HELD and target is not None and not self.state.may_receive_work(target):
                 edits.append(RangeEdit(item.first, item.last, RELEASING))
-            elif (
-                item.phase == HELD
-                and (item.incarnation, item.first, item.last, item.fence) in self.lease_manager.refused_ranges
-            ):
+            elif item.phase == HELD and range_key_of(item) in self.lease_manager.refused_ranges:
                 edits.append(RangeEdit(item.first, item.last, HELD, *item.incarnation))
         return edits
 
+    def _is_lost(self, target: RegisteredTarget, service: RoutedService, now: float) -> bool:
+        """Return whether a target gets no grants at present."""
+        if service.granted_in_answers:
+            return self.measurements.is_overdue(target, now)
+        return self.lease_manager.is_unreachable(target.incarnation)
+
     def _planned_edits(
         self, service: RoutedService, table: RangeTable, now: float, may_balance: bool
     ) -> list[RangeEdit]:
@@ -289,7 +287,7 @@
         free = [item for item in table.ranges if item.phase == FREE]
         if not free and not may_balance:
             return []
-        load = self.loads.setdefault(service.name, KeyLoads(now))
+        load = self.measurements.loads_of(service.name, now)
         load.advance(now)
         owners = self._owners(service, load.total(), now)
         if not owners or not self._is_initial_delay_over(service.name, table, now):
@@ -343,40 +341,31 @@
             for target in self.state.fleet.targets.values()
             if target.service == service.name
             and self.state.may_receive_work(target)
-            and not self.is_overdue(target, now)
+            and not self.measurements.is_overdue(target, now)
             and not self.lease_manager.is_unreachable(target.incarnation)
         ]
-        capacities = {target.incarnation: self._capacity(target, service, now) for target in targets}
+        capacities = {
+            target.incarnation: self.measurements.capacity(target, service, now) for target in targets
+        }
         utilization = work / max(sum(capacities.values()), 0.001)
         return [
             PlanOwner(
                 target.incarnation,
                 capacities[target.incarnation],
-                fair_weight(capacities[target.incarnation], self.speed(target), utilization),
+                fair_weight(capacities[target.incarnation], self.measurements.speed(target), utilization),
             )
             for target in targets
         ]
 
-    def _capacity(self, target: RegisteredTarget, service: RoutedService, now: float) -> float:
-        """Return the capacity of a target in seconds of work per second.
-
-        It is reduced while the target is cold or limits its rate.
-        """
-        capacity = target.slots * self.speed(target)
-        if self.liveness.cold_for(target, now) > 0:
-            capacity = min(capacity / 2, service.cold_rate * EXPECTED_SERVICE_TIME_S)
-        rate_limit = self.rate_limits.rate(target.incarnation)
-        return max(MIN_CAPACITY, min(capacity, rate_limit * EXPECTED_SERVICE_TIME_S))
-
     # Targets -------------------------------------------------------------------------------------
 
     def _clean_up(self, targets: dict[tuple[str, int], RegisteredTarget], now: float) -> None:
         """Drop measurements of removed targets, and propose to remove lost targets that hold no keys."""
-        self.liveness.keep_only(set(targets))
-        self.speed_tracker.keep_only(set(targets))
-        self.busy_tracker.keep_only(set(targets))
+        self.measurements.keep_only(set(targets))
         self.permits.keep_only(set(targets))
-        self.rate_limits.keep_only(set(targets))
+        self.departure_proposed_at = {
+            key: proposed_at for key, proposed_at in self.departure_proposed_at.items() if key in targets
+        }
         holders = {
             item.incarnation
             for table in self.state.tables.values()
@@ -384,7 +373,8 @@
             if item.phase != FREE
         }
         for incarnation, target in targets.items():
-            is_expired = self.liveness.seconds_since_announcement(target, now) > TARGET_REMOVAL_DELAY_S
+            silence = self.measurements.liveness.seconds_since_announcement(target, now)
+            is_expired = silence > TARGET_REMOVAL_DELAY_S
             if (
                 is_expired
                 and incarnation not in holders
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -9,6 +9,7 @@
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
 from cranberrylever.route_control._grant_client import GRANT_TIMEOUT_S, GrantAnswer, GrantClient, KeyGrant
+from cranberrylever.route_control._handover import HandoverTokens
 from cranberrylever.target_registry import RegisteredTarget
 
 LEASE_S = 2.5
@@ -27,8 +28,6 @@
 """Failed grants in a row after which a target counts as unreachable until a grant or a probe succeeds."""
 
 PROBE_INTERVAL_S = 1.0
-TOKEN_LIFETIME_S = 4.0
-"""Seconds for which a handover token is kept for the next assignment of its keys."""
 
 Incarnation = tuple[str, int]
 RangeKey = tuple[Incarnation, int, int, int]
@@ -43,16 +42,6 @@
     is_running: bool = False
 
 
-@attrs.frozen
-class _HandoverToken:
-    """Token with which a target released keys, at loop time ``released_at``."""
-
-    first: int
-    last: int
-    text: str
-    released_at: float
-
-
 @attrs.define
 class _ReleaseState:
     """Progress of the release of one range."""
@@ -94,15 +83,19 @@
         self.change_count = 0
         self.start_term(0.0)
 
-    def start_term(self, now: float) -> None:
+    def start_term(self, now: float, predecessor_lease: float = LEASE_S) -> None:
         """Reset all state for a new term.
 
         The calls of the leader before are unknown, so all keys count as held for one lease.
+
+        Args:
+            now: Loop time.
+            predecessor_lease: Longest lifetime in seconds of a grant of the leader before.
         """
-        self.ledger = LeaseLedger(LEASE_S, now, GRANT_TIMEOUT_S)
+        self.ledger = LeaseLedger(LEASE_S, now, GRANT_TIMEOUT_S, predecessor_lease)
         self.renewals: dict[RangeKey, _RenewalState] = {}
         self.releases: dict[RangeKey, _ReleaseState] = {}
-        self.tokens: list[_HandoverToken] = []
+        self.tokens = HandoverTokens()
         self.granted_fences: set[int] = set()
         self.consecutive_failures: dict[Incarnation, int] = {}
         self.next_probe_at: dict[Incarnation, float] = {}
@@ -181,17 +174,17 @@
         }
         self.refused_ranges &= range_keys
         self.granted_fences &= {range_key[3] for range_key in range_keys}
-        self.tokens = [token for token in self.tokens if now < token.released_at + TOKEN_LIFETIME_S]
+        self.tokens.expire(now)
 
     def _renew(self, item: KeyRange, target: RegisteredTarget, now: float) -> None:
-        range_key = _range_key(item)
+        range_key = range_key_of(item)
         renewal = self.renewals.setdefault(range_key, _RenewalState())
         if renewal.is_running or now < renewal.due_at or range_key in self.refused_ranges:
             return
         renewal.is_running = True
         self.addresses[item.incarnation] = target.address
         call = self.ledger.begin(item.incarnation, item.first, item.last)
-        token = "" if item.fence in self.granted_fences else self._handover_token(item)
+        token = "" if item.fence in self.granted_fences else self.tokens.find(item.first, item.last)
         grant = KeyGrant(item.first, item.last, item.fence, LEASE_S, token)
         self._start_task(self._send_grant(range_key, target, grant, renewal, call))
 
@@ -229,7 +222,7 @@
                 answer=answer.value,
                 failures=self.consecutive_failures.get(range_key[0], 0),
             )
-            self._notify_change()
+            self.notify_change()
 
     def _record_answer(
         self,
@@ -244,16 +237,7 @@
         if answer is GrantAnswer.GRANTED:
             ledger.finish(call, now, answered=True)
             self.consecutive_failures.pop(incarnation, None)
-            if range_key[3] not in self.granted_fences:
-                self.granted_fences.add(range_key[3])
-                self.log.info(
-                    "keys_granted",
-                    target=incarnation[0],
-                    first=range_key[1],
-                    last=range_key[2],
-                    fence=range_key[3],
-                )
-                self._notify_change()
+            self.mark_granted(range_key)
             renewal.due_at = now + RENEW_INTERVAL_S
             return
         renewal.due_at = now + RETRY_INTERVAL_S
@@ -268,7 +252,7 @@
         self.consecutive_failures[incarnation] = self.consecutive_failures.get(incarnation, 0) + 1
 
     def _release(self, item: KeyRange, target: RegisteredTarget, now: float) -> None:
-        release = self.releases.setdefault(_range_key(item), _ReleaseState(retry_at=now + RELEASE_DELAY_S))
+        release = self.releases.setdefault(range_key_of(item), _ReleaseState(retry_at=now + RELEASE_DELAY_S))
         if release.is_running or release.is_confirmed or now < release.retry_at:
             return
         # A renewal that arrives after the release would grant the keys to the target again.
@@ -291,17 +275,8 @@
         release.is_confirmed = True
         for call in revoked:
             call.drop(item.first, item.last)
-        if token:
-            released_at = asyncio.get_running_loop().time()
-            self.tokens.append(_HandoverToken(item.first, item.last, token, released_at))
-        self._notify_change()
-
-    def _handover_token(self, item: KeyRange) -> str:
-        """Return the handover token for the keys of a new assignment, empty when there is none."""
-        for token in reversed(self.tokens):
-            if token.first <= item.first and item.last <= token.last:
-                return token.text
-        return ""
+        self.tokens.add(item.first, item.last, token, asyncio.get_running_loop().time())
+        self.notify_change()
 
     def _probe(self, target: RegisteredTarget, health_path: str, now: float) -> None:
         if now < self.next_probe_at.get(target.incarnation, 0.0):
@@ -313,9 +288,18 @@
         answered_by = await self.grant_client.probe(target.address, health_path)
         if answered_by == target.target_id and self.consecutive_failures.pop(target.incarnation, 0):
             self.log.info("target_answers_again", target=target.target_id)
-            self._notify_change()
+            self.notify_change()
+
+    def mark_granted(self, range_key: RangeKey) -> None:
+        """Record that a target holds a range under its present fence, so that entries may use it."""
+        (target_id, _), first, last, fence = range_key
+        if fence in self.granted_fences:
+            return
+        self.granted_fences.add(fence)
+        self.log.info("keys_granted", target=target_id, first=first, last=last, fence=fence)
+        self.notify_change()
 
-    def _notify_change(self) -> None:
+    def notify_change(self) -> None:
         """Run the leader's next step immediately; a renewal that changes nothing does not call this."""
         self.change_count += 1
         self.wake()
@@ -332,5 +316,6 @@
             self.log.failure("order_failed", error)
 
 
-def _range_key(item: KeyRange) -> RangeKey:
+def range_key_of(item: KeyRange) -> RangeKey:
+    """Return what identifies the assignment of a range."""
     return item.incarnation, item.first, item.last, item.fence
--- a/cranberrylever/route_control/_metrics.py
+++ b/cranberrylever/route_control/_metrics.py
@@ -49,13 +49,19 @@
         targets = self.state.fleet.targets.values()
         self.metrics.gauge("targets", len(targets))
         self.metrics.gauge("targets_leaving", sum(target.leaving for target in targets))
-        self.metrics.gauge("targets_silent", sum(self.leader.is_overdue(target, now) for target in targets))
         self.metrics.gauge(
-            "targets_cold", sum(self.leader.liveness.cold_for(target, now) > 0 for target in targets)
+            "targets_silent", sum(self.leader.measurements.is_overdue(target, now) for target in targets)
+        )
+        self.metrics.gauge(
+            "targets_cold",
+            sum(self.leader.measurements.liveness.cold_for(target, now) > 0 for target in targets),
         )
         self.metrics.gauge(
             "targets_rate_limited",
-            sum(math.isfinite(self.leader.rate_limits.rate(target.incarnation)) for target in targets),
+            sum(
+                math.isfinite(self.leader.measurements.rate_limits.rate(target.incarnation))
+                for target in targets
+            ),
         )
         phases = Counter(item.phase for table in self.state.tables.values() for item in table.ranges)
         for phase in (HELD, RELEASING, FREE):
--- a/cranberrylever/route_control/_sections.py
+++ b/cranberrylever/route_control/_sections.py
@@ -84,6 +84,7 @@
         target.speed,
         target.busy,
         target.rate_limit,
+        target.draining,
     )
 
 
--- a/cranberrylever/route_control/_service.py
+++ b/cranberrylever/route_control/_service.py
@@ -7,6 +7,7 @@
 from cranberrylever.errors import NotLeaderError
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
+from cranberrylever.route_control._announced_grants import AnsweredGrants, KeyReport
 from cranberrylever.route_control._commands import (
     EndTarget,
     RecordTarget,
@@ -15,6 +16,7 @@
     SubmitPlan,
 )
 from cranberrylever.route_control._leader import RouteControlLeader
+from cranberrylever.route_control._lease_manager import RELEASE_DELAY_S
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_plan import PlanOutcome, RoutePlan
 from cranberrylever.target_registry import TargetAnnouncement
@@ -28,8 +30,18 @@
     """
 
     @abc.abstractmethod
-    async def announce(self, announcement: TargetAnnouncement) -> None:
-        """Record an announcement of a target; a change in it is committed once this returns."""
+    async def announce(
+        self, announcement: TargetAnnouncement, report: KeyReport | None = None
+    ) -> AnsweredGrants | None:
+        """Record an announcement of a target; a change in it is committed once this returns.
+
+        Args:
+            announcement: State of the target.
+            report: Keys that it holds and has released, ``None`` when it states none.
+
+        Returns:
+            The keys that the target is to hold, ``None`` when the answer changes nothing about them.
+        """
 
     @abc.abstractmethod
     async def deregister(self, target_id: str, started_ms: int | None) -> None:
@@ -73,11 +85,13 @@
         self.metrics = metrics
         self.log = log
 
-    async def announce(self, announcement: TargetAnnouncement) -> None:
+    async def announce(
+        self, announcement: TargetAnnouncement, report: KeyReport | None = None
+    ) -> AnsweredGrants | None:
         """Record an announcement; one without changes is not written to the replicated log."""
         self._check_leader()
         self.metrics.count("notices")
-        is_latest = self.leader.liveness.is_latest(announcement)
+        is_latest = self.leader.measurements.liveness.is_latest(announcement)
         self.leader.record_announcement(announcement)
         if is_latest and self.state.fleet.would_change(announcement):
             self.log.info(
@@ -90,6 +104,34 @@
                 sequence=announcement.sequence,
             )
             await self._commit(RecordTarget(announcement))
+        if report is None or not is_latest:
+            return None
+        return await self._answer_key_report(announcement, report)
+
+    async def _answer_key_report(
+        self, announcement: TargetAnnouncement, report: KeyReport
+    ) -> AnsweredGrants | None:
+        """Record the keys that a target states, and return those that it is to hold.
+
+        A target that is not registered, has sent a later announcement since or gets its keys by calls is
+        told nothing.
+        """
+        leader = self.leader
+        target = self.state.fleet.targets.get(announcement.target_id)
+        service = leader.service(announcement.service)
+        table = self.state.tables.get(announcement.service)
+        if target is None or target.started_ms != announcement.started_ms:
+            return None
+        if service is None or not service.granted_in_answers or table is None:
+            return None
+        loop = asyncio.get_running_loop()
+        leader.granter.record_report(table.ranges, target, report, loop.time())
+        if leader.granter.end_releasing(table.ranges, target):
+            await asyncio.sleep(RELEASE_DELAY_S)
+        self._check_leader()
+        if not leader.measurements.liveness.is_latest(announcement):
+            return None
+        return leader.granter.build_answer(table.ranges, target, report, loop.time())
 
     async def deregister(self, target_id: str, started_ms: int | None) -> None:
         """Mark a target as leaving."""
--- a/cranberrylever/route_plan/_plan.py
+++ b/cranberrylever/route_plan/_plan.py
@@ -37,7 +37,8 @@
 
     During its cold start of ``cold_time`` seconds a target can handle ``cold_rate`` requests per second.
     ``takeover_time`` is the time in seconds for which keys are slow at a new owner that has not received the
-    state of the previous one.
+    state of the previous one. With ``granted_in_answers`` a target gets its keys in the answers to its
+    announcements, otherwise by calls to it.
     """
 
     name: str
@@ -47,6 +48,7 @@
     cold_time: float
     cold_rate: float
     takeover_time: float
+    granted_in_answers: bool = False
 
 
 @attrs.frozen
--- a/cranberrylever/target_registry/_registry.py
+++ b/cranberrylever/target_registry/_registry.py
@@ -76,6 +76,11 @@
             and address_holder.started_ms > announcement.started_ms
         )
 
+    def is_leaving(self, announcement: TargetAnnouncement) -> bool:
+        """Return whether an announcement comes from a registered incarnation that leaves."""
+        known = self.targets.get(announcement.target_id)
+        return known is not None and known.started_ms == announcement.started_ms and known.leaving
+
     def would_change(self, announcement: TargetAnnouncement) -> bool:
         """Return whether an announcement would change the registry."""
         if self.is_outdated(announcement):
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -121,7 +121,8 @@
     ``paces`` are service times and ``wishes`` permit requests. ``speeds`` is set in the first report on a
     stream, for a leader that has not measured any yet. ``loads`` are those of targets of pooled services and
     ``rate_limits`` those that targets stated. ``peer_address`` is where the entry takes requests of other
-    entries, empty while it takes none, and ``wants_peers`` asks for entries that take its own.
+    entries, empty while it takes none, and ``wants_peers`` asks for entries that take its own. ``leaving``
+    are the ids and start times of targets whose answers said that they leave.
     """
 
     cluster_id: str
@@ -139,6 +140,7 @@
     rate_limits: tuple[ObservedRateLimit, ...] = ()
     peer_address: str = ""
     wants_peers: bool = False
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 UNKNOWN = -1.0
@@ -153,7 +155,8 @@
     sent, in seconds. ``speed`` is relative; 1.0 is the average of the service. ``busy`` is the recent mean
     number of requests that run there at once, for a pooled service with those queued. ``rate_limit`` is the
     number of requests per second that it accepts from all entries together, infinite without a limit.
-    ``cold_for``, ``busy`` and ``rate_limit`` may be ``UNKNOWN``.
+    ``cold_for``, ``busy`` and ``rate_limit`` may be ``UNKNOWN``. ``draining`` is set while it leaves, or
+    its failure domain is withdrawn, and it may still serve the keys that it owns; it is not usable then.
     """
 
     target_id: str
@@ -167,6 +170,7 @@
     speed: float
     busy: float = UNKNOWN
     rate_limit: float = UNKNOWN
+    draining: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -12,10 +12,12 @@
 
     ``born`` is its start time in Unix milliseconds, ``work`` the duration of each request in seconds.
     ``heartbeat`` returns the body of its next heartbeat. ``rate_limit`` is the limit that its
-    answers name and ``arrivals`` are the loop times of all requests.
+    answers name and ``arrivals`` are the loop times of all requests. ``leaving`` and ``retry_after`` are
+    what its answers say; with the latter it refuses all requests. With ``gets_keys_in_replies`` its
+    heartbeats list its keys, ``read_reply`` applies the replies, and it takes no calls about keys.
     """
 
-    def __init__(self, target_id, service, zone, born, sharded=True, work=0.005):
+    def __init__(self, target_id, service, zone, born, sharded=True, work=0.005, gets_keys_in_replies=False):
         self.target_id = target_id
         self.service = service
         self.zone = zone
@@ -28,6 +30,11 @@
         self.ran = []
         self.refused = 0
         self.rate_limit = ""
+        self.leaving = False
+        self.retry_after = ""
+        self.gets_keys_in_replies = gets_keys_in_replies
+        self.freed = []
+        self.calls = 0
         self.arrivals = []
         self.writers = set()
 
@@ -53,8 +60,27 @@
             "seq": self.seq,
             "born": self.born,
         }
+        if self.gets_keys_in_replies:
+            body["holds"] = [[hold["from"], hold["target"], hold["fence"]] for hold in self._valid_holds()]
+            body["freed"] = self.freed
         return {**body, **changes}
 
+    def _valid_holds(self):
+        now = asyncio.get_running_loop().time()
+        return [hold for hold in self.holds if now < hold["until"]]
+
+    def read_reply(self, reply, sent_at):
+        """Hold what the reply to a heartbeat lists from its sending, and free all other keys."""
+        if "holds" not in reply:
+            return
+        before, self.holds, self.freed = self._valid_holds(), [], []
+        for first, last, fence, _ in reply["holds"]:
+            until = sent_at + reply["hold_s"]
+            self.holds.append({"from": first, "target": last, "fence": fence, "until": until})
+        for hold in before:
+            if not any(new["from"] <= hold["from"] <= new["target"] for new in self.holds):
+                self.freed.append([hold["from"], hold["target"], "0123456789abcdef"])
+
     def holds_key(self, key):
         now = asyncio.get_running_loop().time()
         return any(hold["from"] <= key <= hold["target"] and now < hold["until"] for hold in self.holds)
@@ -82,6 +108,8 @@
             writer.close()
 
     async def _answer(self, method, path, headers, body):
+        if path in ("/grant", "/release"):
+            self.calls += 1
         if path == "/grant":
             return self._grant(json.loads(body))
         if path == "/release":
@@ -92,6 +120,8 @@
         echo = {"Cranberrylever-Request-Id": request_id, "Cranberrylever-Upstream-Load": "1,0,3,100"}
         if self.rate_limit:
             echo["Server-Limit"] = self.rate_limit
+        if self.leaving:
+            echo["Server-Leaving"] = "1"
         self.arrivals.append(asyncio.get_running_loop().time())
         if headers.get("cranberrylever-target-instance") != self.target_id:
             self.refused += 1
@@ -99,6 +129,9 @@
         if self.sharded and not self.holds_key(int(headers["cranberrylever-shard-key"])):
             self.refused += 1
             return 421, {**echo, "Cranberrylever-Not-Executed": "1"}, b""
+        if self.retry_after:
+            self.refused += 1
+            return 503, {**echo, "Cranberrylever-Not-Executed": "1", "Retry-After": self.retry_after}, b""
         self.ran.append((request_id, method, path, body))
         await asyncio.sleep(self.work)
         return 200, {**echo, "Cranberrylever-Upstream-Signature": f"sig-{self.target_id}"}, b"ran " + body
@@ -154,7 +187,7 @@
         self.pool.close()
 
 
-def configuration(version, ledger, desk, host="h.example"):
+def configuration(version, ledger, desk, host="h.example", grants="rpc"):
     """Return a configuration with a keyed and a pooled service."""
 
     def service(name, **changes):
@@ -185,7 +218,7 @@
     return {
         "version": f"r{version}",
         "routes": [route("a", "/ledger/", "safe", ledger), route("b", "/desk/", "unsafe", desk)],
-        "services": [service(ledger, sharded=True, warm_s=2.0, grants="rpc"), service(desk)],
+        "services": [service(ledger, sharded=True, warm_s=2.0, grants=grants), service(desk)],
         "limits": {
             "max_header_bytes": 16384,
             "max_body_bytes": 67108864,
--- a/tests/platform/running_system.py
+++ b/tests/platform/running_system.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import json
 import tempfile
 
 from bench.processes import free_address
@@ -23,8 +24,9 @@
     ``entry`` is the address of the first of ``entries``.
     """
 
-    def __init__(self, entry_count=1):
+    def __init__(self, entry_count=1, grants="rpc"):
         self.entry_count = entry_count
+        self.grants = grants
 
     async def __aenter__(self):
         self.folder = tempfile.TemporaryDirectory()
@@ -90,11 +92,18 @@
         for number, (service, zone) in enumerate(
             [("ledger", "puget"), ("ledger", "olympic"), ("desk", "puget"), ("desk", "olympic")]
         ):
-            target = FakeTarget(f"i-{number}", service, zone, 1_000 + number, service == "ledger")
+            target = FakeTarget(
+                f"i-{number}",
+                service,
+                zone,
+                1_000 + number,
+                service == "ledger",
+                gets_keys_in_replies=self.grants == "heartbeat" and service == "ledger",
+            )
             await target.start()
             self.targets.append(target)
         self.heartbeats = asyncio.get_running_loop().create_task(self._send_heartbeats())
-        await self.until(self.put, configuration(3, "ledger", "desk"), 0)
+        await self.until(self.put, configuration(3, "ledger", "desk", grants=self.grants), 0)
         await self.until(self.is_served)
 
     async def until(self, attempt, *arguments, seconds=8.0):
@@ -127,7 +136,11 @@
 
     async def send_heartbeat(self, target, **changes):
         path = f"/Instances.Heartbeat/{target.target_id}"
-        return (await self.caller.call(self.control, "POST", path, target.heartbeat(**changes))).status
+        sent_at = asyncio.get_running_loop().time()
+        answer = await self.caller.call(self.control, "POST", path, target.heartbeat(**changes))
+        if target.gets_keys_in_replies and answer.status == 200:
+            target.read_reply(json.loads(answer.body), sent_at)
+        return answer.status
 
     async def _send_heartbeats(self):
         while True:
