Follow what targets say about leaving and pauses in their answers

Cause: a target that leaves says so in each answer, and one that is unavailable says for how long it wants no request. Entries read neither. Change: an entry sends a target that leaves nothing that another one can serve from the first such answer on, and its keys for at most 1 s more. Only a new incarnation ends the mark. A pause binds the entry that was told; callers are refused at once with its end. Dates and unreadable values state no pause. Ruled out: an end of the mark by time; a new command in the replicated log.

--- a/bench/experiments/pool.py
+++ b/bench/experiments/pool.py
@@ -211,7 +211,7 @@
             FAILURE_DOMAIN,
             Log("entry", "e", "error"),
         )
-        dispatcher.chooser.rng = random.Random(self.rng.random())
+        dispatcher.selector.chooser.rng = random.Random(self.rng.random())
         return dispatcher
 
     async def run(self) -> dict[int, PoolResult]:
--- a/cranberrylever/route_entry/__init__.py
+++ b/cranberrylever/route_entry/__init__.py
@@ -8,6 +8,7 @@
     Headers,
     LoadSample,
     parse_rate,
+    read_rest_time,
 )
 from cranberrylever.route_entry._program import (
     RouteEntryProgram,
@@ -26,4 +27,5 @@
     "RouteEntryTuning",
     "create_route_entry",
     "parse_rate",
+    "read_rest_time",
 ]
--- a/cranberrylever/route_entry/_default_format.py
+++ b/cranberrylever/route_entry/_default_format.py
@@ -7,11 +7,14 @@
     LoadSample,
     parse_decimal,
     parse_rate,
+    read_rest_time,
 )
 
 OUTCOME = b"cranberrylever-outcome"
 LOAD = b"cranberrylever-load"
 RATE_LIMIT = b"cranberrylever-rate-limit"
+LEAVING = b"cranberrylever-leaving"
+RETRY_AFTER = b"retry-after"
 NOT_RUN = b"not-run"
 DONE = b"done"
 
@@ -35,6 +38,8 @@
             outcome == DONE,
             _read_load(values.get(LOAD)),
             parse_rate(values.get(RATE_LIMIT)),
+            values.get(LEAVING) == b"1",
+            read_rest_time(status, values.get(RETRY_AFTER)),
         )
 
 
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -1,10 +1,11 @@
-"""Dispatch of requests: chooses targets, waits for key owners and permits, retries within the budget."""
+"""Dispatch of requests: sends them to the targets that are selected, and retries within the budget."""
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from cranberrylever.logs import Log
-from cranberrylever.route_entry._admission import MIN_RETRY_AFTER_S, AdmissionRequest, Verdict, admit
+from cranberrylever.route_entry._admission import MIN_RETRY_AFTER_S
 from cranberrylever.route_entry._choice import PooledChooser
 from cranberrylever.route_entry._dispatch_state import DispatchState
 from cranberrylever.route_entry._estimates import ServiceTimeEstimator
@@ -18,22 +19,12 @@
     OutcomeUnknownError,
     RefusedError,
     RoutedRequest,
+    raise_failure,
 )
+from cranberrylever.route_entry._selection import MIN_OWNER_RETRY_AFTER_S, TargetSelector
 from cranberrylever.route_entry._view import EntryView, TargetState
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetAnswer, TargetPool
 
-MAX_OWNER_WAIT_S = 0.6
-"""Longest time that a request waits for a target to serve its key; a planned move takes less."""
-
-OWNER_RECOVERY_TIME_S = 3.5
-"""Time within which the keys of a lost target get another owner: its lease and the steps after it."""
-
-MIN_OWNER_RETRY_AFTER_S = 0.2
-"""Shortest delay after which a caller may retry a request whose key no target serves."""
-
-MAX_WAIT_SHARE = 0.5
-"""Limit on the wait for an owner or a permit, as a share of the request's remaining time."""
-
 EXTRA_SENDS = 1
 """Sends beyond a route's attempts that a request may use when targets did not run it."""
 
@@ -46,12 +37,6 @@
 NEWER_VIEW_WAIT_S = 0.1
 """Time that a request waits for a newer view after a target has answered that it does not hold the key."""
 
-MAX_PERMIT_WAIT_S = 0.3
-"""Longest time that a request waits for a permit."""
-
-PERMIT_CHECK_INTERVAL_S = 0.01
-"""Shortest time between two checks of a waiting request for a permit."""
-
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
 
@@ -68,6 +53,7 @@
         failure_domain: Failure domain of this entry; targets in it are slightly preferred.
         log: Program log.
         relay: Sends requests to other entries while this one reaches no target.
+        request_report: Called when control should learn something at once.
     """
 
     def __init__(
@@ -80,6 +66,7 @@
         failure_domain: str,
         log: Log,
         relay: PeerRelay | None = None,
+        request_report: Callable[[], None] = lambda: None,
     ) -> None:
         self.view = view
         self.pool = pool
@@ -88,10 +75,12 @@
         self.permits = permits
         self.log = log
         self.relay = relay
+        self.request_report = request_report
         self.service_times = ServiceTimeEstimator()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answered = AnsweredRequests()
-        self.chooser = PooledChooser(failure_domain, permits, random.Random())
+        chooser = PooledChooser(failure_domain, permits, random.Random())
+        self.selector = TargetSelector(view, permits, chooser, self.service_times)
 
     async def run(self, request: RoutedRequest) -> AttemptResult:
         """Send a request to targets until one answers it.
@@ -112,7 +101,7 @@
             raise RefusedError("identical requests have crashed targets", request.route.timeout)
         state = DispatchState()
         while True:
-            target = await self._wait_for_admission(request, state)
+            target = await self.selector.select(request, state)
             try:
                 result = await self._send(request, target)
             except NotSentError as error:
@@ -132,82 +121,6 @@
     def _needs_relay(self, request: RoutedRequest) -> bool:
         return self.relay is not None and self.relay.is_needed(request)
 
-    # Choice of the target ------------------------------------------------------------------------
-
-    async def _wait_for_admission(self, request: RoutedRequest, state: DispatchState) -> TargetState:
-        """Return the target to which the request is sent now.
-
-        Raises:
-            RefusedError: No target is available in time, and no earlier attempt has run.
-            OutcomeUnknownError: No target is available in time, and an earlier attempt may have run.
-        """
-        while True:
-            target = await self._choose_target(request, state)
-            now = self._now()
-            service_time = self.service_times.expected(request.route.name)
-            estimate = target.estimate.dispatch_estimate(service_time, now)
-            request.estimate = estimate
-            admission_request = AdmissionRequest(
-                request.route.priority,
-                request.route.objective,
-                request.remaining(now),
-                estimate.queue_time,
-                estimate.completion_time,
-                self.permits.delay(target, now),
-                self.permits.reason(target),
-                request.is_caller_retry,
-            )
-            decision = admit(admission_request)
-            if decision.verdict is Verdict.REFUSE:
-                self._raise_failure(request, f"{decision.reason} ({target.info.target_id})", decision.delay)
-            if decision.verdict is Verdict.SEND and self.permits.try_acquire(target, now):
-                return target
-            await self._wait_for_permit(request, target, decision.delay, state)
-
-    async def _choose_target(self, request: RoutedRequest, state: DispatchState) -> TargetState:
-        if request.key is not None:
-            return await self._wait_for_owner(request)
-        now = self._now()
-        candidates = self.view.usable_targets(request.service.name)
-        untried = [target for target in candidates if target.info.target_id not in state.excluded_targets]
-        if not (untried or candidates):
-            self._raise_failure(request, "the service has no usable target", 0.5)
-        if state.permit_target in untried and self.permits.delay(state.permit_target, now) == 0.0:
-            # A permit that came for this request would expire unused if it went elsewhere.
-            return state.permit_target
-        service_time = self.service_times.expected(request.route.name)
-        return self.chooser.choose(untried or candidates, self.view.entries, service_time, now)
-
-    async def _wait_for_owner(self, request: RoutedRequest) -> TargetState:
-        """Return the owner of the request's key; wait briefly while the key moves."""
-        now = self._now()
-        max_wait = min(MAX_OWNER_WAIT_S, MAX_WAIT_SHARE * request.remaining(now))
-        while True:
-            target = self.view.owner(request.service.name, request.key)
-            if target is not None:
-                return target
-            unserved_since = self.view.unserved_since(request.service.name, request.key)
-            wait_until = min(now + max_wait, unserved_since + MAX_OWNER_WAIT_S)
-            current_time = self._now()
-            if current_time >= wait_until:
-                recovery_time = unserved_since + OWNER_RECOVERY_TIME_S - current_time
-                retry_after = max(MIN_OWNER_RETRY_AFTER_S, recovery_time)
-                self._raise_failure(request, "no target serves the key at present", retry_after)
-            await self.view.wait_for_change(wait_until - current_time)
-
-    async def _wait_for_permit(
-        self, request: RoutedRequest, target: TargetState, delay: float, state: DispatchState
-    ) -> None:
-        now = self._now()
-        if state.permit_deadline is None:
-            state.permit_deadline = now + min(MAX_PERMIT_WAIT_S, MAX_WAIT_SHARE * request.remaining(now))
-        if now >= state.permit_deadline:
-            reason = f"{self.permits.reason(target)} ({target.info.target_id})"
-            self._raise_failure(request, reason, max(delay, MIN_RETRY_AFTER_S))
-        state.permit_target = target
-        with self.permits.waiting(target, request.service, now):
-            await self.view.wait_for_change(max(delay, PERMIT_CHECK_INTERVAL_S))
-
     # Sending -------------------------------------------------------------------------------------
 
     async def _send(self, request: RoutedRequest, target: TargetState) -> AttemptResult:
@@ -244,8 +157,7 @@
         answer_headers = self.format.read_answer(answer.status, answer.headers)
         now = self._now()
         request.rate_limit = answer_headers.rate_limit
-        if self.permits.record_answer(target, answer_headers, now):
-            self.log.info("target_rate_limit", target=target.info.target_id, rate=answer_headers.rate_limit)
+        self._record_statements(target, answer.status, answer_headers, now)
         self._update_estimates(request, target, answer_headers, answer, now - started_at, now)
         request.reason = f"{answer.status} of {target.info.target_id}"
         request.record_attempt(target.info.target_id, may_have_run=not answer_headers.did_not_run)
@@ -256,6 +168,24 @@
             )
         return AttemptResult(answer, target.info.target_id, answer_headers.did_not_run)
 
+    def _record_statements(
+        self, target: TargetState, status: int, answer_headers: AnswerHeaders, now: float
+    ) -> None:
+        """Record what a target says about itself in an answer: its rate limit, a pause, that it leaves."""
+        if self.permits.record_answer(target, answer_headers, now):
+            self.log.info("target_rate_limit", target=target.info.target_id, rate=answer_headers.rate_limit)
+        if answer_headers.rest_time is not None:
+            target.rests_until = max(target.rests_until, now + answer_headers.rest_time)
+            self.log.info(
+                "target_rests", target=target.info.target_id, seconds=round(answer_headers.rest_time, 3)
+            )
+        # An answer with this status may come from another target at the address.
+        is_own = status != _MISDIRECTED
+        if is_own and answer_headers.is_leaving and target.record_leaving(now):
+            self.reports.departures.record(target.info.incarnation)
+            self.request_report()
+            self.log.info("target_leaving", target=target.info.target_id, started_ms=target.info.started_ms)
+
     def _should_retry(self, request: RoutedRequest, target: TargetState, result: AttemptResult) -> bool:
         """Return whether an answer with a server error is retried at another target."""
         if result.answer.status < _SERVER_ERROR or not request.route.idempotent:
@@ -302,7 +232,7 @@
         state.connect_failures += 1
         request.reason = str(error)
         if state.connect_failures >= MAX_CONNECT_FAILURES:
-            self._raise_failure(request, f"cannot connect to {target.info.target_id}", 0.5)
+            raise_failure(request, f"cannot connect to {target.info.target_id}", 0.5)
         if request.key is not None:
             await self.view.wait_for_change(min(CONNECT_RETRY_DELAY_S, max(0.0, request.remaining(now))))
 
@@ -345,14 +275,14 @@
             and not await self._wait_for_other_owner(request, target)
         ):
             # The address may be another service's now; a second send is a retry there that no budget covers.
-            self._raise_failure(request, request.reason, MIN_OWNER_RETRY_AFTER_S)
+            raise_failure(request, request.reason, MIN_OWNER_RETRY_AFTER_S)
         if not self._try_spend_retry(request):
-            self._raise_failure(request, request.reason, self._capacity_delay(target, request))
+            raise_failure(request, request.reason, self._capacity_delay(target, request))
 
     async def _wait_for_other_owner(self, request: RoutedRequest, target: TargetState) -> bool:
         """Wait briefly until the view names another owner of the key; return whether it does."""
         end = self._now() + NEWER_VIEW_WAIT_S
-        while self.view.owner(request.service.name, request.key) is target:
+        while self.view.owner(request.service.name, request.key, self._now()) is target:
             remaining_wait = end - self._now()
             if remaining_wait <= 0:
                 return False
@@ -375,12 +305,6 @@
             return False
         return self._retry_budget(request).try_spend(self.view.entries, now)
 
-    def _raise_failure(self, request: RoutedRequest, reason: str, retry_after: float) -> None:
-        """Raise the error for a request that is not sent again."""
-        if request.may_have_run:
-            raise OutcomeUnknownError(reason)
-        raise RefusedError(reason, retry_after)
-
     def _retry_budget(self, request: RoutedRequest) -> RetryBudget:
         budget = self.retry_budgets.get(request.service.name)
         if budget is None:
--- a/cranberrylever/route_entry/_format.py
+++ b/cranberrylever/route_entry/_format.py
@@ -8,6 +8,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+_UNAVAILABLE_STATUS = 503
+
 MAX_DIGITS = 12
 """Longest decimal number that is read from a header, in digits."""
 
@@ -45,12 +47,16 @@
     ``did_not_run`` reports that the target states it did not run the request. ``is_genuine`` reports whether
     the answer has the header by which a target marks each result as its own. ``rate_limit`` is the number of
     requests per second that the target accepts from all entries together, ``None`` without a limit.
+    ``is_leaving`` reports that the target says it leaves. ``rest_time`` is the number of seconds for which
+    a target that is unavailable wants no request from this entry, ``None`` when it states none.
     """
 
     did_not_run: bool
     is_genuine: bool
     load: LoadSample | None
     rate_limit: float | None = None
+    is_leaving: bool = False
+    rest_time: float | None = None
 
 
 class HeaderFormat(abc.ABC):
@@ -100,6 +106,15 @@
         """Parse the headers of a target's answer."""
 
 
+def read_rest_time(status: int, retry_after: bytes | None) -> float | None:
+    """Return the seconds for which the target that sent an answer wants no request, ``None`` without any.
+
+    Only a 503 states them, as a number of seconds. A date is ignored, because clocks may differ, as is a
+    value that is negative or unreadable.
+    """
+    return parse_rate(retry_after) if status == _UNAVAILABLE_STATUS else None
+
+
 def parse_decimal(value: bytes | None) -> int | None:
     """Return a decimal number, ``None`` if there is none or it has more than ``MAX_DIGITS`` digits."""
     return int(value) if value is not None and value.isdigit() and len(value) <= MAX_DIGITS else None
@@ -107,6 +122,7 @@
 
 def parse_rate(value: bytes | None) -> float | None:
     """Return a number with an optional fraction, ``None`` if there is none or it has too many digits."""
-    if value is None or len(value) > MAX_DIGITS or not value.replace(b".", b"", 1).isdigit():
+    digits = value.strip() if value is not None else b""
+    if len(digits) > MAX_DIGITS or not digits.replace(b".", b"", 1).isdigit():
         return None
-    return float(value)
+    return float(digits)
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -84,6 +84,7 @@
             settings.failure_domain,
             self.log,
             self.relay,
+            self.feed.request_report,
         )
         self.app = RouteEntryApp(
             self.view, self.dispatcher, self.format, self.reachability, self.metrics, self.log
@@ -169,6 +170,7 @@
             self.rate_limits.build_observations(sequence, is_first, now),
             "" if self.app.draining or self.reachability.is_lost else self.settings.peer_listen,
             self.relay.wants_peers(now),
+            self.reports.departures.build_report(),
         )
 
     def _on_reply(self, reply: FeedReply) -> None:
@@ -181,7 +183,9 @@
         addresses_before = {target.info.address for target in self.view.targets.values()}
         is_changed = self.view.apply(reply, now)
         if is_changed:
-            self.rate_limits.set_published((target.info for target in self.view.targets.values()), now)
+            infos = [target.info for target in self.view.targets.values()]
+            self.rate_limits.set_published(infos, now)
+            self.reports.departures.confirm(infos)
         self.rate_limits.confirm(reply.sequence)
         if not is_changed:
             return
--- a/cranberrylever/route_entry/_reports.py
+++ b/cranberrylever/route_entry/_reports.py
@@ -1,6 +1,7 @@
 """Data that an entry collects for its next report to control."""
 
 from cranberrylever.keyspace import part_of
+from cranberrylever.route_entry._departures import TargetDepartures
 from cranberrylever.wire import PartWork, ReportedLoad, ServiceWork, TargetServiceTime
 
 MAX_CRASHES_REPORTED = 64
@@ -15,6 +16,7 @@
         self.service_times: dict[tuple[str, int], tuple[float, float]] = {}
         self.loads: dict[tuple[str, int], tuple[int, int]] = {}
         self.crashes: dict[tuple[str, str], None] = {}
+        self.departures = TargetDepartures()
 
     def record_work(self, service: str, key: int, seconds: float) -> None:
         """Add the expected service time of one request for a key, in seconds."""
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -1,6 +1,7 @@
 """A caller's request on a route and its possible outcomes."""
 
 import hashlib
+from typing import NoReturn
 
 import attrs
 
@@ -106,3 +107,15 @@
     answer: TargetAnswer
     target_id: str
     did_not_run: bool = False
+
+
+def raise_failure(request: RoutedRequest, reason: str, retry_after: float) -> NoReturn:
+    """Raise the error for a request that is not sent again.
+
+    Raises:
+        RefusedError: No attempt has run.
+        OutcomeUnknownError: An attempt may have run.
+    """
+    if request.may_have_run:
+        raise OutcomeUnknownError(reason)
+    raise RefusedError(reason, retry_after)
--- a/cranberrylever/route_entry/_view.py
+++ b/cranberrylever/route_entry/_view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import bisect
+import math
 
 import attrs
 
@@ -14,13 +15,25 @@
 """Share of a target's connections that all entries together may keep idle."""
 
 
+LEAVING_SERVICE_S = 1.0
+"""Time for which the owner of a key that leaves still gets requests for it, until the key has moved."""
+
+
 @attrs.define(eq=False)
 class TargetState:
-    """An incarnation of a target and its load estimate; ``cold_until`` is a loop time, 0 if it is warm."""
+    """An incarnation of a target and its load estimate; times are loop times in seconds.
+
+    ``cold_until`` is 0 if it is warm. ``leaving_at`` is when an answer first said that it leaves, which only
+    a new incarnation ends; ``draining_since`` is since when control publishes that it serves only the keys
+    that it owns. Both are infinite otherwise. It asked this entry for no requests until ``rests_until``.
+    """
 
     info: RoutedTarget
     estimate: TargetLoadEstimate
     cold_until: float = 0.0
+    leaving_at: float = math.inf
+    draining_since: float = math.inf
+    rests_until: float = 0.0
 
     @property
     def incarnation_id(self) -> str:
@@ -31,6 +44,25 @@
         """Return whether the target is in cold start."""
         return now < self.cold_until
 
+    def is_resting(self, now: float) -> bool:
+        """Return whether the target has asked for no requests at present."""
+        return now < self.rests_until
+
+    def record_leaving(self, now: float) -> bool:
+        """Record that an answer says that the target leaves; return whether this is new."""
+        is_new = self.leaving_at == math.inf
+        self.leaving_at = min(now, self.leaving_at)
+        return is_new
+
+    def may_get_new_requests(self) -> bool:
+        """Return whether requests that another target could serve may go to this one."""
+        return self.info.usable and self.leaving_at == math.inf
+
+    def may_serve_its_keys(self, now: float) -> bool:
+        """Return whether requests for keys that the target owns may go to it."""
+        is_available = self.info.usable or self.info.draining
+        return is_available and now < min(self.leaving_at, self.draining_since) + LEAVING_SERVICE_S
+
 
 @attrs.frozen
 class KeyOwner:
@@ -124,11 +156,11 @@
         except TimeoutError:
             return
 
-    def owner(self, service: str, key: int) -> TargetState | None:
-        """Return the usable target that owns a key, ``None`` if there is none."""
+    def owner(self, service: str, key: int, now: float) -> TargetState | None:
+        """Return the target that owns a key and may serve it, ``None`` if there is none."""
         owners = self.owners.get(service)
         target = self.targets.get(owners.owner_of(key).target_id) if owners is not None else None
-        return target if target is not None and target.info.usable else None
+        return target if target is not None and target.may_serve_its_keys(now) else None
 
     def unserved_since(self, service: str, key: int) -> float:
         """Return the loop time since which a key without a usable owner has had none."""
@@ -136,8 +168,8 @@
         return owners.owner_of(key).since if owners is not None else self.received_at
 
     def usable_targets(self, service: str) -> list[TargetState]:
-        """Return the usable targets of a service."""
-        return [target for target in self.by_service.get(service, ()) if target.info.usable]
+        """Return the targets of a service that may get new requests, those that rest included."""
+        return [target for target in self.by_service.get(service, ()) if target.may_get_new_requests()]
 
     def speeds(self) -> tuple[TargetSpeed, ...]:
         """Return the relative speeds of targets that differ from the average target."""
@@ -168,6 +200,7 @@
             if state is None or state.info.started_ms != info.started_ms:
                 state = TargetState(info, TargetLoadEstimate(max(1, info.slots)))
             state.info = info
+            state.draining_since = min(now, state.draining_since) if info.draining else math.inf
             state.estimate.speed = info.speed
             state.estimate.entries = self.entries
             state.estimate.reported_busy = info.busy if info.busy != UNKNOWN else None
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -223,3 +223,63 @@
         for value in (b"", b".", b"nan", b"-1", b"1e9", b"1.2.3", b"9" * 40):
             assert self.FORMAT.read_answer(200, [(b"server-limit", value)]).rate_limit is None, value
         assert self.FORMAT.read_answer(200, []).rate_limit is None
+
+    def test_leaving_and_pause_of_an_answer(self):
+        """Guards against requests to a target whose answers say that it leaves or wants none for a while."""
+        answer = call_headers.PlatformFormat().read_answer
+        stated = answer(200, [(b"server-leaving", b"1"), (b"retry-after", b"3")])
+        assert stated.is_leaving
+        assert stated.rest_time is None
+        assert not answer(200, [(b"server-leaving", b"0")]).is_leaving
+        seconds = {
+            b"2": 2.0,
+            b" 1.5 ": 1.5,
+            b"31536000": 31_536_000.0,
+            b"-1": None,
+            b"nan": None,
+            b"soon": None,
+            b"": None,
+            b"1" * 40: None,
+            b"Wed, 21 Oct 2026 07:28:00 GMT": None,
+        }
+        for value, expected in seconds.items():
+            assert answer(503, [(b"retry-after", value)]).rest_time == expected, value
+        assert answer(429, [(b"retry-after", b"2")]).rest_time is None
+
+
+class KeyReportTest(testtools.TestCase):
+    def read(self, **fields):
+        return config_document.read_key_report(json.dumps({**HEARTBEAT, **fields}).encode())
+
+    def test_keys_of_a_heartbeat(self):
+        """Guards against a target whose held and released keys are not known."""
+        report = self.read(holds=[[0, 4095, 7]], freed=[[4096, 8191, "5c0e7a21d94b36f8"], [9, 9, ""]])
+        assert [(item.first, item.last, item.fence) for item in report.held] == [(0, 4095, 7)]
+        assert [(item.first, item.handover) for item in report.released] == [
+            (4096, "5c0e7a21d94b36f8"),
+            (9, ""),
+        ]
+        assert self.read() is None
+        assert self.read(holds=[]).held == ()
+
+    def test_unreadable_keys_are_refused(self):
+        """Guards against a heartbeat of another writer that changes what is known about keys."""
+        rows = [
+            [0, 1],
+            [0, 1, "7"],
+            [0, 1, 7, 8],
+            [0, 1, True],
+            [0, 1, 7.0],
+            [-1, 1, 7],
+            [2, 1, 7],
+            [0, 65_536, 7],
+            [0, 1, -7],
+            {"from": 0},
+            None,
+        ]
+        for row in rows:
+            error = self.assertRaises(config_document.UnreadableError, self.read, holds=[row])
+            assert "holds" in str(error), row
+        for freed in ([[0, 1, 7]], [[0, 1, "x" * 65]], [[0, 1, "a\r\nb"]], "all", 7, {}):
+            self.assertRaises(config_document.UnreadableError, self.read, freed=freed)
+        self.assertRaises(config_document.UnreadableError, self.read, holds=[[0, 1, 7]] * 100_000)
--- a/tests/route_entry/test_pooled_load.py
+++ b/tests/route_entry/test_pooled_load.py
@@ -24,7 +24,7 @@
             capacities = [target.info.slots * target.info.speed for target in targets]
             return rng.choices(targets, capacities)[0]
 
-        dispatcher._choose_target = choose_at_random
+        dispatcher.selector._choose_target = choose_at_random
         return dispatcher
 
 
