Check with fixed seeds that limited targets are explored

Change: that check moved to the tests of the choice, where 20 fixed seeds of 400 requests each must choose the limited target between 1 and 39 times. The bound and the served share stay as they were; the owner of keys keeps the check.

--- a/tests/platform/test_rate_limit.py
+++ b/tests/platform/test_rate_limit.py
@@ -38,10 +38,10 @@
         for start in [at for at in arrivals if at >= CONTACT_S]:
             in_window = sum(start <= at < start + WINDOW_S for at in arrivals)
             assert in_window <= BOUND, (start, in_window, BOUND)
-        assert sum(at >= CONTACT_S for at in arrivals) > 0, arrivals
         late = statuses[int(CONTACT_S / REQUEST_INTERVAL_S) :]
         served_share = late.count(200) / len(late)
         assert served_share >= MIN_SERVED_SHARE, served_share
+        return arrivals
 
     async def send_load(self, system, method, path):
         """Return the statuses of all requests, in the order in which they were sent."""
@@ -58,8 +58,12 @@
 
     def test_owner_of_keys_gets_no_more_than_the_limit_that_it_named(self):
         """Guards against entries that send a target what its keys ask for, whatever limit it names."""
-        self.check_limited_target(0, "GET", "/ledger/x")
+        arrivals = self.check_limited_target(0, "GET", "/ledger/x")
+        assert sum(at >= CONTACT_S for at in arrivals) > 0, arrivals
 
     def test_pooled_target_gets_no_more_than_the_limit_that_it_named(self):
-        """Guards against entries that choose a target by its load although it named a limit."""
+        """Guards against entries that choose a target by its load although it named a limit.
+
+        That it gets requests at all is checked with fixed seeds in the tests of the choice.
+        """
         self.check_limited_target(2, "POST", "/desk/x")
--- a/tests/route_entry/test_choice.py
+++ b/tests/route_entry/test_choice.py
@@ -8,6 +8,7 @@
 
 from cranberrylever.route_entry._choice import MIN_CANDIDATES, PooledChooser, candidate_count
 from cranberrylever.route_entry._estimates import TargetLoadEstimate
+from cranberrylever.route_entry._permits import PERMIT_ANSWER_TIME_S
 from cranberrylever.route_entry._view import TargetState
 from tests.route_entry.test_view import target
 
@@ -31,7 +32,14 @@
         return target_state.is_cold(now)
 
     def delay(self, target_state, now):
-        return self.cold_delay if target_state.is_cold(now) else 0.0
+        return self.cold_delay if self.is_required(target_state, now) else 0.0
+
+
+class FakeLimitPermits(FakePermits):
+    """Fake permits of a warm target with a rate limit."""
+
+    def is_required(self, target_state, now):
+        return target_state.info.target_id == "limited"
 
 
 def chooser(cold_delay=0.0):
@@ -90,3 +98,15 @@
         """Guards against a choice without any comparison in very large clusters."""
         assert candidate_count(10_000) == MIN_CANDIDATES
         assert candidate_count(8) == 8
+
+    def test_target_with_a_rate_limit_is_explored(self):
+        """Guards against a limited target that gets nothing while others are free.
+
+        Without a request its limit would never be known to have ended.
+        """
+        for seed in range(20):
+            targets = [state("limited"), state("free")]
+            choice = PooledChooser("a", FakeLimitPermits(PERMIT_ANSWER_TIME_S), random.Random(seed))
+            chosen = [choice.choose(targets, 4, SERVICE_TIME_S, NOW) for _ in range(400)]
+            count = sum(item is targets[0] for item in chosen)
+            assert 0 < count < 40, (seed, count)
