Refuse requests without exactly one Host header at every listener

Cause: a request without Host, or with two, was answered 200 by entry, and by control; two programs on its way may read a different recipient. Looking at it: a 431 for large headers was written at once, so it overtook the answer to an earlier request on the connection, whose caller would have taken it for its own; and headers that came in the same bytes as an earlier request were not counted. Change: one protocol class for all listeners answers 400 and closes; while an earlier request waits, the connection closes after that answer instead.

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -4,10 +4,10 @@
 import logging
 from typing import Protocol
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
 from cranberrylever.errors import SettingError
+from cranberrylever.http_protocol import StrictHttpProtocol
 from cranberrylever.http_server import format_address, server_config
 from cranberrylever.settings import split_address
 
@@ -65,7 +65,7 @@
         self.transport.close()
 
 
-class EntryProtocol(HttpToolsProtocol):
+class EntryProtocol(StrictHttpProtocol):
     """Connection of a caller, with limits on the number of connections, header bytes and header time."""
 
     max_connections = 0
@@ -77,7 +77,6 @@
         super().connection_made(CoalescingTransport(transport, self.loop))
         self.received_bytes = 0
         self.is_reading_headers = True
-        self.is_rejected = False
         if len(self.connections) > self.max_connections:
             self.is_rejected = True
             transport.close()
@@ -92,32 +91,24 @@
             self.received_bytes += len(data)
         super().data_received(data)
         if self.is_reading_headers and self.received_bytes > self.max_header_bytes:
-            self._reject_headers()
+            self.reject(_HEADERS_TOO_LARGE_ANSWER)
         elif self.is_reading_headers and self.received_bytes:
             self._restart_header_timer()
 
     def on_headers_complete(self) -> None:
         """Start the request unless its headers are too large."""
         self.is_reading_headers = False
-        # The received bytes may include a part of the body, so the headers are counted before a rejection.
-        if self.received_bytes > self.max_header_bytes:
-            size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
-            if size > self.max_header_bytes:
-                self._reject_headers()
-        if not self.is_rejected:
-            super().on_headers_complete()
-
-    def on_body(self, body: bytes) -> None:
-        """Forward a part of the body to the application."""
-        if not self.is_rejected:
-            super().on_body(body)
+        # The received bytes may include a part of the body, or leave out what came with an earlier request.
+        size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+        if size > self.max_header_bytes:
+            self.reject(_HEADERS_TOO_LARGE_ANSWER)
+        super().on_headers_complete()
 
     def on_message_complete(self) -> None:
         """Prepare for the headers of the next request."""
         self.is_reading_headers = True
         self.received_bytes = 0
-        if not self.is_rejected:
-            super().on_message_complete()
+        super().on_message_complete()
 
     def _restart_header_timer(self) -> None:
         """Restart the timer that closes the connection if no further bytes of the headers arrive in time."""
@@ -125,12 +116,6 @@
             self.header_timeout, self.timeout_keep_alive_handler
         )
 
-    def _reject_headers(self) -> None:
-        self.is_rejected = True
-        if not self.transport.is_closing():
-            self.transport.write(_HEADERS_TOO_LARGE_ANSWER)
-            self.transport.close()
-
 
 class CallerServer:
     """Listener of one entry.
--- a/cranberrylever/http_server.py
+++ b/cranberrylever/http_server.py
@@ -8,6 +8,7 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from cranberrylever.http_protocol import StrictHttpProtocol
 from cranberrylever.settings import split_address
 
 START_POLL_INTERVAL_S = 0.005
@@ -19,7 +20,7 @@
     """Return the uvicorn configuration of a server that shares the event loop and writes no log."""
     return uvicorn.Config(
         app,
-        http="httptools",
+        http=StrictHttpProtocol,
         ws="none",
         lifespan="off",
         log_config=None,
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -154,9 +154,7 @@
         is_relayed = scope.get(_RELAYED, False)
         if is_relayed and self.reachability.is_lost:
             raise _AnsweredError(CANNOT_SERVE_STATUS, "refused", "this entry reaches no target either")
-        host = next((value for name, value in headers if name == b"host"), None)
-        if host is None:
-            raise _AnsweredError(400, "invalid", "the Host header is missing")
+        host = next((value for name, value in headers if name == b"host"), b"")
         caller_headers = self.format.read_call(headers)
         await self._wait_for_first_view(now, caller_headers.deadline)
         if self.requests > MAX_CONCURRENT_REQUESTS:
--- /dev/null
+++ b/cranberrylever/wire/_view_sections.py
@@ -0,0 +1,71 @@
+"""Compressed form of the sections of the view in a reply.
+
+All entries that hold the same versions lack the same sections, so control encodes and compresses them once.
+An entry states in its reports that it reads this form, since members of the last version send and read
+sections as fields of the reply.
+"""
+
+import zlib
+
+import attrs
+
+from cranberrylever.errors import CodecError
+from cranberrylever.route_plan import RoutePlan
+from cranberrylever.wire._codec import decode, encode
+from cranberrylever.wire._feed import FeedReply, FleetView, RangesView
+
+COMPRESSION_LEVEL = 1
+MAX_SECTIONS_BYTES = 64 * 1_048_576
+"""Limit on the decompressed size of the sections in one reply."""
+
+
+@attrs.frozen
+class ViewSections:
+    """Sections that an entry lacks, ``None`` for those that it holds, and the versions it has afterwards."""
+
+    plan_version: int
+    plan: RoutePlan | None
+    fleet_version: int
+    fleet: FleetView | None
+    ranges_version: int
+    ranges: RangesView | None
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the entry lacks nothing."""
+        return self.plan is None and self.fleet is None and self.ranges is None
+
+
+def compress_sections(sections: ViewSections) -> bytes:
+    """Return the compressed form of sections."""
+    return zlib.compress(encode(sections), COMPRESSION_LEVEL)
+
+
+def unpack_sections(reply: FeedReply) -> FeedReply:
+    """Return a reply with its compressed sections as fields; one without any is returned as it is.
+
+    Raises:
+        CodecError: The sections cannot be decompressed or decoded.
+    """
+    if not reply.sections:
+        return reply
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(reply.sections, MAX_SECTIONS_BYTES)
+    except zlib.error as error:
+        raise CodecError(f"sections cannot be decompressed: {error}", "check the connection") from error
+    if not decompressor.eof:
+        raise CodecError(
+            f"sections are cut off or exceed {MAX_SECTIONS_BYTES} bytes", "check the control member"
+        )
+    sections = decode(data, ViewSections)
+    return attrs.evolve(
+        reply,
+        sections=b"",
+        plan_version=sections.plan_version,
+        plan=sections.plan,
+        fleet_version=sections.fleet_version,
+        fleet=sections.fleet,
+        ranges_version=sections.ranges_version,
+        ranges=sections.ranges,
+    )
--- /dev/null
+++ b/tests/caller_http/test_http_protocol.py
@@ -0,0 +1,91 @@
+"""Tests of requests whose headers are ambiguous, at the listeners of all programs."""
+
+import asyncio
+
+import testtools
+
+from cranberrylever.caller_http import CallerServer
+from cranberrylever.http_server import HttpServer
+from cranberrylever.route_entry import RouteEntryTuning
+
+GOOD = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
+WITHOUT_HOST = b"GET /b HTTP/1.1\r\naccept: */*\r\n\r\n"
+TWO_HOSTS = b"POST /c HTTP/1.1\r\nhost: x\r\nhost: y\r\ncontent-length: 3\r\n\r\nabc"
+LARGE = b"GET /d HTTP/1.1\r\nhost: x\r\nname: " + b"v" * 70_000 + b"\r\n\r\n"
+SLOW_S = 0.1
+
+
+class RecordingApp:
+    """Application that answers each request with its path, those for ``/a`` slowly."""
+
+    def __init__(self):
+        self.paths = []
+
+    async def __call__(self, scope, receive, send):
+        self.paths.append(scope["path"])
+        await receive()
+        if scope["path"] == "/a":
+            await asyncio.sleep(SLOW_S)
+        body = scope["path"].encode()
+        headers = [(b"content-length", str(len(body)).encode())]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": body, "more_body": False})
+
+
+class StrictHttpTest(testtools.TestCase):
+    def exchange(self, create_server, data):
+        """Return all bytes that a listener answers to ``data``, and the paths that the application saw."""
+
+        async def main():
+            app = RecordingApp()
+            server = create_server(app)
+            await server.start()
+            host, _, port = server.bound_address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            try:
+                async with asyncio.timeout(3.0):
+                    answer = await reader.read()
+            finally:
+                writer.close()
+                if isinstance(server, HttpServer):
+                    await server.close()
+                else:
+                    server.stop_accepting()
+                    await server.wait_finished(1.0)
+            return answer, app.paths
+
+        return asyncio.run(main())
+
+    def servers(self):
+        yield lambda app: CallerServer(app, "127.0.0.1:0", RouteEntryTuning())
+        yield lambda app: HttpServer(app, "127.0.0.1:0")
+
+    def test_request_without_one_host_is_refused(self):
+        """Guards against a request whose recipient two programs read differently."""
+        for create_server in self.servers():
+            for data in (WITHOUT_HOST, TWO_HOSTS):
+                answer, paths = self.exchange(create_server, data)
+                assert answer.startswith(b"HTTP/1.1 400 "), answer
+                assert b"connection: close" in answer
+                assert answer.count(b"HTTP/1.1") == 1
+                assert paths == []
+
+    def test_refusal_does_not_overtake_the_answer_to_an_earlier_request(self):
+        """Guards against a caller that takes the refusal of its second request for the first one's answer."""
+        for create_server in self.servers():
+            for data in (WITHOUT_HOST, TWO_HOSTS):
+                answer, paths = self.exchange(create_server, GOOD + data)
+                assert answer.startswith(b"HTTP/1.1 200 "), answer
+                assert answer.endswith(b"/a")
+                assert paths == ["/a"]
+
+    def test_refusal_of_large_headers_does_not_overtake_either(self):
+        """Guards against the same with headers that are too large."""
+        create_server = next(self.servers())
+        answer, paths = self.exchange(create_server, GOOD + LARGE)
+        assert answer.startswith(b"HTTP/1.1 200 "), answer
+        assert paths == ["/a"]
+        answer, paths = self.exchange(create_server, LARGE)
+        assert answer.startswith(b"HTTP/1.1 431 "), answer
+        assert paths == []
