Name the target in calls about keys, and release on a connection of its own

A renewal goes to an address, and control learns only later that another target has it. Looking at these calls for answers that a target repeats: grants and releases share connections and carry no id, so a late copy of the answer to a grant confirmed a release, and the keys got another owner while the first one still worked on them. Change: both calls name their target; any other one answers 421 and does nothing, which counts as nothing granted. A release opens its own connection. Ruled out: to rely on a recent announcement, which may itself be late; a probe before each grant.

--- a/bench/routes/target.py
+++ b/bench/routes/target.py
@@ -168,6 +168,8 @@
     async def _answer(
         self, method: str, path: str, headers: dict[str, str], body: bytes, arrived: float
     ) -> tuple[int, list[str], bytes]:
+        if path.startswith("/-/keys/") and headers.get("cranberrylever-target", self.name) != self.name:
+            return 421, [], b""
         if path == "/-/keys/grant":
             return self._grant(json.loads(body), arrived)
         if path == "/-/keys/release":
--- a/cranberrylever/route_control/_default_grant_client.py
+++ b/cranberrylever/route_control/_default_grant_client.py
@@ -13,6 +13,7 @@
     grant_path = "/-/keys/grant"
     release_path = "/-/keys/release"
     refusal_status_codes = frozenset({409})
+    target_header = "cranberrylever-target"
 
     def grant_body(self, grant: KeyGrant) -> Mapping[str, object]:
         """Return the body of a grant."""
--- a/cranberrylever/route_control/_grant_client.py
+++ b/cranberrylever/route_control/_grant_client.py
@@ -5,16 +5,19 @@
 
 import attrs
 
+from cranberrylever.target_registry import RegisteredTarget
+
 GRANT_TIMEOUT_S = 0.5
 """Longest time of a grant call, after which its connection is reset."""
 
 
 class GrantAnswer(enum.Enum):
-    """Outcome of a grant call: ``NOT_SENT`` and ``REFUSED`` granted nothing, ``LOST`` may have."""
+    """Outcome of a grant call: only ``GRANTED`` and ``LOST`` may have granted something."""
 
     GRANTED = "granted"
     REFUSED = "refused"
     NOT_SENT = "not sent"
+    MISDIRECTED = "another target has the address"
     LOST = "lost"
 
 
@@ -33,14 +36,17 @@
 
 
 class GrantClient(abc.ABC):
-    """Calls to targets; a failed call resets its connection, so that its bytes cannot arrive later."""
+    """Calls to targets; a failed call resets its connection, so that its bytes cannot arrive later.
+
+    A call about keys names its target, because another one may have got the address meanwhile.
+    """
 
     @abc.abstractmethod
-    async def grant(self, address: str, grant: KeyGrant) -> GrantAnswer:
+    async def grant(self, target: RegisteredTarget, grant: KeyGrant) -> GrantAnswer:
         """Grant keys, or renew a grant, within ``GRANT_TIMEOUT_S``."""
 
     @abc.abstractmethod
-    async def release(self, address: str, first: int, last: int, fence: int) -> str | None:
+    async def release(self, target: RegisteredTarget, first: int, last: int, fence: int) -> str | None:
         """Release keys; the target answers once the work on them has ended.
 
         Returns:
--- a/cranberrylever/route_control/_http_grant_client.py
+++ b/cranberrylever/route_control/_http_grant_client.py
@@ -5,6 +5,7 @@
 
 from cranberrylever.route_control._grant_client import GRANT_TIMEOUT_S, GrantAnswer, GrantClient, KeyGrant
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetAnswer, TargetPool
+from cranberrylever.target_registry import RegisteredTarget
 
 RELEASE_TIMEOUT_S = 2.0
 """Seconds for a release, which a target answers only once the work on its keys has ended."""
@@ -12,6 +13,7 @@
 PROBE_TIMEOUT_S = 0.5
 
 _OK = 200
+_MISDIRECTED = 421
 
 
 class HttpGrantClient(GrantClient):
@@ -21,11 +23,13 @@
         grant_path: Path of a grant.
         release_path: Path of a release.
         refusal_status_codes: Status codes with which a target refuses a grant.
+        target_header: Header with the id of the target; any other one answers 421 and does nothing.
     """
 
     grant_path: str
     release_path: str
     refusal_status_codes: frozenset[int]
+    target_header: str
 
     def __init__(self) -> None:
         self.pool = TargetPool()
@@ -46,23 +50,34 @@
     def target_id(self, answer: TargetAnswer) -> str:
         """Return the target id in the answer to a probe."""
 
-    async def grant(self, address: str, grant: KeyGrant) -> GrantAnswer:
+    async def grant(self, target: RegisteredTarget, grant: KeyGrant) -> GrantAnswer:
         """Grant keys, or renew a grant."""
         body = self.grant_body(grant)
+        headers = {self.target_header: target.target_id}
         try:
-            answer = await self.pool.call(address, "POST", self.grant_path, body, GRANT_TIMEOUT_S)
+            answer = await self.pool.call(
+                target.address, "POST", self.grant_path, body, GRANT_TIMEOUT_S, headers
+            )
         except NotSentError:
             return GrantAnswer.NOT_SENT
         except (AnswerLostError, TimeoutError):
             return GrantAnswer.LOST
         if answer.status == _OK:
             return GrantAnswer.GRANTED
+        if answer.status == _MISDIRECTED:
+            return GrantAnswer.MISDIRECTED
         return GrantAnswer.REFUSED if answer.status in self.refusal_status_codes else GrantAnswer.LOST
 
-    async def release(self, address: str, first: int, last: int, fence: int) -> str | None:
-        """Release keys and return the handover token."""
+    async def release(self, target: RegisteredTarget, first: int, last: int, fence: int) -> str | None:
+        """Release keys and return the handover token.
+
+        The call has a connection of its own: a target may repeat the answer to an earlier call late, and
+        keys that it still holds would count as released.
+        """
         body = self.release_body(first, last, fence)
-        answer = await self._call(address, "POST", self.release_path, body, RELEASE_TIMEOUT_S)
+        headers = {self.target_header: target.target_id}
+        self.pool.close_idle(target.address)
+        answer = await self._call(target.address, "POST", self.release_path, body, RELEASE_TIMEOUT_S, headers)
         return self.handover_token(answer) if answer is not None else None
 
     async def probe(self, address: str, health_path: str) -> str | None:
@@ -75,11 +90,17 @@
         self.pool.close()
 
     async def _call(
-        self, address: str, method: str, path: str, body: Mapping[str, object] | None, timeout: float
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: Mapping[str, object] | None,
+        timeout: float,
+        headers: Mapping[str, str] | None = None,
     ) -> TargetAnswer | None:
         """Return the answer with status 200, ``None`` otherwise; the calling code logs a failure."""
         try:
-            answer = await self.pool.call(address, method, path, body, timeout)
+            answer = await self.pool.call(address, method, path, body, timeout, headers)
         except (NotSentError, AnswerLostError, TimeoutError):
             return None
         return answer if answer.status == _OK else None
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -205,7 +205,7 @@
                 # The process was paused after the call was recorded; another member may lead by now.
                 answer = GrantAnswer.NOT_SENT
                 return
-            answer = await self.grant_client.grant(target.address, grant)
+            answer = await self.grant_client.grant(target, grant)
         finally:
             now = loop.time()
             renewal.is_running = False
@@ -245,7 +245,7 @@
             ledger.refuse(call)
             self.refused_ranges.add(range_key)
             return
-        if answer is GrantAnswer.NOT_SENT:
+        if answer in (GrantAnswer.NOT_SENT, GrantAnswer.MISDIRECTED):
             ledger.cancel(call)
         else:
             ledger.finish(call, now, answered=False)
@@ -265,7 +265,7 @@
         token = None
         revoked = self.ledger.answered_calls(item.incarnation, item.first, item.last)
         try:
-            token = await self.grant_client.release(target.address, item.first, item.last, item.fence)
+            token = await self.grant_client.release(target, item.first, item.last, item.fence)
         finally:
             release.is_running = False
             release.retry_at = asyncio.get_running_loop().time() + RETRY_INTERVAL_S
--- a/cranberrylever/target_http/_pool.py
+++ b/cranberrylever/target_http/_pool.py
@@ -1,7 +1,7 @@
 """Pool of connections to targets, which stay open between requests."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -87,7 +87,13 @@
         return answer
 
     async def call(
-        self, address: str, method: str, path: str, content: object, timeout: float
+        self,
+        address: str,
+        method: str,
+        path: str,
+        content: object,
+        timeout: float,
+        headers: Mapping[str, str] | None = None,
     ) -> TargetAnswer:
         """Send a request with a JSON body, ``None`` for no body, and return the answer.
 
@@ -100,6 +106,7 @@
         """
         body = b"" if content is None else msgspec.json.encode(content)
         lines = [f"{method} {path} HTTP/1.1", f"host: {address}"]
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
         if body:
             lines += ["content-type: application/json", f"content-length: {len(body)}"]
         request = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -110,6 +110,8 @@
     async def _answer(self, method, path, headers, body):
         if path in ("/grant", "/release"):
             self.calls += 1
+            if headers.get("cranberrylever-target-instance", self.target_id) != self.target_id:
+                return 421, {"Cranberrylever-Not-Executed": "1"}, b""
         if path == "/grant":
             return self._grant(json.loads(body))
         if path == "/release":
--- a/tests/route_control/fakes.py
+++ b/tests/route_control/fakes.py
@@ -52,12 +52,15 @@
         self.grants = 0
         self.violations = []
 
-    async def grant(self, address, grant: KeyGrant):
+    async def grant(self, registered, grant: KeyGrant):
         self.grants += 1
+        address = registered.address
         await asyncio.sleep(self.rng.uniform(0.0005, 0.004))
         target = self.targets.get(address)
         if target is None:
             return GrantAnswer.NOT_SENT
+        if target.target_id != registered.target_id:
+            return GrantAnswer.MISDIRECTED
         if address in self.unreachable:
             await asyncio.sleep(0.5)
             return GrantAnswer.LOST
@@ -85,10 +88,11 @@
             target.grant(grant, arrived_at)
             self.check_holders()
 
-    async def release(self, address, first, last, fence):
+    async def release(self, registered, first, last, fence):
+        address = registered.address
         await asyncio.sleep(self.rng.uniform(0.0005, 0.004))
         target = self.targets.get(address)
-        if target is None or address in self.unreachable:
+        if target is None or address in self.unreachable or target.target_id != registered.target_id:
             await asyncio.sleep(0.5)
             return None
         target.release(first, last)
