Bound the load of the feed at many entries

Change: sections of the view are compressed, and encoded once for all entries that hold the same versions; an entry states that it reads them, others get fields as before. The list of control members is sent when it changes. Entries report at most every 0.9 s, wait for a reply accordingly, and ask the next member after a random delay that doubles up to 0.5 s.

--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Callable
 
 from grpclib.client import Channel
@@ -10,7 +11,7 @@
 from cranberrylever.errors import CodecError
 from cranberrylever.logs import Log
 from cranberrylever.settings import split_address
-from cranberrylever.wire import FeedReply, FeedReport, FeedStub, MsgpackCodec
+from cranberrylever.wire import FeedReply, FeedReport, FeedStub, MsgpackCodec, unpack_sections
 
 REPORT_INTERVAL_S = 0.25
 """Time between two reports of an entry in a cluster of few entries."""
@@ -18,23 +19,31 @@
 TOTAL_REPORTS_PER_S = 160.0
 """Regular reports of all entries per second; more entries report less often, up to the longest interval."""
 
-MAX_REPORT_INTERVAL_S = 0.45
+MAX_REPORT_INTERVAL_S = 0.9
 """Longest report interval, also when the reports of all entries then exceed ``TOTAL_REPORTS_PER_S``."""
 
 BATCH_DELAY_S = 0.002
 """Delay of an immediate report, so that the requests that need one share it."""
 
-REPLY_TIMEOUT_S = 0.9
+MIN_REPLY_TIMEOUT_S = 0.9
 """Time without a reply after which another member is asked; a network cut causes no error on the stream."""
 
+REPLY_TIMEOUT_FACTOR = 2.0
+"""The same as a multiple of the report interval, if that is longer."""
+
 CONNECT_TIMEOUT_S = 0.4
 """Time to connect to a control member and send it the first report."""
 
-RECONNECT_DELAY_S = 0.05
-"""Time after the end of a stream until the next member is asked."""
+MIN_RECONNECT_DELAY_S = 0.05
+"""Mean time after the end of a stream until the next member is asked; it doubles with each failure."""
+
+MAX_RECONNECT_DELAY_S = 0.5
+"""Longest mean time, so that a new leader has all entries within a few of them."""
 
 LEADER_HINT_DELAY_S = 0.02
-"""Time until the leader that a member named is asked."""
+"""Time until the leader that a member named is asked, the first time in a row."""
+
+MAX_DOUBLINGS = 8
 
 _STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, CodecError, TimeoutError)
 
@@ -67,6 +76,8 @@
         self.leader_hint = ""
         self.member_index = 0
         self.attached_address = ""
+        self.failed_streams = 0
+        self.rng = random.Random()
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -89,8 +100,20 @@
             except Exception as error:
                 # The view stays in force while another stream is opened.
                 self.log.failure("feed_failed", error, address=address)
-            # Two members that name each other as leader must not be asked in a tight loop.
-            await asyncio.sleep(LEADER_HINT_DELAY_S if self.leader_hint else RECONNECT_DELAY_S)
+            await asyncio.sleep(self._reconnect_delay())
+
+    def _reconnect_delay(self) -> float:
+        """Return the time until the next member is asked.
+
+        All entries lose their streams at once when the leader is lost or busy. The delay is random and grows,
+        so that they do not keep a leader busy that has just begun.
+        """
+        self.failed_streams += 1
+        if self.leader_hint and self.failed_streams == 1:
+            return LEADER_HINT_DELAY_S
+        doublings = min(self.failed_streams - 1, MAX_DOUBLINGS)
+        mean_delay = min(MAX_RECONNECT_DELAY_S, MIN_RECONNECT_DELAY_S * 2**doublings)
+        return mean_delay * self.rng.uniform(0.5, 1.5)
 
     def _next_address(self) -> str:
         """Return the address of the leader if a member named one, else the next member in turn."""
@@ -127,7 +150,7 @@
 
     async def _receive(self, stream, address: str) -> None:  # noqa: ANN001 - grpclib's generic stream type
         while True:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
+            async with asyncio.timeout(self._reply_timeout()):
                 reply = await stream.recv_message()
             if reply is None:
                 raise ConnectionError("the control member closed the stream")
@@ -139,7 +162,11 @@
             if self.attached_address != address:
                 self.attached_address = address
                 self.log.info("control_attached", address=address, sequence=reply.sequence)
-            self.on_reply(reply)
+            self.failed_streams = 0
+            self.on_reply(unpack_sections(reply))
+
+    def _reply_timeout(self) -> float:
+        return max(MIN_REPLY_TIMEOUT_S, REPLY_TIMEOUT_FACTOR * self.report_interval)
 
     async def _send_reports(self, stream) -> None:  # noqa: ANN001
         while True:
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -171,6 +171,7 @@
             "" if self.app.draining or self.reachability.is_lost else self.settings.peer_listen,
             self.relay.wants_peers(now),
             self.reports.departures.build_report(),
+            reads_sections=True,
         )
 
     def _on_reply(self, reply: FeedReply) -> None:
--- a/cranberrylever/wire/__init__.py
+++ b/cranberrylever/wire/__init__.py
@@ -47,6 +47,7 @@
     PeerBase,
     PeerStub,
 )
+from cranberrylever.wire._view_sections import ViewSections, compress_sections, unpack_sections
 
 __all__ = [
     "COLD_PERMIT_WINDOW_S",
@@ -92,4 +93,7 @@
     "ViewAnswer",
     "decode",
     "encode",
+    "ViewSections",
+    "compress_sections",
+    "unpack_sections",
 ]
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -122,7 +122,8 @@
     stream, for a leader that has not measured any yet. ``loads`` are those of targets of pooled services and
     ``rate_limits`` those that targets stated. ``peer_address`` is where the entry takes requests of other
     entries, empty while it takes none, and ``wants_peers`` asks for entries that take its own. ``leaving``
-    are the ids and start times of targets whose answers said that they leave.
+    are the ids and start times of targets whose answers said that they leave. ``reads_sections`` reports that
+    the entry reads ``FeedReply.sections``.
     """
 
     cluster_id: str
@@ -141,6 +142,7 @@
     peer_address: str = ""
     wants_peers: bool = False
     leaving: tuple[tuple[str, int], ...] = ()
+    reads_sections: bool = False
 
 
 UNKNOWN = -1.0
@@ -228,9 +230,10 @@
     """Sections of the view that an entry does not hold yet, or the leader to connect to.
 
     ``permits`` answers the permit requests of the report ``sequence``. ``control`` lists the RPC addresses of
-    the control members and ``peers`` the addresses of entries that take requests of others, ``None`` when the
-    report did not ask for them. ``is_leader`` is false when the sender is not the leader; only ``leader`` and
-    ``control`` are valid then.
+    the control members, empty while they are those sent before on the stream. ``peers`` are the addresses of
+    entries that take requests of others, ``None`` when the report did not ask for them. ``is_leader`` is
+    false when the sender is not the leader; only ``leader`` and ``control`` are valid then. ``sections``
+    holds the sections in compressed form in place of the fields.
     """
 
     cluster_id: str
@@ -246,6 +249,7 @@
     ranges: RangesView | None = None
     permits: tuple[GrantedPermits, ...] = ()
     peers: tuple[str, ...] | None = None
+    sections: bytes = b""
 
 
 class FeedBase(abc.ABC):
--- a/tests/route_entry/test_feed.py
+++ b/tests/route_entry/test_feed.py
@@ -8,10 +8,16 @@
 from cranberrylever.logs import Log
 from cranberrylever.route_entry._feed import FeedClient
 from cranberrylever.wire import FeedBase, FeedReport, MsgpackCodec
-from tests.support import end_slowly
+from tests.support import end_slowly, run_in_simulated_time
 
 HOST = "127.0.0.1"
 
+ENTRY_COUNT = 185
+OUTAGE_S = 10.0
+MAX_ATTEMPTS_PER_S = 3 * ENTRY_COUNT
+RECOVERY_BOUND_S = 2.0
+"""Time after which all streams are open again once a member leads."""
+
 
 class SilentFeed(FeedBase):
     """Control member that never answers a report."""
@@ -51,3 +57,51 @@
             await server.wait_closed()
 
         asyncio.run(main())
+
+
+class ReconnectTest(testtools.TestCase):
+    """The load after a loss of the leader: all entries of a large site look for the next one at once."""
+
+    def run_outage(self):
+        """Return the times of all attempts, and those at which the entries attach after an outage."""
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            attempts, attached = [], []
+
+            def client():
+                feed = FeedClient(("a:1", "b:1"), None, None, Log("entry", "e", "error"))
+
+                async def attach(address):
+                    attempts.append(loop.time())
+                    if loop.time() < OUTAGE_S:
+                        raise ConnectionError("no member leads")
+                    attached.append(loop.time())
+                    await asyncio.sleep(3600)
+
+                feed._attach = attach
+                feed.start()
+                return feed
+
+            feeds = [client() for _ in range(ENTRY_COUNT)]
+            await asyncio.sleep(OUTAGE_S + RECOVERY_BOUND_S)
+            for feed in feeds:
+                await feed.close()
+            return attempts, attached
+
+        return run_in_simulated_time(scenario)
+
+    def test_entries_without_control_ask_less_and_less_often(self):
+        """Guards against a storm of new streams that keeps the next leader from serving any."""
+        attempts, attached = self.run_outage()
+        for second in range(1, int(OUTAGE_S)):
+            count = sum(second <= at < second + 1 for at in attempts)
+            assert count <= MAX_ATTEMPTS_PER_S, (second, count)
+        assert len(attached) == ENTRY_COUNT
+
+    def test_entries_do_not_all_ask_at_the_same_moment(self):
+        """Guards against entries that lost their streams together and come back together."""
+        attempts, _ = self.run_outage()
+        late = [at for at in attempts if OUTAGE_S / 2 < at < OUTAGE_S]
+        busiest = max(sum(at <= other < at + 0.05 for other in late) for at in late)
+        assert busiest < ENTRY_COUNT / 3, busiest
