Drop impossible figures from reports, and log exceptions that nobody handles

Cause: looking for a message that takes a process down: the leader summed what entries report without a check. A figure that is not finite stays in these sums for the whole term and spoils each plan; an infinite bound of a permit request raised in the stream. An exception of a task that nobody awaits left only what asyncio prints. A release was sent although the member had lost the lead while it was paused.

--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -11,6 +11,7 @@
 from cranberrylever.route_control._leader import RouteControlLeader
 from cranberrylever.route_control._peers import Peer, choose_peers
 from cranberrylever.route_control._published_view import PublishedView
+from cranberrylever.route_control._report_check import check_report
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_control._suspects import SuspectTracker
 from cranberrylever.wire import (
@@ -126,6 +127,9 @@
         entry.reads_sections = report.reads_sections
         now = asyncio.get_running_loop().time()
         entry.peer = Peer(report.peer_address, now)
+        report, dropped = check_report(report)
+        if dropped:
+            self.log.warning("report_items_dropped", entry=report.entry_id, items=dropped)
         self.leader.record_report(report)
         self.suspects.record(report.crashed, now)
         self.view.refresh(now)
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -262,6 +262,10 @@
         self._start_task(self._send_release(item, target, release))
 
     async def _send_release(self, item: KeyRange, target: RegisteredTarget, release: _ReleaseState) -> None:
+        if not self.is_serving():
+            # The process was paused after the release was decided; another member may lead by now.
+            release.is_running = False
+            return
         token = None
         revoked = self.ledger.answered_calls(item.incarnation, item.first, item.last)
         try:
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -23,6 +23,7 @@
 from cranberrylever.route_control._service import LeaderRouteControlService, RouteControlService
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.settings import RouteControlSettings, split_address
+from cranberrylever.task_errors import log_task_errors
 from cranberrylever.wire import MsgpackCodec
 
 RPC_CLOSE_TIMEOUT_S = 0.5
@@ -75,6 +76,7 @@
         """
         self.installed_log = install_log(self.settings.log)
         self.metrics = create_exposed_metrics()
+        log_task_errors(self.log, self.metrics)
         await self._start_member()
         if self.settings.metrics_listen:
             self.metrics_server = HttpServer(self.metrics.app(), self.settings.metrics_listen)
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -23,6 +23,7 @@
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.settings import RouteEntrySettings
 from cranberrylever.target_http import TargetPool
+from cranberrylever.task_errors import log_task_errors
 from cranberrylever.wire import FeedReply, FeedReport
 
 
@@ -69,6 +70,7 @@
         settings = self.settings
         self.installed_log = install_log(settings.log)
         self.metrics = create_exposed_metrics()
+        log_task_errors(self.log, self.metrics)
         self.reachability = TargetReachability(self._usable_target_count, self._on_links_lost, self.log)
         self.relay = PeerRelay(self.format, self.reachability)
         self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record)
