Keep the announcements of targets whose registration is not committed yet

They then counted as silent since the start of the term, were unusable, removed and recorded a second time, while 185 entries were told of each step. From 20 to 26 s 838 streams of entries ended, 53 targets were forgotten. Change: an announcement is kept for as long as a silent target may stay. With many targets all changes of 0.2 s are published together, and a target that has not changed stays the same object, which makes the comparison cheap. Ruled out: a leader change as the first cause; it came at 24 s, after the storm.

--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -361,7 +361,7 @@
 
     def _clean_up(self, targets: dict[tuple[str, int], RegisteredTarget], now: float) -> None:
         """Drop measurements of removed targets, and propose to remove lost targets that hold no keys."""
-        self.measurements.keep_only(set(targets))
+        self.measurements.keep_only(set(targets), now - TARGET_REMOVAL_DELAY_S)
         self.permits.keep_only(set(targets))
         self.departure_proposed_at = {
             key: proposed_at for key, proposed_at in self.departure_proposed_at.items() if key in targets
--- a/cranberrylever/route_control/_measurements.py
+++ b/cranberrylever/route_control/_measurements.py
@@ -83,9 +83,12 @@
         for service_incarnations in incarnations.values():
             self.speeds.update(self.speed_tracker.speeds(service_incarnations))
 
-    def keep_only(self, incarnations: set[Incarnation]) -> None:
-        """Drop the measurements of all other incarnations."""
-        self.liveness.keep_only(incarnations)
+    def keep_only(self, incarnations: set[Incarnation], seen_since: float) -> None:
+        """Drop the measurements of all other incarnations.
+
+        Their announcements are kept if they came after the loop time ``seen_since``.
+        """
+        self.liveness.keep_only(incarnations, seen_since)
         self.speed_tracker.keep_only(incarnations)
         self.busy_tracker.keep_only(incarnations)
         self.rate_limits.keep_only(incarnations)
--- a/cranberrylever/route_control/_published_view.py
+++ b/cranberrylever/route_control/_published_view.py
@@ -11,7 +11,7 @@
 
 from cranberrylever.keyspace import RangeTable
 from cranberrylever.route_control._leader import RouteControlLeader
-from cranberrylever.route_control._sections import Section, is_same_fleet
+from cranberrylever.route_control._sections import Section, is_same_fleet, is_same_target
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_control._suspects import SuspectTracker
 from cranberrylever.route_plan import RoutedService
@@ -31,7 +31,7 @@
 """Seconds after which the targets are looked at again for changes by time alone, such as cold starts."""
 
 REFRESHED_TARGETS_PER_S = 2_000.0
-"""Targets that are looked at per second for changes by time alone."""
+"""Targets that are looked at per second, so that many changes in a row are published together."""
 
 MIN_LOAD_INTERVAL_S = 0.05
 MAX_LOAD_INTERVAL_S = 3.0
@@ -77,6 +77,7 @@
         self.ranges = Section()
         self.speeds: dict[Incarnation, float] = {}
         self.busy: dict[Incarnation, float] = {}
+        self.routed: dict[str, RoutedTarget] = {}
         self.fleet_sources: tuple[int, ...] = ()
         self.ranges_sources: tuple[int, ...] = ()
         self.next_refresh_at = -math.inf
@@ -87,7 +88,7 @@
         """Rebuild the sections for which something may have changed; one that differs gets a new version."""
         term = self.leader.term
         fleet_sources = (term, self.state.fleet_version, self.leader.measurements.rate_limits.version)
-        if fleet_sources != self.fleet_sources or now >= self.next_refresh_at:
+        if now >= self.next_refresh_at or (fleet_sources != self.fleet_sources and not self._is_large()):
             self.fleet_sources = fleet_sources
             self._refresh_fleet(term, now)
         ranges_sources = (
@@ -104,6 +105,10 @@
                 self.ranges.update(ranges, term)
                 self.prepared.clear()
 
+    def _is_large(self) -> bool:
+        """Return whether looking at all targets for each change would take much of the leader's time."""
+        return len(self.state.fleet.targets) > MIN_REFRESH_INTERVAL_S * REFRESHED_TARGETS_PER_S
+
     def is_behind(self, plan_version: int, fleet_version: int, ranges_version: int) -> bool:
         """Return whether an entry with these versions lacks a section."""
         return (
@@ -156,8 +161,12 @@
                 MAX_LOAD_INTERVAL_S, max(MIN_LOAD_INTERVAL_S, pairs / LOAD_PAIRS_PER_S)
             )
             self._update_loads(now)
+        self.routed = {
+            target.target_id: self._routed_target(target, self.routed.get(target.target_id), now)
+            for target in targets.values()
+        }
         fleet = FleetView(
-            tuple(self._routed_target(target, now) for target in targets.values()),
+            tuple(self.routed.values()),
             max(1, len(self.state.entries)),
             self.suspects.blocked(now),
         )
@@ -189,12 +198,15 @@
         has_changed = abs(current - published) > MIN_BUSY_CHANGE + MIN_RELATIVE_BUSY_CHANGE * published
         return round(current, 1) if has_changed else published
 
-    def _routed_target(self, target: RegisteredTarget, now: float) -> RoutedTarget:
+    def _routed_target(
+        self, target: RegisteredTarget, before: RoutedTarget | None, now: float
+    ) -> RoutedTarget:
+        """Return a target as it is published, the same object as ``before`` when nothing has changed."""
         measurements = self.leader.measurements
         liveness = measurements.liveness
         may_receive_work = self.state.may_receive_work(target)
         is_overdue = measurements.is_overdue(target, now)
-        return RoutedTarget(
+        current = RoutedTarget(
             target.target_id,
             target.started_ms,
             target.service,
@@ -208,6 +220,7 @@
             rate_limit=measurements.rate_limits.published(target.incarnation),
             draining=not may_receive_work and not is_overdue,
         )
+        return before if is_same_target(before, current) else current
 
     # Key ranges ----------------------------------------------------------------------------------
 
--- a/cranberrylever/route_control/_sections.py
+++ b/cranberrylever/route_control/_sections.py
@@ -58,8 +58,10 @@
 
 def fleet_changes(before: FleetView, after: FleetView, base_version: int) -> FleetView:
     """Return ``after`` with only the targets that differ from ``before``, and the ids of removed ones."""
-    known = {target.target_id: _comparable(target) for target in before.targets}
-    changed = tuple(target for target in after.targets if known.get(target.target_id) != _comparable(target))
+    known = {target.target_id: target for target in before.targets}
+    changed = tuple(
+        target for target in after.targets if not is_same_target(known.get(target.target_id), target)
+    )
     removed = tuple(known.keys() - {target.target_id for target in after.targets})
     return attrs.evolve(after, targets=changed, removed=removed, base_version=base_version)
 
@@ -68,7 +70,14 @@
     """Return whether two views differ at most in remaining cold times, which only count down."""
     if before is None or before.entries != after.entries or before.suspects != after.suspects:
         return False
-    return tuple(map(_comparable, before.targets)) == tuple(map(_comparable, after.targets))
+    return len(before.targets) == len(after.targets) and all(
+        map(is_same_target, before.targets, after.targets)
+    )
+
+
+def is_same_target(before: RoutedTarget | None, after: RoutedTarget) -> bool:
+    """Return whether a target differs at most in its remaining cold time, which only counts down."""
+    return before is after or (before is not None and _comparable(before) == _comparable(after))
 
 
 def _comparable(target: RoutedTarget) -> tuple[object, ...]:
--- a/cranberrylever/target_registry/_liveness.py
+++ b/cranberrylever/target_registry/_liveness.py
@@ -59,10 +59,13 @@
         last = self.last_announcements.get(target.incarnation)
         return max(0.0, last.cold_until - now) if last else 0.0
 
-    def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
-        """Drop all other incarnations."""
+    def keep_only(self, incarnations: set[tuple[str, int]], seen_since: float) -> None:
+        """Drop all other incarnations that have not announced themselves since a loop time.
+
+        The registration of a new one may not be committed yet.
+        """
         self.last_announcements = {
             incarnation: last
             for incarnation, last in self.last_announcements.items()
-            if incarnation in incarnations
+            if incarnation in incarnations or last.last_seen_at >= seen_since
         }
--- a/tests/route_control/test_ownership.py
+++ b/tests/route_control/test_ownership.py
@@ -290,3 +290,32 @@
                 await control.change_leader()
         if not control.grant_client.targets:
             await control.start_target(0)
+
+
+class JoiningTargetTest(testtools.TestCase):
+    def test_target_whose_registration_is_committed_late_is_not_forgotten(self):
+        """Guards against new targets that count as silent since the start of the term.
+
+        Their announcements were dropped while their registration was not committed yet, so that each joined
+        twice (canopy-gate-large, 78 targets at once).
+        """
+
+        async def scenario():
+            control = SimulatedControl(6)
+            await control.start(3)
+            await asyncio.sleep(20.0)
+            control.driver.draw_commit_delay = lambda: MAX_COMMIT_DELAY_S
+            forgotten = []
+            control.leader.log.info = lambda name, **fields: (
+                forgotten.append(fields["target"]) if name == "target_forgotten" else None
+            )
+            control.announcer.cancel()
+            await control.start_target(7)
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(0.4)
+            target = control.state.fleet.targets["t7"]
+            assert not control.leader.measurements.is_overdue(target, loop.time())
+            assert forgotten == []
+            await control.close()
+
+        run_in_simulated_time(scenario)
