Spread hot keys over many targets at once in a large service

At most 12 moves were pending, for 21 targets as for 259. Change: a hot part is moved alone only when its target is not overloaded without it; the limit on pending moves grows with the owners, a sixth of them.

--- a/cranberrylever/keyspace/__init__.py
+++ b/cranberrylever/keyspace/__init__.py
@@ -1,5 +1,6 @@
 """Key ranges of keyed services: the replicated table, grant leases, work per part and the planner."""
 
+from cranberrylever.keyspace._fair_work import PlanOwner, fair_weight
 from cranberrylever.keyspace._leases import GrantCall, LeaseLedger
 from cranberrylever.keyspace._loads import (
     KEYS_PER_PART,
@@ -9,13 +10,7 @@
     part_of,
     work_in_range,
 )
-from cranberrylever.keyspace._planner import (
-    KeyPlan,
-    PlanOwner,
-    fair_weight,
-    plan_keys,
-    plan_merges,
-)
+from cranberrylever.keyspace._planner import KeyPlan, plan_keys, plan_merges
 from cranberrylever.keyspace._ranges import (
     FREE,
     HELD,
--- a/cranberrylever/keyspace/_planner.py
+++ b/cranberrylever/keyspace/_planner.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cranberrylever.keyspace._fair_work import PlanOwner, divide_work
 from cranberrylever.keyspace._loads import KEYS_PER_PART, cumulative_work, work_in_range
 from cranberrylever.keyspace._ranges import FREE, HELD, KEY_SPACE_SIZE, RELEASING, KeyRange, RangeEdit
 
@@ -28,38 +29,17 @@
 HOT_PART_CAPACITY_RATIO = 0.75
 """A hot part moves when its target has less than this share of the capacity of the new target."""
 
-FULL_UTILIZATION = 0.75
-"""Utilization of a service from which work is divided by capacity alone, without preference for speed."""
-
-MAX_SPEED_EXPONENT = 6.0
-"""Exponent of the relative speed in a target's weight at a utilization of 0."""
-
-MAX_FAIR_UTILIZATION = 0.7
-"""Utilization up to which fair work fills a target while others have free capacity.
-
-It bounds the preference for fast targets.
-"""
-
 WIDTH_PENALTY = 12.0
 """Deduction from the rank of a piece, proportional to its width; the value is that for the whole key space.
 
 A piece that carries exactly the wanted work ranks 1.0 before the deduction. Moving idle keys gains nothing.
 """
 
-MAX_PENDING_MOVES = 12
-"""Moves that may be pending at once; callers of moving keys wait."""
-
-
-@attrs.frozen
-class PlanOwner:
-    """A target that may own keys.
-
-    ``capacity`` is in seconds of work per second. Work is divided among owners in proportion to ``weight``.
-    """
+MIN_PENDING_MOVES = 12
+"""Moves that may be pending at once in a small service; callers of moving keys wait."""
 
-    incarnation: tuple[str, int]
-    capacity: float
-    weight: float
+PENDING_MOVES_PER_OWNER = 1 / 6
+"""The same per owner of a large one, so that hot keys reach many targets within seconds."""
 
 
 @attrs.frozen
@@ -115,23 +95,15 @@
     assignments = _assign_free_ranges(ranges, loads, prefix_sums)
     releases: list[RangeEdit] = []
     if may_balance:
-        releases = _choose_releases(ranges, loads, prefix_sums, MAX_PENDING_MOVES - pending_moves)
+        releases = _choose_releases(
+            ranges, loads, prefix_sums, max_pending_moves(len(owners)) - pending_moves
+        )
     return KeyPlan(tuple(assignments), tuple(releases))
 
 
-def fair_weight(capacity: float, speed: float, utilization: float) -> float:
-    """Return the weight of a target in the division of work.
-
-    While capacity is unused, fast targets get more than in proportion to capacity, because they answer each
-    request sooner. The preference falls to none as utilization rises to ``FULL_UTILIZATION``.
-
-    Args:
-        capacity: Seconds of work per second.
-        speed: Relative speed; 1.0 is the average of the service.
-        utilization: Work of the service divided by the capacity of all its targets.
-    """
-    spare = max(0.0, 1.0 - utilization / FULL_UTILIZATION)
-    return capacity * speed ** (MAX_SPEED_EXPONENT * spare)
+def max_pending_moves(owner_count: int) -> int:
+    """Return how many moves may be pending at once in a service of ``owner_count`` owners."""
+    return max(MIN_PENDING_MOVES, int(owner_count * PENDING_MOVES_PER_OWNER))
 
 
 def plan_merges(ranges: Sequence[KeyRange], limit: int) -> list[RangeEdit]:
@@ -169,25 +141,6 @@
     return loads
 
 
-def divide_work(owners: Sequence[PlanOwner], work: float) -> dict[tuple[str, int], float]:
-    """Divide work by weight, with the work of each target capped at a maximum utilization.
-
-    The maximum is ``MAX_FAIR_UTILIZATION``, or the mean utilization if that is higher. Targets are processed
-    by ascending ``capacity / weight``, so that the work above a target's cap goes to the targets after it.
-    """
-    capacity = sum(owner.capacity for owner in owners)
-    max_utilization = max(MAX_FAIR_UTILIZATION, work / capacity)
-    fair_work: dict[tuple[str, int], float] = {}
-    ordered = sorted(owners, key=lambda owner: (owner.capacity / owner.weight, owner.incarnation))
-    weight = sum(owner.weight for owner in owners)
-    for owner in ordered:
-        owner_work = min(work * owner.weight / weight, max_utilization * owner.capacity)
-        fair_work[owner.incarnation] = owner_work
-        work -= owner_work
-        weight -= owner.weight
-    return fair_work
-
-
 def _assign_free_ranges(
     ranges: Sequence[KeyRange], loads: dict[tuple[str, int], _TargetLoad], prefix_sums: Sequence[float]
 ) -> list[RangeEdit]:
@@ -218,7 +171,7 @@
 def _misplaced_hot_part(
     available: Sequence[KeyRange], loads: dict[tuple[str, int], _TargetLoad], prefix_sums: Sequence[float]
 ) -> RangeEdit | None:
-    """Return a hot part of an overloaded target when one with much more capacity is not overloaded."""
+    """Return the hot part that overloads a target when one with much more capacity is not overloaded."""
     receiver = max(loads.values(), key=_hot_part_rank)
     for load in loads.values():
         is_donor = load.work > load.capacity and load.capacity < HOT_PART_CAPACITY_RATIO * receiver.capacity
@@ -231,7 +184,9 @@
             for part in range(key_range.first // KEYS_PER_PART, key_range.last // KEYS_PER_PART + 1)
         ]
         hottest = max(parts, key=lambda part: prefix_sums[part + 1] - prefix_sums[part])
-        if prefix_sums[hottest + 1] - prefix_sums[hottest] > HOT_PART_UTILIZATION * load.capacity:
+        work = prefix_sums[hottest + 1] - prefix_sums[hottest]
+        # A target with several busy parts moves them all at once, like any other that is overloaded.
+        if work > HOT_PART_UTILIZATION * load.capacity and load.work - work <= load.capacity:
             first = hottest * KEYS_PER_PART
             return RangeEdit(first, first + KEYS_PER_PART - 1, RELEASING)
     return None
