Let the soak grant keys in answers to announcements

Change: with odd seeds the soak's keyed service gets its keys in answers; its targets report what they hold, still work on and have released. Conclusion: both deliveries are under the same faults and checks.

--- a/bench/routes/cluster.py
+++ b/bench/routes/cluster.py
@@ -18,6 +18,7 @@
 FAILURE_DOMAINS = ("north", "south")
 HOST = "soak.example"
 CALL_TIMEOUT_S = 1.0
+ANNOUNCE_TIMEOUT_S = 0.3
 START_TIMEOUT_S = 20.0
 
 
@@ -26,8 +27,9 @@
     return address.rpartition(":")[2]
 
 
-def route_plan(number: int, timeout: float = 2.0) -> dict:
+def route_plan(number: int, timeout: float = 2.0, granted_in_answers: bool = False) -> dict:
     """Return a plan with a keyed and a pooled service; ``timeout`` in seconds distinguishes plans."""
+    ledger = {"name": "ledger", "keyed": True, "granted_in_answers": granted_in_answers}
     shared = {"host": HOST, "timeout": timeout, "objective": 0.5, "attempts": 2}
     cold = {"max_connections": 60, "cold_time": 1.0, "cold_rate": 20.0, "takeover_time": 1.0}
     return {
@@ -59,7 +61,7 @@
             },
         ],
         "services": [
-            {"name": "ledger", "keyed": True, "health_path": "/healthz", **cold},
+            {**ledger, "health_path": "/healthz", **cold},
             {"name": "desk", "keyed": False, "health_path": "/healthz", **cold},
         ],
     }
@@ -88,9 +90,13 @@
 
 @attrs.define(eq=False)
 class SoakCluster:
-    """Processes, relays and fake targets of one soak test; ``root`` holds data directories and logs."""
+    """Processes, relays and fake targets of one soak test; ``root`` holds data directories and logs.
+
+    With ``granted_in_answers`` targets get their keys in the answers to their announcements.
+    """
 
     root: Path
+    granted_in_answers: bool = False
     members: list[Member] = attrs.field(factory=list)
     entries: list[tuple[ManagedProcess, str]] = attrs.field(factory=list)
     targets: list[SoakTarget] = attrs.field(factory=list)
@@ -106,10 +112,14 @@
         await self._start_targets()
         self.announcer = asyncio.get_running_loop().create_task(self._announce_targets())
         async with asyncio.timeout(START_TIMEOUT_S):
-            while not await self.put_plan(route_plan(1), 0):
+            while not await self.put_plan(self.plan(1), 0):
                 await asyncio.sleep(0.1)
         self.plan_number = 1
 
+    def plan(self, number: int, timeout: float = 2.0) -> dict:
+        """Return a plan for this cluster."""
+        return route_plan(number, timeout, self.granted_in_answers)
+
     async def close(self) -> None:
         """Kill all processes and stop all targets and relays."""
         if self.announcer is not None:
@@ -181,11 +191,17 @@
                 announcement_count += 1
                 if target.server.is_serving() and target.resumed.is_set():
                     member = self.members[announcement_count % MEMBER_COUNT]
-                    await self.call(
-                        member.http, "PUT", f"/v1/targets/{target.name}", target.announcement(), 0.3
-                    )
+                    await self._announce(target, member)
             await asyncio.sleep(ANNOUNCE_INTERVAL_S / 2)
 
+    async def _announce(self, target: SoakTarget, member: Member) -> None:
+        sent_at = asyncio.get_running_loop().time()
+        path = f"/v1/targets/{target.name}"
+        announcement = target.announcement(self.granted_in_answers)
+        answer = await self.call(member.http, "PUT", path, announcement, ANNOUNCE_TIMEOUT_S)
+        if answer is not None and answer.status == 200 and self.granted_in_answers:
+            target.apply_answer(json.loads(answer.body), sent_at)
+
     async def call(
         self, address: str, method: str, path: str, body: bytes = b"", timeout: float = CALL_TIMEOUT_S
     ) -> TargetAnswer | None:
@@ -215,6 +231,6 @@
         return False
 
 
-def create_soak_cluster() -> SoakCluster:
+def create_soak_cluster(granted_in_answers: bool = False) -> SoakCluster:
     """Return a cluster in a new temporary directory; it is not started yet."""
-    return SoakCluster(Path(tempfile.mkdtemp(prefix="route-soak-")))
+    return SoakCluster(Path(tempfile.mkdtemp(prefix="route-soak-")), granted_in_answers)
--- a/bench/routes/faults.py
+++ b/bench/routes/faults.py
@@ -7,7 +7,7 @@
 import attrs
 
 from bench.relay import Relay
-from bench.routes.cluster import FAILURE_DOMAINS, SoakCluster, route_plan
+from bench.routes.cluster import FAILURE_DOMAINS, SoakCluster
 from bench.routes.target import SoakTarget
 
 # Each pair is the range from which a random time is drawn.
@@ -204,7 +204,7 @@
     async def change_plan(self) -> None:
         """Submit the next plan; two changes never run at once, so it is known whether each was accepted."""
         number = self.cluster.plan_number + 1
-        plan = route_plan(number, 2.0 + number / 1000)
+        plan = self.cluster.plan(number, 2.0 + number / 1000)
         if await self.cluster.put_plan(plan, self.cluster.plan_number):
             self.cluster.plan_number = max(self.cluster.plan_number, number)
 
--- a/bench/routes/soak.py
+++ b/bench/routes/soak.py
@@ -57,7 +57,7 @@
 async def run_soak(seed: int, seconds: float) -> list[str]:
     """Run one seed; returns the violated guarantees and the faults before them, empty without any."""
     rng = random.Random(seed)
-    cluster = create_soak_cluster()
+    cluster = create_soak_cluster(granted_in_answers=seed % 2 == 1)
     callers = SoakCallers(cluster, random.Random(rng.random()))
     faults = RouteFaults(cluster, random.Random(rng.random()))
     monitor = _PlanMonitor(cluster)
--- a/bench/routes/target.py
+++ b/bench/routes/target.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bench.relay import Relay
-from bench.routes.held_ranges import HeldRanges
+from bench.routes.held_ranges import HeldRange, HeldRanges
 
 SLOTS = 4
 ANNOUNCE_INTERVAL_S = 0.4
@@ -77,6 +77,9 @@
         self.draining = False
         self.sequence = 0
         self.holds = HeldRanges()
+        self.running: dict[str, int] = {}
+        self.finishing: list[HeldRange] = []
+        self.released: list[dict] = []
         self.started_ms = 0
         self.rate_limit = 0.0
         self.limited_at = 0.0
@@ -85,7 +88,7 @@
     async def start(self) -> None:
         """Start a new incarnation at the same address."""
         host, _, port = self.relay.upstream.rpartition(":")
-        self.holds = HeldRanges()
+        self._drop_keys()
         self.draining = False
         self.sequence = 0
         self.started_ms = max(self.started_ms + 1, int(time.time() * 1000))
@@ -98,7 +101,13 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.relay.reset()
+        self._drop_keys()
+
+    def _drop_keys(self) -> None:
         self.holds = HeldRanges()
+        self.running = {}
+        self.finishing = []
+        self.released = []
 
     def limit_rate(self, rate: float) -> None:
         """State a limit of ``rate`` requests per second with each answer, 0 for none."""
@@ -117,11 +126,12 @@
                 f"its limit is {self.rate_limit} a second since {self.limited_at:.2f}"
             )
 
-    def announcement(self) -> bytes:
-        """Return the next announcement as JSON."""
+    def announcement(self, with_keys: bool = False) -> bytes:
+        """Return the next announcement as JSON, with the keys that this target holds and has released."""
         self.sequence += 1
         return json.dumps(
             {
+                **({"keys": self._key_report()} if with_keys else {}),
                 "target_id": self.name,
                 "started_ms": self.started_ms,
                 "sequence": self.sequence,
@@ -134,6 +144,33 @@
             }
         ).encode()
 
+    def _key_report(self) -> dict[str, list[dict]]:
+        now = asyncio.get_running_loop().time()
+        for item in list(self.finishing):
+            if not any(item.first <= key <= item.last for key in self.running.values()):
+                self.finishing.remove(item)
+                if now < item.until:
+                    handover = f"token-{self.name}-{item.fence}"
+                    self.released.append({"first": item.first, "last": item.last, "handover": handover})
+        held = [
+            {"first": item.first, "last": item.last, "fence": item.fence}
+            for item in (*self.holds.at(now), *self.finishing)
+        ]
+        return {"held": held, "released": self.released}
+
+    def apply_answer(self, answer: dict, sent_at: float) -> None:
+        """Hold what the answer to an announcement lists, counted from its sending, and release other keys."""
+        if "grants" not in answer:
+            return
+        self.released = []
+        granted = [(grant["first"], grant["last"]) for grant in answer["grants"]]
+        for item in self.holds.at(asyncio.get_running_loop().time()):
+            if not any(first <= item.first and item.last <= last for first, last in granted):
+                self.holds.release(item.first, item.last)
+                self.finishing.append(item)
+        for grant in answer["grants"]:
+            self._grant(grant, sent_at)
+
     def holds_key(self, key: int, now: float) -> bool:
         """Return whether this target may start a request for a key."""
         return self.holds.has_key(key, now)
@@ -215,9 +252,13 @@
                 self.observations.problems.append(
                     f"{self.name} runs a request for key {key} while {other_holders} hold it"
                 )
+            self.running[request_id] = key
         self.observations.runs.setdefault(request_id, []).append(self.name)
         self.observations.starts.append((now, self.domain, request_id))
-        await asyncio.sleep(random.uniform(*SERVICE_TIME_S))
+        try:
+            await asyncio.sleep(random.uniform(*SERVICE_TIME_S))
+        finally:
+            self.running.pop(request_id, None)
         extra = [f"cranberrylever-load: {len(self.tasks)},0,{SLOTS},100"]
         if self.rate_limit:
             extra.append(f"cranberrylever-rate-limit: {self.rate_limit}")
