Refuse by an outdated view while a leader exists, and lengthen leases and waits at size

Change: an entry whose view is older than 2 s refuses at once while a member names a leader, who may have changed it; cut off, or without a leader, it serves on. Services of 100 ranges or more get leases of 4 s, renewed every 1.4 s, and the ledger keeps the lease of each call. A reply is awaited longer after each failure, up to 3 s. Immediate reports of all entries stay below 1,000 a second. Ruled out: the joins, which are calm now; the registry, which forgot no target.

--- a/cranberrylever/keyspace/_leases.py
+++ b/cranberrylever/keyspace/_leases.py
@@ -15,11 +15,13 @@
 
     ``may_hold_until`` is the loop time after which the target cannot hold keys because of the call. It is
     infinite while the call is in progress, because the call may arrive at any time until its end. ``kept``
-    lists the parts of the keys that the target has not confirmed to have released since.
+    lists the parts of the keys that the target has not confirmed to have released since. ``lease`` is the
+    lifetime of the grant in seconds.
     """
 
     first: int
     last: int
+    lease: float
     may_hold_until: float = float("inf")
     answered: bool = False
     kept: list[tuple[int, int]] = attrs.field(init=False)
@@ -50,30 +52,27 @@
     the calls of its predecessor, so it treats all keys as held for one lease.
 
     Args:
-        lease_s: Lifetime of a grant in seconds.
         now: Loop time in seconds at which this member became the leader.
         call_s: Longest time of a grant call; the leader before may have begun one until ``now``.
-        predecessor_lease_s: Longest lifetime of a grant of the leader before, ``None`` for ``lease_s``.
+        predecessor_lease: Longest lifetime in seconds of a grant of the leader before.
     """
 
-    def __init__(
-        self, lease_s: float, now: float, call_s: float, predecessor_lease_s: float | None = None
-    ) -> None:
-        self.lease_s = lease_s
-        longest_lease = max(lease_s, predecessor_lease_s or 0.0)
-        self.predecessor_grants_until = now + call_s + DELIVERY_MARGIN_S + longest_lease * CLOCK_DRIFT_FACTOR
+    def __init__(self, now: float, call_s: float, predecessor_lease: float) -> None:
+        latest_arrival = now + call_s + DELIVERY_MARGIN_S
+        self.predecessor_grants_until = latest_arrival + predecessor_lease * CLOCK_DRIFT_FACTOR
         self.calls: dict[tuple[str, int], list[GrantCall]] = {}
 
-    def begin(self, incarnation: tuple[str, int], first: int, last: int) -> GrantCall:
-        """Record a call that is about to be sent."""
-        call = GrantCall(first, last)
+    def begin(self, incarnation: tuple[str, int], first: int, last: int, lease: float) -> GrantCall:
+        """Record a call that is about to be sent, for a grant of ``lease`` seconds."""
+        call = GrantCall(first, last, lease)
         self.calls.setdefault(incarnation, []).append(call)
         return call
 
     def finish(self, call: GrantCall, now: float, answered: bool) -> None:
         """Record the end of a call: an answer, or the loss of its connection."""
         call.answered = answered
-        call.may_hold_until = now + self.lease_s * CLOCK_DRIFT_FACTOR if answered else self._latest_end(now)
+        latest_arrival = now if answered else now + DELIVERY_MARGIN_S
+        call.may_hold_until = latest_arrival + call.lease * CLOCK_DRIFT_FACTOR
 
     def record_answer_grant(
         self, incarnation: tuple[str, int], first: int, last: int, lease: float, now: float
@@ -82,7 +81,7 @@
 
         Its ``lease`` seconds run from the sending of the announcement, however late the answer arrives.
         """
-        call = self.begin(incarnation, first, last)
+        call = self.begin(incarnation, first, last, lease)
         call.answered = True
         call.may_hold_until = now + lease * CLOCK_DRIFT_FACTOR
 
@@ -136,6 +135,3 @@
 
     def _overlapping(self, incarnation: tuple[str, int], first: int, last: int) -> list[GrantCall]:
         return [call for call in self.calls.get(incarnation, []) if call.may_grant(first, last)]
-
-    def _latest_end(self, now: float) -> float:
-        return now + DELIVERY_MARGIN_S + self.lease_s * CLOCK_DRIFT_FACTOR
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -30,7 +30,13 @@
     RouteControlCommand,
     command_codec,
 )
-from cranberrylever.route_control._lease_manager import LEASE_S, LeaseManager, range_key_of
+from cranberrylever.route_control._lease_manager import (
+    LEASE_S,
+    LONG_LEASE_S,
+    MANY_RANGES,
+    LeaseManager,
+    range_key_of,
+)
 from cranberrylever.route_control._measurements import TargetMeasurements
 from cranberrylever.route_control._permits import PermitLedger
 from cranberrylever.route_control._range_log import log_edits, log_freed_ranges
@@ -111,9 +117,15 @@
 
     def _predecessor_lease(self) -> float:
         """Return the longest lifetime in seconds of a grant of the leader before."""
-        services = [self.service(name) for name in self.state.tables]
-        is_any_announced = any(service is None or service.granted_in_answers for service in services)
-        return max(LEASE_S, ANNOUNCED_LEASE_S if is_any_announced else 0.0)
+        leases = [LEASE_S]
+        for name, table in self.state.tables.items():
+            service = self.service(name)
+            if service is None or service.granted_in_answers:
+                leases.append(ANNOUNCED_LEASE_S)
+            # The leader before may have had some more ranges.
+            if len(table.ranges) >= MANY_RANGES / 2:
+                leases.append(LONG_LEASE_S)
+        return max(leases)
 
     def on_applied(self, index: int, command: object, result: object) -> None:
         """Run the next step immediately after a change, and log the ranges that it freed without an edit."""
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -18,6 +18,13 @@
 RENEW_INTERVAL_S = 0.8
 """Seconds between renewals; two may fail before the lease expires."""
 
+LONG_LEASE_S = 4.0
+LONG_RENEW_INTERVAL_S = 1.4
+"""The same with many ranges, whose renewals would otherwise take much of the leader's time."""
+
+MANY_RANGES = 100
+"""Ranges of a service from which grants have the long lease."""
+
 RETRY_INTERVAL_S = 0.25
 """Seconds between attempts of a grant or release that failed."""
 
@@ -92,7 +99,7 @@
             now: Loop time.
             predecessor_lease: Longest lifetime in seconds of a grant of the leader before.
         """
-        self.ledger = LeaseLedger(LEASE_S, now, GRANT_TIMEOUT_S, predecessor_lease)
+        self.ledger = LeaseLedger(now, GRANT_TIMEOUT_S, predecessor_lease)
         self.renewals: dict[RangeKey, _RenewalState] = {}
         self.releases: dict[RangeKey, _ReleaseState] = {}
         self.tokens = HandoverTokens()
@@ -147,6 +154,7 @@
         now: float,
     ) -> None:
         """Start the grant, release and probe calls that are due for the ranges of one service."""
+        lease = LONG_LEASE_S if len(ranges) >= MANY_RANGES else LEASE_S
         for item in ranges:
             target = targets.get(item.incarnation)
             if target is None:
@@ -154,7 +162,7 @@
             if self.is_unreachable(item.incarnation):
                 self._probe(target, health_path, now)
             elif item.phase == HELD:
-                self._renew(item, target, now)
+                self._renew(item, target, lease, now)
             elif item.phase == RELEASING:
                 self._release(item, target, now)
 
@@ -176,16 +184,16 @@
         self.granted_fences &= {range_key[3] for range_key in range_keys}
         self.tokens.expire(now)
 
-    def _renew(self, item: KeyRange, target: RegisteredTarget, now: float) -> None:
+    def _renew(self, item: KeyRange, target: RegisteredTarget, lease: float, now: float) -> None:
         range_key = range_key_of(item)
         renewal = self.renewals.setdefault(range_key, _RenewalState())
         if renewal.is_running or now < renewal.due_at or range_key in self.refused_ranges:
             return
         renewal.is_running = True
         self.addresses[item.incarnation] = target.address
-        call = self.ledger.begin(item.incarnation, item.first, item.last)
+        call = self.ledger.begin(item.incarnation, item.first, item.last, lease)
         token = "" if item.fence in self.granted_fences else self.tokens.find(item.first, item.last)
-        grant = KeyGrant(item.first, item.last, item.fence, LEASE_S, token)
+        grant = KeyGrant(item.first, item.last, item.fence, lease, token)
         self._start_task(self._send_grant(range_key, target, grant, renewal, call))
 
     async def _send_grant(
@@ -238,7 +246,7 @@
             ledger.finish(call, now, answered=True)
             self.consecutive_failures.pop(incarnation, None)
             self.mark_granted(range_key)
-            renewal.due_at = now + RENEW_INTERVAL_S
+            renewal.due_at = now + (LONG_RENEW_INTERVAL_S if call.lease == LONG_LEASE_S else RENEW_INTERVAL_S)
             return
         renewal.due_at = now + RETRY_INTERVAL_S
         if answer is GrantAnswer.REFUSED:
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -30,6 +30,11 @@
 DISCONNECT_CHECK_DELAY_S = 0.01
 """Time after which an entry starts to check whether the caller of a request has disconnected."""
 
+MAX_VIEW_AGE_S = 2.0
+"""Age of the view from which requests are refused while a leader exists, which may have changed it."""
+
+OUTDATED_VIEW_RETRY_AFTER_S = 0.3
+
 NO_VIEW_RETRY_AFTER_S = 0.5
 """Delay after which a caller may retry when the entry has not received a view."""
 
@@ -82,6 +87,7 @@
         reachability: Links of this entry to the targets.
         metrics: Metrics of the process.
         log: Program log.
+        knows_leader: Returns whether a member has named a leader shortly before a loop time.
     """
 
     def __init__(
@@ -92,6 +98,7 @@
         reachability: TargetReachability,
         metrics: Metrics,
         log: Log,
+        knows_leader: Callable[[float], bool] = lambda now: False,
     ) -> None:
         self.view = view
         self.reachability = reachability
@@ -99,10 +106,18 @@
         self.format = header_format
         self.metrics = metrics
         self.log = log
+        self.knows_leader = knows_leader
         self.draining = False
         self.requests = 0
         self.started_at = asyncio.get_running_loop().time()
 
+    def is_view_outdated(self, now: float) -> bool:
+        """Return whether control may have changed the view without this entry knowing.
+
+        While no leader exists or control cannot be reached, the last view stays in force.
+        """
+        return now - self.view.received_at > MAX_VIEW_AGE_S and self.knows_leader(now)
+
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
@@ -157,6 +172,10 @@
         host = next((value for name, value in headers if name == b"host"), b"")
         caller_headers = self.format.read_call(headers)
         await self._wait_for_first_view(now, caller_headers.deadline)
+        if self.is_view_outdated(now):
+            raise _AnsweredError(
+                503, "refused", "this entry gets no changes of its routes", OUTDATED_VIEW_RETRY_AFTER_S
+            )
         if self.requests > MAX_CONCURRENT_REQUESTS:
             raise _AnsweredError(503, "refused", "too many requests in progress at this entry", 0.2)
         matcher = self.view.matcher
--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
 
@@ -22,9 +23,12 @@
 MAX_REPORT_INTERVAL_S = 0.9
 """Longest report interval, also when the reports of all entries then exceed ``TOTAL_REPORTS_PER_S``."""
 
-BATCH_DELAY_S = 0.002
+MIN_BATCH_DELAY_S = 0.002
 """Delay of an immediate report, so that the requests that need one share it."""
 
+IMMEDIATE_REPORTS_PER_S = 1_000.0
+"""Immediate reports of all entries per second at most; more entries delay theirs longer."""
+
 MIN_REPLY_TIMEOUT_S = 0.9
 """Time without a reply after which another member is asked; a network cut causes no error on the stream."""
 
@@ -45,6 +49,11 @@
 
 MAX_DOUBLINGS = 8
 
+MAX_REPLY_TIMEOUT_S = 3.0
+
+LEADER_KNOWN_S = 1.5
+"""Time after a member has named a leader for which one is taken to exist."""
+
 _STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, CodecError, TimeoutError)
 
 
@@ -71,6 +80,8 @@
         self.on_reply = on_reply
         self.log = log
         self.report_interval = REPORT_INTERVAL_S
+        self.batch_delay = MIN_BATCH_DELAY_S
+        self.leader_named_at = -math.inf
         self.report_requested = asyncio.Event()
         self.sequence = 0
         self.leader_hint = ""
@@ -156,6 +167,8 @@
                 raise ConnectionError("the control member closed the stream")
             if reply.control:
                 self.members = reply.control
+            if reply.is_leader or reply.leader:
+                self.leader_named_at = asyncio.get_running_loop().time()
             if not reply.is_leader:
                 self.leader_hint = reply.leader if reply.leader != address else ""
                 return
@@ -166,14 +179,16 @@
             self.on_reply(unpack_sections(reply))
 
     def _reply_timeout(self) -> float:
-        return max(MIN_REPLY_TIMEOUT_S, REPLY_TIMEOUT_FACTOR * self.report_interval)
+        """Return the time to wait for a reply, longer after each failure: a busy leader answers late."""
+        timeout = max(MIN_REPLY_TIMEOUT_S, REPLY_TIMEOUT_FACTOR * self.report_interval)
+        return min(MAX_REPLY_TIMEOUT_S, timeout * (1.0 + self.failed_streams / 2))
 
     async def _send_reports(self, stream) -> None:  # noqa: ANN001
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self.report_interval):
                     await self.report_requested.wait()
-                await asyncio.sleep(BATCH_DELAY_S)
+                await asyncio.sleep(self.batch_delay)
             self.report_requested.clear()
             await stream.send_message(self._next_report())
 
@@ -182,10 +197,15 @@
         self.report_requested.set()
 
     def set_entry_count(self, entries: int) -> None:
-        """Set the report interval for a cluster of ``entries`` entries."""
+        """Set the intervals of reports for a cluster of ``entries`` entries."""
         self.report_interval = min(
             MAX_REPORT_INTERVAL_S, max(REPORT_INTERVAL_S, entries / TOTAL_REPORTS_PER_S)
         )
+        self.batch_delay = max(MIN_BATCH_DELAY_S, entries / IMMEDIATE_REPORTS_PER_S)
+
+    def knows_leader(self, now: float) -> bool:
+        """Return whether a member has named or been the leader shortly before the loop time ``now``."""
+        return now - self.leader_named_at < LEADER_KNOWN_S
 
     def _next_report(self, is_first: bool = False) -> FeedReport:
         self.sequence += 1
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -89,7 +89,13 @@
             self.feed.request_report,
         )
         self.app = RouteEntryApp(
-            self.view, self.dispatcher, self.format, self.reachability, self.metrics, self.log
+            self.view,
+            self.dispatcher,
+            self.format,
+            self.reachability,
+            self.metrics,
+            self.log,
+            self.feed.knows_leader,
         )
         self.servers = [CallerServer(self.app, settings.listen, self.tuning)]
         if settings.peer_listen:
--- a/tests/keyspace/test_ranges.py
+++ b/tests/keyspace/test_ranges.py
@@ -93,8 +93,8 @@
 
     def test_keys_of_a_call_in_progress_are_held_indefinitely(self):
         """Guards against keys that are assigned while a grant of them to another target is in progress."""
-        ledger = LeaseLedger(2.0, now=0.0, call_s=0.5)
-        call = ledger.begin(self.INCARNATION, 0, 99)
+        ledger = LeaseLedger(now=0.0, call_s=0.5, predecessor_lease=2.0)
+        call = ledger.begin(self.INCARNATION, 0, 99, 2.0)
         assert ledger.held_until(self.INCARNATION, 50, 60) == float("inf")
         assert ledger.is_call_running(self.INCARNATION, 50, 60)
         ledger.finish(call, 10.0, answered=False)
@@ -103,8 +103,8 @@
 
     def test_released_call_is_not_held(self):
         """Guards against a planned move that waits for the end of a lease."""
-        ledger = LeaseLedger(2.0, now=0.0, call_s=0.5)
-        ledger.finish(ledger.begin(self.INCARNATION, 0, 99), 10.0, answered=True)
+        ledger = LeaseLedger(now=0.0, call_s=0.5, predecessor_lease=2.0)
+        ledger.finish(ledger.begin(self.INCARNATION, 0, 99, 2.0), 10.0, answered=True)
         assert ledger.held_until(self.INCARNATION, 0, 99) > 12.0
         assert ledger.held_until(self.INCARNATION, 100, 199) < 3.0
         self.release(ledger, 0, 99)
@@ -112,8 +112,8 @@
 
     def test_release_of_a_part_leaves_the_rest_held(self):
         """Guards against keys that count as released because keys beside them were."""
-        ledger = LeaseLedger(2.0, now=0.0, call_s=0.5)
-        ledger.finish(ledger.begin(self.INCARNATION, 0, 99), 10.0, answered=True)
+        ledger = LeaseLedger(now=0.0, call_s=0.5, predecessor_lease=2.0)
+        ledger.finish(ledger.begin(self.INCARNATION, 0, 99, 2.0), 10.0, answered=True)
         self.release(ledger, 40, 59)
         assert ledger.held_until(self.INCARNATION, 40, 59) < 3.0
         for first, last in ((0, 39), (60, 99), (39, 40), (59, 60)):
@@ -121,16 +121,16 @@
 
     def test_release_does_not_revoke_a_call_without_an_answer(self):
         """Guards against a grant that arrives after the release of its keys."""
-        ledger = LeaseLedger(2.0, now=0.0, call_s=0.5)
-        ledger.finish(ledger.begin(self.INCARNATION, 0, 99), 10.0, answered=False)
+        ledger = LeaseLedger(now=0.0, call_s=0.5, predecessor_lease=2.0)
+        ledger.finish(ledger.begin(self.INCARNATION, 0, 99, 2.0), 10.0, answered=False)
         self.release(ledger, 0, 99)
         assert ledger.held_until(self.INCARNATION, 0, 99) > 12.0
 
     def test_release_does_not_revoke_a_later_call(self):
         """Guards against keys that were granted again while their release was in progress."""
-        ledger = LeaseLedger(2.0, now=0.0, call_s=0.5)
+        ledger = LeaseLedger(now=0.0, call_s=0.5, predecessor_lease=2.0)
         revoked = ledger.answered_calls(self.INCARNATION, 0, 99)
-        ledger.finish(ledger.begin(self.INCARNATION, 0, 99), 10.0, answered=True)
+        ledger.finish(ledger.begin(self.INCARNATION, 0, 99, 2.0), 10.0, answered=True)
         for call in revoked:
             call.drop(0, 99)
         assert ledger.held_until(self.INCARNATION, 0, 99) > 12.0
@@ -141,7 +141,7 @@
 
     def test_new_leader_waits_one_lease(self):
         """Guards against a new leader that assigns keys which its predecessor has just granted."""
-        ledger = LeaseLedger(2.0, now=100.0, call_s=0.5)
+        ledger = LeaseLedger(now=100.0, call_s=0.5, predecessor_lease=2.0)
         assert ledger.held_until(("b", 1), 0, 99) > 102.0
 
     def test_new_leader_waits_for_a_call_that_its_predecessor_began_last(self):
@@ -150,13 +150,13 @@
         The call takes its longest time, its bytes are delivered late, and the clock of the target is 2% slow.
         """
         call_s, lease_s, elected_at = 0.5, 2.0, 100.0
-        ledger = LeaseLedger(lease_s, elected_at, call_s)
+        ledger = LeaseLedger(elected_at, call_s, lease_s)
         arrival = elected_at + call_s + DELIVERY_MARGIN_S
         assert ledger.held_until(("b", 1), 0, 99) >= arrival + 1.02 * lease_s
 
     def test_refused_and_unsent_calls_grant_nothing(self):
         """Guards against waiting for the end of leases that were never granted."""
-        ledger = LeaseLedger(2.0, now=0.0, call_s=0.5)
-        ledger.refuse(ledger.begin(self.INCARNATION, 0, 99))
-        ledger.cancel(ledger.begin(self.INCARNATION, 0, 99))
+        ledger = LeaseLedger(now=0.0, call_s=0.5, predecessor_lease=2.0)
+        ledger.refuse(ledger.begin(self.INCARNATION, 0, 99, 2.0))
+        ledger.cancel(ledger.begin(self.INCARNATION, 0, 99, 2.0))
         assert ledger.held_until(self.INCARNATION, 0, 99) < 3.0
--- a/tests/route_entry/test_feed.py
+++ b/tests/route_entry/test_feed.py
@@ -6,7 +6,10 @@
 import testtools
 
 from cranberrylever.logs import Log
+from cranberrylever.route_entry._app import RouteEntryApp
 from cranberrylever.route_entry._feed import FeedClient
+from cranberrylever.route_entry._view import EntryView
+from cranberrylever.settings import LimitSettings
 from cranberrylever.wire import FeedBase, FeedReport, MsgpackCodec
 from tests.support import end_slowly, run_in_simulated_time
 
@@ -105,3 +108,42 @@
         late = [at for at in attempts if OUTAGE_S / 2 < at < OUTAGE_S]
         busiest = max(sum(at <= other < at + 0.05 for other in late) for at in late)
         assert busiest < ENTRY_COUNT / 3, busiest
+
+
+class OutdatedViewTest(testtools.TestCase):
+    """Entries whose view is old, on a site where control is busy, cut off or without a leader."""
+
+    def is_refused(self, view_age, leader_named_age):
+        async def scenario():
+            await asyncio.sleep(100.0)
+            now = asyncio.get_running_loop().time()
+            feed = FeedClient(("a:1",), None, None, Log("entry", "e", "error"))
+            feed.leader_named_at = now - leader_named_age
+            view = EntryView(LimitSettings())
+            view.received_at = now - view_age
+            app = RouteEntryApp(view, None, None, None, None, None, feed.knows_leader)
+            return app.is_view_outdated(now)
+
+        return run_in_simulated_time(scenario)
+
+    def test_entry_that_a_busy_leader_tells_nothing_refuses(self):
+        """Guards against requests by an old plan, or to targets that left (canopy-gate-large, trouble-1)."""
+        assert self.is_refused(view_age=2.2, leader_named_age=0.5)
+        assert not self.is_refused(view_age=1.5, leader_named_age=0.5)
+
+    def test_entry_that_control_cannot_tell_serves_on(self):
+        """Guards against refusals while control is cut off or has no leader, who could change nothing."""
+        assert not self.is_refused(view_age=5.0, leader_named_age=2.0)
+
+    def test_many_entries_batch_their_immediate_reports(self):
+        """Guards against a leader that answers each wait for a permit of 185 entries by itself."""
+
+        async def scenario():
+            feed = FeedClient(("a:1",), None, None, Log("entry", "e", "error"))
+            feed.set_entry_count(8)
+            assert feed.batch_delay < 0.01
+            feed.set_entry_count(ENTRY_COUNT)
+            assert ENTRY_COUNT / feed.batch_delay <= 1_000.1
+            assert feed.batch_delay < 0.2
+
+        run_in_simulated_time(scenario)
