--- a/tests/platform/running_system.py
+++ b/tests/platform/running_system.py
@@ -134,6 +134,19 @@
             headers["Cranberrylever_Shard_Key"] = str(key)
         return await self.caller.call(entry or self.entry, method, path, body, **headers)
 
+    async def send_load(self, method, path, seconds, interval):
+        """Send requests to all entries in turn; return the statuses in the order in which they were sent."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        tasks = []
+        while loop.time() < end:
+            number = len(tasks)
+            key = (number * 7_919) % 65_536 if path.startswith("/ledger") else None
+            entry = self.entries[number % len(self.entries)]
+            tasks.append(loop.create_task(self.request(method, path, key, entry=entry)))
+            await asyncio.sleep(interval)
+        return [answer.status for answer in await asyncio.gather(*tasks)]
+
     async def send_heartbeat(self, target, **changes):
         path = f"/Instances.Heartbeat/{target.target_id}"
         sent_at = asyncio.get_running_loop().time()
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -29,25 +29,13 @@
 
         asyncio.run(main())
 
-    async def send_load(self, system, method, path):
-        loop = asyncio.get_running_loop()
-        end = loop.time() + LOAD_S
-        tasks = []
-        while loop.time() < end:
-            number = len(tasks)
-            key = (number * 7_919) % 65_536 if path.startswith("/ledger") else None
-            entry = system.entries[number % len(system.entries)]
-            tasks.append(loop.create_task(system.request(method, path, key, entry=entry)))
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-        return [answer.status for answer in await asyncio.gather(*tasks)]
-
     def check_leaving(self, entry_count, target_number, method, path):
         async def scenario(system):
             await asyncio.sleep(NEW_LEADER_WAIT_S)
             target = system.targets[target_number]
             target.leaving = True
             first = len(target.arrivals)
-            statuses = await self.send_load(system, method, path)
+            statuses = await system.send_load(method, path, LOAD_S, REQUEST_INTERVAL_S)
             arrivals = target.arrivals[first:]
             assert arrivals, "the target got no request at all"
             late = [at for at in arrivals if at > arrivals[0] + DRAIN_BOUND_S]
@@ -75,7 +63,7 @@
         async def scenario(system):
             target = system.targets[2]
             target.leaving = True
-            await self.send_load(system, "POST", "/desk/x")
+            await system.send_load("POST", "/desk/x", LOAD_S, REQUEST_INTERVAL_S)
             await system.route_entries[0].close()
             settings = system.route_entries[0].settings
             system.route_entries[0] = system.create_entry(0, settings.contacts[0])
@@ -83,7 +71,7 @@
             system.entry = system.entries[0] = system.route_entries[0].settings.listen
             await system.until(system.is_served)
             before = len(target.arrivals)
-            await self.send_load(system, "POST", "/desk/x")
+            await system.send_load("POST", "/desk/x", LOAD_S, REQUEST_INTERVAL_S)
             assert len(target.arrivals) == before
 
         self.run_system(1, scenario)
@@ -93,7 +81,7 @@
             target = system.targets[target_number]
             target.retry_after = str(PAUSE_S)
             first = len(target.arrivals)
-            load = asyncio.create_task(self.send_load(system, method, path))
+            load = asyncio.create_task(system.send_load(method, path, LOAD_S, REQUEST_INTERVAL_S))
             await asyncio.sleep(0.9 * PAUSE_S)
             first_refusal = target.arrivals[first]
             in_pause = [at for at in target.arrivals if at > first_refusal + ANSWER_MARGIN_S]
--- a/tests/platform/test_rate_limit.py
+++ b/tests/platform/test_rate_limit.py
@@ -31,7 +31,7 @@
                 target = system.targets[target_number]
                 target.rate_limit = str(LIMIT)
                 limited_at = asyncio.get_running_loop().time()
-                statuses = await self.send_load(system, method, path)
+                statuses = await system.send_load(method, path, LOAD_S, REQUEST_INTERVAL_S)
                 return [at - limited_at for at in target.arrivals if at >= limited_at], statuses
 
         arrivals, statuses = asyncio.run(main())
@@ -43,19 +43,6 @@
         assert served_share >= MIN_SERVED_SHARE, served_share
         return arrivals
 
-    async def send_load(self, system, method, path):
-        """Return the statuses of all requests, in the order in which they were sent."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + LOAD_S
-        tasks = []
-        while loop.time() < end:
-            number = len(tasks)
-            key = (number * 7_919) % 65_536 if path.startswith("/ledger") else None
-            entry = system.entries[number % len(system.entries)]
-            tasks.append(loop.create_task(system.request(method, path, key, entry=entry)))
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-        return [answer.status for answer in await asyncio.gather(*tasks)]
-
     def test_owner_of_keys_gets_no_more_than_the_limit_that_it_named(self):
         """Guards against entries that send a target what its keys ask for, whatever limit it names."""
         arrivals = self.check_limited_target(0, "GET", "/ledger/x")
