Read the delay that another entry states like every other number

Cause: the second parser for Retry-After took nan and inf, which the caller would have been sent (found when the diff was read). Change: the parser of the header formats; tests of the relay pass.

--- a/cranberrylever/route_entry/_peer_relay.py
+++ b/cranberrylever/route_entry/_peer_relay.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Iterator
 
-from cranberrylever.route_entry._format import HeaderFormat
+from cranberrylever.route_entry._format import HeaderFormat, parse_rate
 from cranberrylever.route_entry._reachability import TargetReachability
 from cranberrylever.route_entry._request import (
     AttemptResult,
@@ -154,8 +154,5 @@
 
 
 def _retry_after(answer: TargetAnswer) -> float:
-    value = answer.header(b"retry-after") or b""
-    try:
-        return max(0.0, float(value))
-    except ValueError:
-        return RETRY_AFTER_S
+    seconds = parse_rate(answer.header(b"retry-after"))
+    return seconds if seconds is not None else RETRY_AFTER_S
