Let entries of small sites look for a leader as often as before

Change: it grows until all entries together open 400 streams a second, 0.05 s at 20 entries or fewer, 0.46 s at 185; 0.5 s until the number is known.

--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -44,6 +44,9 @@
 MAX_RECONNECT_DELAY_S = 0.5
 """Longest mean time, so that a new leader has all entries within a few of them."""
 
+RECONNECTS_PER_S = 400.0
+"""New streams of all entries per second from which the mean time grows no further."""
+
 LEADER_HINT_DELAY_S = 0.02
 """Time until the leader that a member named is asked, the first time in a row."""
 
@@ -81,6 +84,7 @@
         self.log = log
         self.report_interval = REPORT_INTERVAL_S
         self.batch_delay = MIN_BATCH_DELAY_S
+        self.max_reconnect_delay = MAX_RECONNECT_DELAY_S
         self.leader_named_at = -math.inf
         self.report_requested = asyncio.Event()
         self.sequence = 0
@@ -123,7 +127,7 @@
         if self.leader_hint and self.failed_streams == 1:
             return LEADER_HINT_DELAY_S
         doublings = min(self.failed_streams - 1, MAX_DOUBLINGS)
-        mean_delay = min(MAX_RECONNECT_DELAY_S, MIN_RECONNECT_DELAY_S * 2**doublings)
+        mean_delay = min(self.max_reconnect_delay, MIN_RECONNECT_DELAY_S * 2**doublings)
         return mean_delay * self.rng.uniform(0.5, 1.5)
 
     def _next_address(self) -> str:
@@ -197,11 +201,14 @@
         self.report_requested.set()
 
     def set_entry_count(self, entries: int) -> None:
-        """Set the intervals of reports for a cluster of ``entries`` entries."""
+        """Set the intervals of reports and new streams for a cluster of ``entries`` entries."""
         self.report_interval = min(
             MAX_REPORT_INTERVAL_S, max(REPORT_INTERVAL_S, entries / TOTAL_REPORTS_PER_S)
         )
         self.batch_delay = max(MIN_BATCH_DELAY_S, entries / IMMEDIATE_REPORTS_PER_S)
+        self.max_reconnect_delay = min(
+            MAX_RECONNECT_DELAY_S, max(MIN_RECONNECT_DELAY_S, entries / RECONNECTS_PER_S)
+        )
 
     def knows_leader(self, now: float) -> bool:
         """Return whether a member has named or been the leader shortly before the loop time ``now``."""
--- a/tests/route_entry/test_feed.py
+++ b/tests/route_entry/test_feed.py
@@ -7,7 +7,7 @@
 
 from cranberrylever.logs import Log
 from cranberrylever.route_entry._app import RouteEntryApp
-from cranberrylever.route_entry._feed import FeedClient
+from cranberrylever.route_entry._feed import MIN_RECONNECT_DELAY_S, FeedClient
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.settings import LimitSettings
 from cranberrylever.wire import FeedBase, FeedReport, MsgpackCodec
@@ -135,15 +135,17 @@
         """Guards against refusals while control is cut off or has no leader, who could change nothing."""
         assert not self.is_refused(view_age=5.0, leader_named_age=2.0)
 
-    def test_many_entries_batch_their_immediate_reports(self):
-        """Guards against a leader that answers each wait for a permit of 185 entries by itself."""
+    def test_delays_grow_with_the_number_of_entries(self):
+        """Guards against a leader that 185 entries keep busy, and against eight that wait for no reason."""
 
         async def scenario():
             feed = FeedClient(("a:1",), None, None, Log("entry", "e", "error"))
             feed.set_entry_count(8)
             assert feed.batch_delay < 0.01
+            assert feed.max_reconnect_delay == MIN_RECONNECT_DELAY_S
             feed.set_entry_count(ENTRY_COUNT)
             assert ENTRY_COUNT / feed.batch_delay <= 1_000.1
             assert feed.batch_delay < 0.2
+            assert ENTRY_COUNT / feed.max_reconnect_delay <= 400.1
 
         run_in_simulated_time(scenario)
