Take the long lease and the relay of announcements from the number of targets

Two things meant for large sites reached it: leases of 4 s for services of 100 ranges, which a small site has after moves, so that the keys of a lost target wait 1.6 s longer; and followers that took the announcements which reach them. Change: both begin at 100 registered targets. Ruled out: nothing; which of them, if any, is the cause was not shown.

--- a/cranberrylever/route_control/_announcement_relay.py
+++ b/cranberrylever/route_control/_announcement_relay.py
@@ -25,7 +25,7 @@
 """Age from which an announcement is not passed on any more."""
 
 MIN_RELAYED_TARGETS = 100
-"""Targets from which the leader names followers for later announcements."""
+"""Targets from which followers take announcements, and the leader names them for later ones."""
 
 Incarnation = tuple[str, int]
 
@@ -79,7 +79,9 @@
     def accept(self, announcement: TargetAnnouncement) -> bool:
         """Take an announcement if it changes nothing and the leader gets batches; return whether it did."""
         target = self.state.fleet.targets.get(announcement.target_id)
-        if not self.is_connected or target is None or target.started_ms != announcement.started_ms:
+        if len(self.state.fleet.targets) < MIN_RELAYED_TARGETS or not self.is_connected:
+            return False
+        if target is None or target.started_ms != announcement.started_ms:
             return False
         if target.leaving or announcement.draining or announcement.cold_for > 0:
             return False
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -20,10 +20,10 @@
 
 LONG_LEASE_S = 4.0
 LONG_RENEW_INTERVAL_S = 1.4
-"""The same with many ranges, whose renewals would otherwise take much of the leader's time."""
+"""The same with many targets, whose renewals would otherwise take much of the leader's time."""
 
-MANY_RANGES = 100
-"""Ranges of a service from which grants have the long lease."""
+MANY_TARGETS = 100
+"""Targets from which grants have the long lease."""
 
 RETRY_INTERVAL_S = 0.25
 """Seconds between attempts of a grant or release that failed."""
@@ -154,7 +154,7 @@
         now: float,
     ) -> None:
         """Start the grant, release and probe calls that are due for the ranges of one service."""
-        lease = LONG_LEASE_S if len(ranges) >= MANY_RANGES else LEASE_S
+        lease = LONG_LEASE_S if len(targets) >= MANY_TARGETS else LEASE_S
         for item in ranges:
             target = targets.get(item.incarnation)
             if target is None:
--- a/cranberrylever/route_control/_takeover.py
+++ b/cranberrylever/route_control/_takeover.py
@@ -4,7 +4,7 @@
 
 from cranberrylever.keyspace import HELD, KeyRange, RangeEdit
 from cranberrylever.route_control._announced_grants import ANNOUNCED_LEASE_S
-from cranberrylever.route_control._lease_manager import LEASE_S, LONG_LEASE_S, MANY_RANGES
+from cranberrylever.route_control._lease_manager import LEASE_S, LONG_LEASE_S, MANY_TARGETS
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.target_registry import TargetRegistry
 
@@ -15,13 +15,13 @@
     """Return the longest lifetime in seconds of a grant of the leader before."""
     plan = state.plans.current
     leases = [LEASE_S]
-    for name, table in state.tables.items():
+    # The leader before may have had some more targets.
+    if len(state.fleet.targets) >= MANY_TARGETS / 2:
+        leases.append(LONG_LEASE_S)
+    for name in state.tables:
         service = plan.service(name) if plan is not None else None
         if service is None or service.granted_in_answers:
             leases.append(ANNOUNCED_LEASE_S)
-        # The leader before may have had some more ranges.
-        if len(table.ranges) >= MANY_RANGES / 2:
-            leases.append(LONG_LEASE_S)
     return max(leases)
 
 
--- a/tests/route_control/test_announcement_relay.py
+++ b/tests/route_control/test_announcement_relay.py
@@ -144,6 +144,7 @@
             for number in range(MIN_RELAYED_TARGETS, TARGET_COUNT + 1):
                 relay.state.fleet.remove(f"t{number - 1}", 1)
             assert relay.member_for("t0") == GROUP[0]
+            assert not relay.accept(announcement(0, 2))
 
         self.run_relay(scenario, GROUP[0])
 
