Release keys on a connection in use again, if the token is new

Change: a release uses a connection that is open; a token that the target has not given before confirms it. Without one, as after a late copy of the answer to a grant, it is made again on a connection of its own. Ruled out: leases and the relay by the number of targets, which changed nothing.

--- a/cranberrylever/route_control/_http_grant_client.py
+++ b/cranberrylever/route_control/_http_grant_client.py
@@ -33,6 +33,7 @@
 
     def __init__(self) -> None:
         self.pool = TargetPool()
+        self.last_tokens: dict[str, str] = {}
 
     @abc.abstractmethod
     def grant_body(self, grant: KeyGrant) -> Mapping[str, object]:
@@ -71,12 +72,21 @@
     async def release(self, target: RegisteredTarget, first: int, last: int, fence: int) -> str | None:
         """Release keys and return the handover token.
 
-        The call has a connection of its own: a target may repeat the answer to an earlier call late, and
-        keys that it still holds would count as released.
+        A target may repeat the answer to an earlier call late, and keys that it still holds would count as
+        released. So only a token that it has not given before confirms a release on a connection that is in
+        use; without one the call is made again on a connection of its own.
         """
+        token = await self._release(target, first, last, fence)
+        if token == "" or (token is not None and token == self.last_tokens.get(target.address)):
+            self.pool.close_idle(target.address)
+            token = await self._release(target, first, last, fence)
+        if token:
+            self.last_tokens[target.address] = token
+        return token
+
+    async def _release(self, target: RegisteredTarget, first: int, last: int, fence: int) -> str | None:
         body = self.release_body(first, last, fence)
         headers = {self.target_header: target.target_id}
-        self.pool.close_idle(target.address)
         answer = await self._call(target.address, "POST", self.release_path, body, RELEASE_TIMEOUT_S, headers)
         return self.handover_token(answer) if answer is not None else None
 
