Show copies of plans, bytes waiting for entries and why streams end

The logs could not tell the hypotheses of the incident apart: no line said when a plan was sent to an entry, how often and how long it took; control_lost named grpclib's 'Outgoing stream was not ended' for a member that says that it does not lead; nothing counted the bytes of the log or those under way.

--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -116,6 +116,10 @@
         """Return the ids of the members of the group; empty before the start."""
         return tuple(self.node.group()) if self.node is not None else ()
 
+    def log_bytes(self) -> int:
+        """Return the size in bytes of the commands in the log, which is kept in memory."""
+        return self.node.log.size if self.node is not None else 0
+
     def transfer_leadership(self) -> None:
         """Step down as leader and transfer leadership to the voter with the highest match index, if any."""
         if self.node is not None and self.node.leadership is not None:
--- a/cranberrylever/consensus/_log.py
+++ b/cranberrylever/consensus/_log.py
@@ -1,5 +1,7 @@
 """The in-memory log and the memberships recorded in it."""
 
+from collections.abc import Sequence
+
 from cranberrylever.consensus._messages import EntryKind, LogEntry, Membership
 from cranberrylever.invariants import check
 from cranberrylever.wire import decode, encode
@@ -10,6 +12,10 @@
     return LogEntry(index, term, EntryKind.MEMBERSHIP, encode(membership))
 
 
+def _payload_bytes(entries: Sequence[LogEntry]) -> int:
+    return sum(len(entry.payload) for entry in entries)
+
+
 class RaftLog:
     """In-memory log entries after ``base_index``; a snapshot covers the entries up to it.
 
@@ -17,12 +23,16 @@
         base_index: Index before the first entry, or 0.
         base_term: Term of the entry at ``base_index``.
         entries: Entries after ``base_index``, in order.
+
+    Attributes:
+        size: Bytes of the payloads of all entries.
     """
 
     def __init__(self, base_index: int, base_term: int, entries: list[LogEntry]) -> None:
         self.base_index = base_index
         self.base_term = base_term
         self.entries = list(entries)
+        self.size = _payload_bytes(self.entries)
         check(
             not entries or entries[0].index == base_index + 1,
             f"the first log entry does not follow the base index {base_index}",
@@ -79,11 +89,14 @@
             f"term {entry.term} of entry {entry.index} is below the last term {self.last_term}",
         )
         self.entries.append(entry)
+        self.size += len(entry.payload)
 
     def truncate(self, index: int) -> None:
         """Remove the entries from ``index`` on."""
         check(index > self.base_index, f"index {index} is not after the base index {self.base_index}")
-        del self.entries[index - self.base_index - 1 :]
+        first = index - self.base_index - 1
+        self.size -= _payload_bytes(self.entries[first:])
+        del self.entries[first:]
 
     def compact(self, index: int) -> None:
         """Remove the entries up to and including ``index``."""
@@ -91,13 +104,16 @@
             return
         term = self.term_at(index)
         check(term is not None, f"entry {index} is not in the log")
-        del self.entries[: index - self.base_index]
+        count = index - self.base_index
+        self.size -= _payload_bytes(self.entries[:count])
+        del self.entries[:count]
         self.base_index = index
         self.base_term = term
 
     def reset(self, index: int, term: int) -> None:
         """Clear the log so that it continues after a snapshot at ``index``."""
         self.entries.clear()
+        self.size = 0
         self.base_index = index
         self.base_term = term
 
--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -8,6 +8,7 @@
 
 from cranberrylever.consensus import RaftDriver
 from cranberrylever.logs import Log
+from cranberrylever.metrics import Metrics
 from cranberrylever.route_control._leader import RouteControlLeader
 from cranberrylever.route_control._peers import Peer, choose_peers
 from cranberrylever.route_control._published_view import PublishedView
@@ -30,7 +31,8 @@
     """Stream of one entry with the versions of the sections that it holds.
 
     ``group`` are the control members that it was told, and ``reads_sections`` whether it reads compressed
-    sections. ``peer`` is where it takes requests of other entries.
+    sections. ``peer`` is where it takes requests of other entries. ``plan_copies`` counts how often the last
+    plan was sent to it, ``waiting_bytes`` is the size of the sections that are being written.
     """
 
     stream: "grpclib.server.Stream[FeedReport, FeedReply]"
@@ -42,6 +44,9 @@
     group: tuple[str, ...] = ()
     reads_sections: bool = False
     peer: Peer = Peer("", 0.0)
+    sent_plan: int = -1
+    plan_copies: int = 0
+    waiting_bytes: int = 0
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -54,6 +59,7 @@
         driver: Consensus driver of this member.
         leader: Leader loop.
         state: The replicated state.
+        metrics: Metrics of the process.
         log: Program log.
     """
 
@@ -63,12 +69,14 @@
         driver: RaftDriver,
         leader: RouteControlLeader,
         state: RouteControlState,
+        metrics: Metrics,
         log: Log,
     ) -> None:
         self.cluster_id = cluster_id
         self.driver = driver
         self.leader = leader
         self.state = state
+        self.metrics = metrics
         self.log = log
         self.attached_entries: set[_AttachedEntry] = set()
         self.suspects = SuspectTracker()
@@ -172,10 +180,38 @@
             else:
                 reply = attrs.evolve(reply, **attrs.asdict(sections, recurse=False))
             entry.group = group
-            await entry.stream.send_message(reply)
+            await self._write(entry, reply, sections.plan_version)
             entry.plan_version = max(entry.plan_version, sections.plan_version)
             entry.fleet_version = sections.fleet_version
             entry.ranges_version = sections.ranges_version
 
+    async def _write(self, entry: _AttachedEntry, reply: FeedReply, plan_version: int) -> None:
+        """Write a reply; a plan in it is logged with its size, its number of copies and how long it took."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        entry.waiting_bytes = len(reply.sections)
+        try:
+            await entry.stream.send_message(reply)
+        finally:
+            entry.waiting_bytes = 0
+        self.metrics.count("view_bytes_sent", len(reply.sections))
+        if plan_version < 0:
+            return
+        entry.plan_copies = entry.plan_copies + 1 if plan_version == entry.sent_plan else 1
+        entry.sent_plan = plan_version
+        self.metrics.count("plans_sent")
+        self.log.info(
+            "plan_sent",
+            entry=entry.entry_id,
+            plan=plan_version,
+            bytes=len(reply.sections),
+            copy=entry.plan_copies,
+            ms=round((loop.time() - started_at) * 1000, 1),
+        )
+
+    def waiting_bytes(self) -> int:
+        """Return the size in bytes of the sections that entries have not taken yet."""
+        return sum(entry.waiting_bytes for entry in self.attached_entries)
+
     def _is_behind(self, entry: _AttachedEntry) -> bool:
         return self.view.is_behind(entry.plan_version, entry.fleet_version, entry.ranges_version)
--- a/cranberrylever/route_control/_metrics.py
+++ b/cranberrylever/route_control/_metrics.py
@@ -7,6 +7,7 @@
 from cranberrylever.control_member import set_consensus_gauges
 from cranberrylever.keyspace import FREE, HELD, RELEASING
 from cranberrylever.metrics import Metrics
+from cranberrylever.route_control._feed import FeedService
 from cranberrylever.route_control._leader import RouteControlLeader
 from cranberrylever.route_control._state import RouteControlState
 
@@ -21,15 +22,22 @@
         driver: Consensus driver.
         leader: Leader loop.
         state: The replicated state.
+        feed: Streams to entries.
     """
 
     def __init__(
-        self, metrics: Metrics, driver: RaftDriver, leader: RouteControlLeader, state: RouteControlState
+        self,
+        metrics: Metrics,
+        driver: RaftDriver,
+        leader: RouteControlLeader,
+        state: RouteControlState,
+        feed: FeedService,
     ) -> None:
         self.metrics = metrics
         self.driver = driver
         self.leader = leader
         self.state = state
+        self.feed = feed
         self.next_update_at = 0.0
 
     def update_due(self, now: float) -> None:
@@ -38,6 +46,9 @@
             return
         self.next_update_at = now + METRICS_INTERVAL_S
         is_leader = self.leader.is_serving()
+        self.metrics.gauge("entries_attached", len(self.feed.attached_entries))
+        self.metrics.gauge("view_bytes_waiting", self.feed.waiting_bytes())
+        self.metrics.gauge("log_bytes", self.driver.log_bytes())
         set_consensus_gauges(self.metrics, self.driver, is_leader)
         self.metrics.gauge("plan", self.state.plans.number)
         self.metrics.gauge("entries", len(self.state.entries))
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -135,8 +135,12 @@
         self.leader = RouteControlLeader(
             self.driver, self.state, self.lease_manager, settings.notice_interval, self.log
         )
-        self.feed = FeedService(settings.cluster_id, self.driver, self.leader, self.state, self.log)
-        self.metrics_reporter = RouteControlMetrics(self.metrics, self.driver, self.leader, self.state)
+        self.feed = FeedService(
+            settings.cluster_id, self.driver, self.leader, self.state, self.metrics, self.log
+        )
+        self.metrics_reporter = RouteControlMetrics(
+            self.metrics, self.driver, self.leader, self.state, self.feed
+        )
         self.leader.after_step = self._after_step
         machine.callbacks.append(self.leader.on_applied)
         self.relay = AnnouncementRelay(self.state, self.driver, self.forwarder, self.log)
--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -175,7 +175,7 @@
                 self.leader_named_at = asyncio.get_running_loop().time()
             if not reply.is_leader:
                 self.leader_hint = reply.leader if reply.leader != address else ""
-                return
+                raise ConnectionError(f"the member does not lead, it names {reply.leader or 'no leader'}")
             if self.attached_address != address:
                 self.attached_address = address
                 self.log.info("control_attached", address=address, sequence=reply.sequence)
