--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -4,9 +4,9 @@
 import contextlib
 import math
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
-from grpclib.client import Channel
+from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from cranberrylever.errors import CodecError
@@ -60,6 +60,18 @@
 _STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, CodecError, TimeoutError)
 
 
+@contextlib.asynccontextmanager
+async def open_feed_stream(address: str) -> AsyncIterator[Stream]:
+    """Open a stream to a control member on a connection of its own."""
+    host, port = split_address(address)
+    channel = Channel(host, port, codec=MsgpackCodec())
+    try:
+        async with FeedStub(channel).attach.open() as stream:
+            yield stream
+    finally:
+        channel.close()
+
+
 class FeedClient:
     """Keeps one stream to control open, to the leader once it is known.
 
@@ -68,6 +80,7 @@
         build_report: Builds a report from its sequence number and whether it is the first on its stream.
         on_reply: Called with each reply of the leader.
         log: Program log.
+        open_stream: Opens a stream to the control member at an address.
     """
 
     def __init__(
@@ -76,12 +89,14 @@
         build_report: Callable[[int, bool], FeedReport],
         on_reply: Callable[[FeedReply], None],
         log: Log,
+        open_stream: Callable[[str], contextlib.AbstractAsyncContextManager[Stream]] = open_feed_stream,
     ) -> None:
         self.contacts = contacts
         self.members: tuple[str, ...] = contacts
         self.build_report = build_report
         self.on_reply = on_reply
         self.log = log
+        self.open_stream = open_stream
         self.report_interval = REPORT_INTERVAL_S
         self.batch_delay = MIN_BATCH_DELAY_S
         self.max_reconnect_delay = MAX_RECONNECT_DELAY_S
@@ -145,25 +160,20 @@
             self.log.warning("control_lost", address=address, reason=reason)
 
     async def _attach(self, address: str) -> None:
-        host, port = split_address(address)
-        channel = Channel(host, port, codec=MsgpackCodec())
-        try:
-            async with FeedStub(channel).attach.open() as stream:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    await stream.send_message(self._next_report(is_first=True))
-                sender = asyncio.get_running_loop().create_task(self._send_reports(stream))
-                try:
-                    await self._receive(stream, address)
-                finally:
-                    sender.cancel()
-                    # Unlike a suppressed error, gather does not hide the cancellation of this task.
-                    (error,) = await asyncio.gather(sender, return_exceptions=True)
-                    if isinstance(error, Exception) and not isinstance(error, _STREAM_ERRORS):
-                        raise error
-        finally:
-            channel.close()
-
-    async def _receive(self, stream, address: str) -> None:  # noqa: ANN001 - grpclib's generic stream type
+        async with self.open_stream(address) as stream:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.send_message(self._next_report(is_first=True))
+            sender = asyncio.get_running_loop().create_task(self._send_reports(stream))
+            try:
+                await self._receive(stream, address)
+            finally:
+                sender.cancel()
+                # Unlike a suppressed error, gather does not hide the cancellation of this task.
+                (error,) = await asyncio.gather(sender, return_exceptions=True)
+                if isinstance(error, Exception) and not isinstance(error, _STREAM_ERRORS):
+                    raise error
+
+    async def _receive(self, stream: Stream, address: str) -> None:
         while True:
             async with asyncio.timeout(self._reply_timeout()):
                 reply = await stream.recv_message()
@@ -187,7 +197,7 @@
         timeout = max(MIN_REPLY_TIMEOUT_S, REPLY_TIMEOUT_FACTOR * self.report_interval)
         return min(MAX_REPLY_TIMEOUT_S, timeout * (1.0 + self.failed_streams / 2))
 
-    async def _send_reports(self, stream) -> None:  # noqa: ANN001
+    async def _send_reports(self, stream: Stream) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self.report_interval):
