Believe only the first report on a stream about what an entry holds

Callers saw old routes and late answers after a plan with many routes. Cause, first part: each report states the versions that the entry held when it was written, and control set back what it had already sent, so every report on its way brought another copy of the plan. A stream delivers in order, so what was written to it needs no second copy; a lost stream begins with a new first report.

--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -127,12 +127,7 @@
                 await entry.stream.send_message(reply)
             return
         if not entry.entry_id:
-            self.log.info("entry_attached", entry=report.entry_id, plan=report.plan_version)
-        entry.entry_id = report.entry_id
-        entry.plan_version = report.plan_version
-        entry.fleet_version = report.fleet_version
-        entry.ranges_version = report.ranges_version
-        entry.reads_sections = report.reads_sections
+            self._record_first_report(entry, report)
         now = asyncio.get_running_loop().time()
         entry.peer = Peer(report.peer_address, now)
         report, dropped = check_report(report)
@@ -144,6 +139,19 @@
         peers = self._choose_peers(report, now) if report.wants_peers else None
         await self._send(entry, self.leader.permits.grant(report.wishes, now), peers)
 
+    def _record_first_report(self, entry: _AttachedEntry, report: FeedReport) -> None:
+        """Record what an entry holds at the start of its stream.
+
+        Later reports may have been written before what is already under way arrived, and the stream delivers
+        everything in order.
+        """
+        self.log.info("entry_attached", entry=report.entry_id, plan=report.plan_version)
+        entry.entry_id = report.entry_id
+        entry.plan_version = report.plan_version
+        entry.fleet_version = report.fleet_version
+        entry.ranges_version = report.ranges_version
+        entry.reads_sections = report.reads_sections
+
     def _choose_peers(self, report: FeedReport, now: float) -> tuple[str, ...]:
         attached = (entry for entry in self.attached_entries if entry.entry_id != report.entry_id)
         return choose_peers((entry.peer for entry in attached), now, self.rng)
