Send large sections of the view in parts, and a plan apart from other sections

An entry gives a stream up when no reply comes for 0.9 to 3 s, so a view that takes longer to arrive never does: the stream is opened again and the same begins again, and the links of the entries carry nothing else. Now a section comes in parts of one HTTP/2 frame; each is a reply, so the wait starts anew. A plan goes in replies of its own, between which permits and owners of keys pass. Entries say that they join parts; others get what they got before.

--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Coroutine
 
 import attrs
 import grpclib.server
@@ -9,6 +10,7 @@
 from cranberrylever.consensus import RaftDriver
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
+from cranberrylever.route_control._attached_entry import AttachedEntry
 from cranberrylever.route_control._leader import RouteControlLeader
 from cranberrylever.route_control._peers import Peer, choose_peers
 from cranberrylever.route_control._published_view import PublishedView
@@ -26,31 +28,6 @@
 """Messages to all entries per second with changes that they have not asked for."""
 
 
-@attrs.define(eq=False)
-class _AttachedEntry:
-    """Stream of one entry with the versions of the sections that it holds.
-
-    ``group`` are the control members that it was told, and ``reads_sections`` whether it reads compressed
-    sections. ``peer`` is where it takes requests of other entries. ``plan_copies`` counts how often the last
-    plan was sent to it, ``waiting_bytes`` is the size of the sections that are being written.
-    """
-
-    stream: "grpclib.server.Stream[FeedReport, FeedReply]"
-    entry_id: str = ""
-    sequence: int = 0
-    plan_version: int = -1
-    fleet_version: int = -1
-    ranges_version: int = -1
-    group: tuple[str, ...] = ()
-    reads_sections: bool = False
-    peer: Peer = Peer("", 0.0)
-    sent_plan: int = -1
-    plan_copies: int = 0
-    waiting_bytes: int = 0
-    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
-    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
-
-
 class FeedService(FeedBase):
     """Receives the reports of all attached entries and sends them the view while this member leads.
 
@@ -78,7 +55,7 @@
         self.state = state
         self.metrics = metrics
         self.log = log
-        self.attached_entries: set[_AttachedEntry] = set()
+        self.attached_entries: set[AttachedEntry] = set()
         self.suspects = SuspectTracker()
         self.view = PublishedView(leader, state, self.suspects)
         self.next_push_at = 0.0
@@ -86,7 +63,7 @@
 
     async def attach(self, stream: "grpclib.server.Stream[FeedReport, FeedReply]") -> None:
         """Serve one entry until its stream closes or names another cluster."""
-        entry = _AttachedEntry(stream)
+        entry = AttachedEntry(stream)
         self.attached_entries.add(entry)
         try:
             async for report in stream:
@@ -112,11 +89,22 @@
         self.view.refresh(now)
         for entry in self.attached_entries:
             if entry.entry_id and not entry.lock.locked() and self._is_behind(entry):
-                task = asyncio.get_running_loop().create_task(self._push_to(entry))
-                entry.tasks.add(task)
-                task.add_done_callback(entry.tasks.discard)
-
-    async def _handle_report(self, entry: _AttachedEntry, report: FeedReport) -> None:
+                self._start_task(entry, self._push_to(entry))
+            self._start_plan(entry)
+
+    def _start_plan(self, entry: AttachedEntry) -> None:
+        """Begin to send the plan to an entry that joins parts, unless it holds it or it is under way."""
+        is_served = bool(entry.entry_id) and entry.reads_parts
+        if is_served and self._lacks_plan(entry) and not entry.is_plan_under_way:
+            entry.is_plan_under_way = True
+            self._start_task(entry, self._push_plan_to(entry))
+
+    def _start_task(self, entry: AttachedEntry, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        entry.tasks.add(task)
+        task.add_done_callback(entry.tasks.discard)
+
+    async def _handle_report(self, entry: AttachedEntry, report: FeedReport) -> None:
         entry.sequence = report.sequence
         if not self.leader.is_serving():
             entry.entry_id = ""
@@ -127,7 +115,8 @@
                 await entry.stream.send_message(reply)
             return
         if not entry.entry_id:
-            self._record_first_report(entry, report)
+            self.log.info("entry_attached", entry=report.entry_id, plan=report.plan_version)
+            entry.record_first_report(report)
         now = asyncio.get_running_loop().time()
         entry.peer = Peer(report.peer_address, now)
         report, dropped = check_report(report)
@@ -137,89 +126,93 @@
         self.suspects.record(report.crashed, now)
         self.view.refresh(now)
         peers = self._choose_peers(report, now) if report.wants_peers else None
+        self._start_plan(entry)
         await self._send(entry, self.leader.permits.grant(report.wishes, now), peers)
 
-    def _record_first_report(self, entry: _AttachedEntry, report: FeedReport) -> None:
-        """Record what an entry holds at the start of its stream.
-
-        Later reports may have been written before what is already under way arrived, and the stream delivers
-        everything in order.
-        """
-        self.log.info("entry_attached", entry=report.entry_id, plan=report.plan_version)
-        entry.entry_id = report.entry_id
-        entry.plan_version = report.plan_version
-        entry.fleet_version = report.fleet_version
-        entry.ranges_version = report.ranges_version
-        entry.reads_sections = report.reads_sections
-
     def _choose_peers(self, report: FeedReport, now: float) -> tuple[str, ...]:
         attached = (entry for entry in self.attached_entries if entry.entry_id != report.entry_id)
         return choose_peers((entry.peer for entry in attached), now, self.rng)
 
-    async def _push_to(self, entry: _AttachedEntry) -> None:
+    async def _push_to(self, entry: AttachedEntry) -> None:
         try:
             await self._send(entry)
         except Exception as error:
             # The loop that reads this stream also ends, and detaches the entry.
             self.log.write("debug", "push_failed", entry=entry.entry_id, error=repr(error))
 
+    async def _push_plan_to(self, entry: AttachedEntry) -> None:
+        """Send the plan in force to an entry that lacks it, and then that nothing is pending."""
+        try:
+            while self._lacks_plan(entry):
+                await self._send_plan(entry)
+        except Exception as error:
+            self.log.write("debug", "push_failed", entry=entry.entry_id, error=repr(error))
+            return
+        finally:
+            entry.is_plan_under_way = False
+        await self._push_to(entry)
+
+    async def _send_plan(self, entry: AttachedEntry) -> None:
+        started_at = asyncio.get_running_loop().time()
+        version = self.state.plan_version
+        data = self.view.compressed_plan()
+        await entry.write_plan(self._reply(entry), data)
+        entry.plan_version = version
+        self._record_sent_plan(entry, version, len(data), started_at)
+
     async def _send(
         self,
-        entry: _AttachedEntry,
+        entry: AttachedEntry,
         permits: tuple[GrantedPermits, ...] = (),
         peers: tuple[str, ...] | None = None,
     ) -> None:
         """Send the sections that an entry lacks; it counts as holding them once they are written."""
         async with entry.lock:
-            versions = entry.plan_version, entry.fleet_version, entry.ranges_version
+            started_at = asyncio.get_running_loop().time()
+            plan_version = self.state.plan_version if entry.reads_parts else entry.plan_version
+            versions = plan_version, entry.fleet_version, entry.ranges_version
             sections = self.view.sections_since(*versions)
             group = self.driver.group()
-            reply = FeedReply(
-                self.cluster_id,
-                entry.sequence,
-                True,
-                self.driver.config.member_id,
-                group if group != entry.group else (),
+            reply = attrs.evolve(
+                self._reply(entry),
+                control=group if group != entry.group else (),
                 permits=permits,
                 peers=peers,
+                is_plan_pending=self._lacks_plan(entry),
             )
             if entry.reads_sections:
                 reply = attrs.evolve(reply, sections=self.view.compressed_since(*versions))
             else:
                 reply = attrs.evolve(reply, **attrs.asdict(sections, recurse=False))
             entry.group = group
-            await self._write(entry, reply, sections.plan_version)
-            entry.plan_version = max(entry.plan_version, sections.plan_version)
+            await entry.write(reply)
+            self.metrics.count("view_bytes_sent", len(reply.sections))
             entry.fleet_version = sections.fleet_version
             entry.ranges_version = sections.ranges_version
+            if sections.plan is not None:
+                entry.plan_version = sections.plan_version
+                self._record_sent_plan(entry, sections.plan_version, len(reply.sections), started_at)
 
-    async def _write(self, entry: _AttachedEntry, reply: FeedReply, plan_version: int) -> None:
-        """Write a reply; a plan in it is logged with its size, its number of copies and how long it took."""
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        entry.waiting_bytes = len(reply.sections)
-        try:
-            await entry.stream.send_message(reply)
-        finally:
-            entry.waiting_bytes = 0
-        self.metrics.count("view_bytes_sent", len(reply.sections))
-        if plan_version < 0:
-            return
-        entry.plan_copies = entry.plan_copies + 1 if plan_version == entry.sent_plan else 1
-        entry.sent_plan = plan_version
+    def _reply(self, entry: AttachedEntry) -> FeedReply:
+        """Return an empty reply to the last report of an entry."""
+        return FeedReply(self.cluster_id, entry.sequence, True, self.driver.config.member_id)
+
+    def _record_sent_plan(self, entry: AttachedEntry, version: int, size: int, started_at: float) -> None:
+        """Count and log a plan that was written to an entry, with its size in bytes and how long it took."""
         self.metrics.count("plans_sent")
+        self.metrics.count("plan_bytes_sent", size)
+        elapsed = asyncio.get_running_loop().time() - started_at
         self.log.info(
-            "plan_sent",
-            entry=entry.entry_id,
-            plan=plan_version,
-            bytes=len(reply.sections),
-            copy=entry.plan_copies,
-            ms=round((loop.time() - started_at) * 1000, 1),
+            "plan_sent", entry=entry.entry_id, plan=version, bytes=size, ms=round(elapsed * 1000, 1)
         )
 
     def waiting_bytes(self) -> int:
         """Return the size in bytes of the sections that entries have not taken yet."""
         return sum(entry.waiting_bytes for entry in self.attached_entries)
 
-    def _is_behind(self, entry: _AttachedEntry) -> bool:
-        return self.view.is_behind(entry.plan_version, entry.fleet_version, entry.ranges_version)
+    def _lacks_plan(self, entry: AttachedEntry) -> bool:
+        return self.state.plans.current is not None and entry.plan_version < self.state.plan_version
+
+    def _is_behind(self, entry: AttachedEntry) -> bool:
+        plan_version = self.state.plan_version if entry.reads_parts else entry.plan_version
+        return self.view.is_behind(plan_version, entry.fleet_version, entry.ranges_version)
--- a/cranberrylever/route_control/_published_view.py
+++ b/cranberrylever/route_control/_published_view.py
@@ -83,6 +83,7 @@
         self.next_refresh_at = -math.inf
         self.next_load_at = -math.inf
         self.prepared: dict[tuple[int, int, int], _PreparedSections] = {}
+        self.prepared_plan: tuple[int, bytes] | None = None
 
     def refresh(self, now: float) -> None:
         """Rebuild the sections for which something may have changed; one that differs gets a new version."""
@@ -129,6 +130,15 @@
             prepared.compressed = b"" if is_empty else compress_sections(prepared.sections)
         return prepared.compressed
 
+    def compressed_plan(self) -> bytes:
+        """Return the compressed section with only the plan in force."""
+        version = self.state.plan_version
+        if self.prepared_plan is None or self.prepared_plan[0] != version:
+            plan = attrs.evolve(self.state.plans.current, source=b"")
+            sections = ViewSections(version, plan, -1, None, -1, None)
+            self.prepared_plan = version, compress_sections(sections)
+        return self.prepared_plan[1]
+
     def _prepare(self, plan_version: int, fleet_version: int, ranges_version: int) -> _PreparedSections:
         plan = self.state.plans.current
         needs_plan = plan is not None and plan_version < self.state.plan_version
--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -12,7 +12,7 @@
 from cranberrylever.errors import CodecError
 from cranberrylever.logs import Log
 from cranberrylever.settings import split_address
-from cranberrylever.wire import FeedReply, FeedReport, FeedStub, MsgpackCodec, unpack_sections
+from cranberrylever.wire import FeedReply, FeedReport, FeedStub, MsgpackCodec, ReplyAssembler
 
 REPORT_INTERVAL_S = 0.25
 """Time between two reports of an entry in a cluster of few entries."""
@@ -174,6 +174,7 @@
                     raise error
 
     async def _receive(self, stream: Stream, address: str) -> None:
+        assembler = ReplyAssembler()
         while True:
             async with asyncio.timeout(self._reply_timeout()):
                 reply = await stream.recv_message()
@@ -190,7 +191,9 @@
                 self.attached_address = address
                 self.log.info("control_attached", address=address, sequence=reply.sequence)
             self.failed_streams = 0
-            self.on_reply(unpack_sections(reply))
+            complete_reply = assembler.add(reply)
+            if complete_reply is not None:
+                self.on_reply(complete_reply)
 
     def _reply_timeout(self) -> float:
         """Return the time to wait for a reply, longer after each failure: a busy leader answers late."""
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -180,6 +180,7 @@
             self.relay.wants_peers(now),
             self.reports.departures.build_report(),
             reads_sections=True,
+            reads_parts=True,
         )
 
     def _on_reply(self, reply: FeedReply) -> None:
--- a/cranberrylever/wire/__init__.py
+++ b/cranberrylever/wire/__init__.py
@@ -47,6 +47,7 @@
     PeerBase,
     PeerStub,
 )
+from cranberrylever.wire._view_parts import ReplyAssembler, split_parts
 from cranberrylever.wire._view_sections import ViewSections, compress_sections, unpack_sections
 
 __all__ = [
@@ -78,6 +79,7 @@
     "PeerFrame",
     "PeerStub",
     "PermitRequest",
+    "ReplyAssembler",
     "RangeView",
     "RangesView",
     "ReportedLoad",
@@ -95,5 +97,6 @@
     "encode",
     "ViewSections",
     "compress_sections",
+    "split_parts",
     "unpack_sections",
 ]
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -123,7 +123,7 @@
     ``rate_limits`` those that targets stated. ``peer_address`` is where the entry takes requests of other
     entries, empty while it takes none, and ``wants_peers`` asks for entries that take its own. ``leaving``
     are the ids and start times of targets whose answers said that they leave. ``reads_sections`` reports that
-    the entry reads ``FeedReply.sections``.
+    the entry reads ``FeedReply.sections``, ``reads_parts`` that it joins parts of them.
     """
 
     cluster_id: str
@@ -143,6 +143,7 @@
     wants_peers: bool = False
     leaving: tuple[tuple[str, int], ...] = ()
     reads_sections: bool = False
+    reads_parts: bool = False
 
 
 UNKNOWN = -1.0
@@ -234,6 +235,10 @@
     entries that take requests of others, ``None`` when the report did not ask for them. ``is_leader`` is
     false when the sender is not the leader; only ``leader`` and ``control`` are valid then. ``sections``
     holds the sections in compressed form in place of the fields.
+
+    An entry that joins parts gets the plan apart from other sections, so that a large one does not delay
+    them: ``plan_part`` is a part of its compressed section. ``sections_left`` and ``plan_left`` are the bytes
+    that later replies bring. ``is_plan_pending`` is set while the entry lacks the plan in force.
     """
 
     cluster_id: str
@@ -250,6 +255,10 @@
     permits: tuple[GrantedPermits, ...] = ()
     peers: tuple[str, ...] | None = None
     sections: bytes = b""
+    sections_left: int = 0
+    plan_part: bytes = b""
+    plan_left: int = 0
+    is_plan_pending: bool = False
 
 
 class FeedBase(abc.ABC):
--- a/cranberrylever/wire/_view_sections.py
+++ b/cranberrylever/wire/_view_sections.py
@@ -47,11 +47,18 @@
     Raises:
         CodecError: The sections cannot be decompressed or decoded.
     """
-    if not reply.sections:
-        return reply
+    return with_sections(reply, reply.sections) if reply.sections else reply
+
+
+def with_sections(reply: FeedReply, compressed: bytes) -> FeedReply:
+    """Return a reply with compressed sections as its fields.
+
+    Raises:
+        CodecError: The sections cannot be decompressed or decoded.
+    """
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(reply.sections, MAX_SECTIONS_BYTES)
+        data = decompressor.decompress(compressed, MAX_SECTIONS_BYTES)
     except zlib.error as error:
         raise CodecError(f"sections cannot be decompressed: {error}", "check the connection") from error
     if not decompressor.eof:
@@ -62,6 +69,7 @@
     return attrs.evolve(
         reply,
         sections=b"",
+        plan_part=b"",
         plan_version=sections.plan_version,
         plan=sections.plan,
         fleet_version=sections.fleet_version,
--- a/tests/wire/test_versions.py
+++ b/tests/wire/test_versions.py
@@ -12,8 +12,8 @@
 from tests.route_entry.test_view import target
 
 NEW_FIELDS = {
-    FeedReport: ("leaving", "reads_sections"),
-    FeedReply: ("sections",),
+    FeedReport: ("leaving", "reads_sections", "reads_parts"),
+    FeedReply: ("sections", "sections_left", "plan_part", "plan_left", "is_plan_pending"),
     RoutedTarget: ("draining",),
     RoutedService: ("granted_in_answers",),
 }
@@ -41,8 +41,8 @@
 class VersionTest(testtools.TestCase):
     def messages(self):
         return (
-            FeedReport("c", "e", 1, 2, 3, 4, leaving=(("a", 1),), reads_sections=True),
-            FeedReply("c", 1, True, "leader", sections=b"x"),
+            FeedReport("c", "e", 1, 2, 3, 4, leaving=(("a", 1),), reads_sections=True, reads_parts=True),
+            FeedReply("c", 1, True, "leader", sections=b"x", sections_left=9, plan_part=b"y", plan_left=8),
             attrs.evolve(target("a"), draining=True),
             attrs.evolve(PLAN.services[0], granted_in_answers=True),
         )
@@ -75,7 +75,7 @@
     def test_entry_that_does_not_read_sections_gets_fields(self):
         """Guards against an old entry that waits for a view that it cannot read."""
         old_report = decode(without_new_fields(FeedReport("c", "e", 1, 2, 3, 4)), FeedReport)
-        assert not old_report.reads_sections
+        assert not (old_report.reads_sections or old_report.reads_parts)
         reply = FeedReply("c", 1, True, "", fleet_version=1, fleet=FleetView((target("a"),), 8))
         assert decode(encode(reply), previous_class(FeedReply)).fleet == reply.fleet
 
