Send entries the changes between two plans

Cause, third part: each change of a plan, if only of one weight, went whole to every entry. With 7,000 routes that is 136 kB for each of 71 entries, whose links carry 250 kB/s with all that callers send; the second change of the users' play came 0.1 s after the first. Members keep the last 32 plans, which share equal routes, and send an entry that holds one of them what was added, changed and removed.

--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -155,7 +155,7 @@
     async def _send_plan(self, entry: AttachedEntry) -> None:
         started_at = asyncio.get_running_loop().time()
         version = self.state.plan_version
-        data = self.view.compressed_plan()
+        data = self.view.compressed_plan(entry.plan_version)
         await entry.write_plan(self._reply(entry), data)
         entry.plan_version = version
         self._record_sent_plan(entry, version, len(data), started_at)
--- a/cranberrylever/route_control/_published_view.py
+++ b/cranberrylever/route_control/_published_view.py
@@ -14,7 +14,7 @@
 from cranberrylever.route_control._sections import Section, is_same_fleet, is_same_target
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_control._suspects import SuspectTracker
-from cranberrylever.route_plan import RoutedService
+from cranberrylever.route_plan import RoutedService, changes_between
 from cranberrylever.target_registry import RegisteredTarget
 from cranberrylever.wire import (
     UNKNOWN,
@@ -83,7 +83,8 @@
         self.next_refresh_at = -math.inf
         self.next_load_at = -math.inf
         self.prepared: dict[tuple[int, int, int], _PreparedSections] = {}
-        self.prepared_plan: tuple[int, bytes] | None = None
+        self.prepared_plan_version = -1
+        self.prepared_plans: dict[int, bytes] = {}
 
     def refresh(self, now: float) -> None:
         """Rebuild the sections for which something may have changed; one that differs gets a new version."""
@@ -130,14 +131,25 @@
             prepared.compressed = b"" if is_empty else compress_sections(prepared.sections)
         return prepared.compressed
 
-    def compressed_plan(self) -> bytes:
-        """Return the compressed section with only the plan in force."""
+    def compressed_plan(self, base_version: int) -> bytes:
+        """Return the compressed section with only the plan.
+
+        It holds the changes since ``base_version`` if that plan is kept, else the whole plan.
+        """
         version = self.state.plan_version
-        if self.prepared_plan is None or self.prepared_plan[0] != version:
-            plan = attrs.evolve(self.state.plans.current, source=b"")
-            sections = ViewSections(version, plan, -1, None, -1, None)
-            self.prepared_plan = version, compress_sections(sections)
-        return self.prepared_plan[1]
+        if version != self.prepared_plan_version:
+            self.prepared_plan_version = version
+            self.prepared_plans.clear()
+        base = self.state.recent_plans.get(base_version)
+        key = base_version if base is not None else -1
+        if key not in self.prepared_plans:
+            plan = self.state.recent_plans[version]
+            changes = changes_between(base, plan, base_version) if base is not None else None
+            sections = ViewSections(
+                version, plan if base is None else None, -1, None, -1, None, plan_changes=changes
+            )
+            self.prepared_plans[key] = compress_sections(sections)
+        return self.prepared_plans[key]
 
     def _prepare(self, plan_version: int, fleet_version: int, ranges_version: int) -> _PreparedSections:
         plan = self.state.plans.current
--- a/cranberrylever/route_control/_state.py
+++ b/cranberrylever/route_control/_state.py
@@ -15,12 +15,15 @@
     SetDomainState,
     SubmitPlan,
 )
-from cranberrylever.route_plan import PlanOutcome, PlanRegistry, PlanRegistryRecord
+from cranberrylever.route_plan import PlanOutcome, PlanRegistry, PlanRegistryRecord, RoutePlan
 from cranberrylever.target_registry import RegisteredTarget, TargetRegistry, TargetRegistryRecord
 from cranberrylever.wire import decode, encode
 
 MAX_ENTRIES = 4_096
 
+MAX_RECENT_PLANS = 32
+"""Plans kept to send only changes; an entry that is further behind gets the whole plan."""
+
 
 @attrs.frozen
 class RouteControlRecord:
@@ -46,6 +49,7 @@
         plan_version: Log index of the last plan that was accepted.
         fleet_version: Log index of the last change of targets, domains or entries.
         ranges_version: Log index of the last change of a range.
+        recent_plans: The last plans that were accepted, by version, without their sources.
     """
 
     def __init__(self) -> None:
@@ -58,6 +62,7 @@
         self.plan_version = 0
         self.fleet_version = 0
         self.ranges_version = 0
+        self.recent_plans: dict[int, RoutePlan] = {}
         self._handlers: dict[type, Callable[[int, object], object]] = {
             SubmitPlan: self._submit_plan,
             SetDomainState: self._set_domain_state,
@@ -103,6 +108,8 @@
         self.plan_version = record.plan_version
         self.fleet_version = record.fleet_version
         self.ranges_version = record.ranges_version
+        self.recent_plans.clear()
+        self._keep_recent_plan()
 
     def may_receive_work(self, target: RegisteredTarget) -> bool:
         """Return whether new work may go to a target, which neither leaves nor is in a withdrawn domain."""
@@ -112,12 +119,19 @@
         outcome = self.plans.accept(command.plan, command.base)
         if outcome.accepted and not outcome.repeated:
             self.plan_version = index
+            self._keep_recent_plan()
             for service in command.plan.services:
                 if service.keyed and service.name not in self.tables:
                     self.tables[service.name] = RangeTable()
                     self.ranges_version = index
         return outcome
 
+    def _keep_recent_plan(self) -> None:
+        if self.plans.current is not None:
+            self.recent_plans[self.plan_version] = attrs.evolve(self.plans.current, source=b"")
+        while len(self.recent_plans) > MAX_RECENT_PLANS:
+            del self.recent_plans[next(iter(self.recent_plans))]
+
     def _set_domain_state(self, index: int, command: SetDomainState) -> None:
         if command.withdrawn:
             self.withdrawn.add(command.failure_domain)
--- a/cranberrylever/route_entry/_view.py
+++ b/cranberrylever/route_entry/_view.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cranberrylever.route_entry._estimates import TargetLoadEstimate
-from cranberrylever.route_plan import RouteMatcher
+from cranberrylever.route_plan import RouteMatcher, RoutePlan, apply_changes
 from cranberrylever.settings import LimitSettings
 from cranberrylever.wire import UNKNOWN, FeedReply, FleetView, RangesView, RoutedTarget, TargetSpeed
 
@@ -122,9 +122,10 @@
         """Apply the newer sections of a reply; return whether there were any."""
         changed = False
         self.received_at = now
-        if reply.plan is not None and reply.plan_version > self.plan_version:
+        plan = self._next_plan(reply)
+        if plan is not None:
             self.plan_version = reply.plan_version
-            self.matcher = RouteMatcher(reply.plan)
+            self.matcher = RouteMatcher(plan)
             changed = True
         if self._is_applicable(reply.fleet, reply.fleet_version, self.fleet_version):
             self.fleet_version = reply.fleet_version
@@ -138,6 +139,15 @@
             self.notify_change()
         return changed
 
+    def _next_plan(self, reply: FeedReply) -> RoutePlan | None:
+        """Return the plan of a reply, ``None`` when it has none that is newer and complete."""
+        if reply.plan_version <= self.plan_version:
+            return None
+        changes = reply.plan_changes
+        if changes is not None and self.matcher is not None and changes.base_version == self.plan_version:
+            return apply_changes(self.matcher.plan, changes)
+        return reply.plan
+
     def notify_change(self) -> None:
         """Wake all tasks that wait for a change."""
         self._changed.set()
--- a/cranberrylever/route_plan/__init__.py
+++ b/cranberrylever/route_plan/__init__.py
@@ -1,5 +1,6 @@
 """Route plans: selection of the service of a request, and acceptance of new plans."""
 
+from cranberrylever.route_plan._changes import PlanChanges, apply_changes, changes_between, share_routes
 from cranberrylever.route_plan._matcher import RouteMatcher
 from cranberrylever.route_plan._plan import CallerLimits, Route, RoutedService, RoutePlan, RouteShare
 from cranberrylever.route_plan._registry import PlanOutcome, PlanRegistry, PlanRegistryRecord
@@ -7,6 +8,7 @@
 
 __all__ = [
     "CallerLimits",
+    "PlanChanges",
     "PlanOutcome",
     "PlanRegistry",
     "PlanRegistryRecord",
@@ -15,5 +17,8 @@
     "RoutePlan",
     "RouteShare",
     "RoutedService",
+    "apply_changes",
+    "changes_between",
     "plan_problem",
+    "share_routes",
 ]
--- a/cranberrylever/route_plan/_registry.py
+++ b/cranberrylever/route_plan/_registry.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cranberrylever.route_plan._changes import share_routes
 from cranberrylever.route_plan._plan import RoutePlan
 from cranberrylever.route_plan._rules import plan_problem
 
@@ -72,7 +73,7 @@
         outcome = self.check(plan, base)
         if outcome is not None:
             return outcome
-        self.current = plan
+        self.current = share_routes(self.current, plan)
         self.digests.add(plan.digest)
         return PlanOutcome(True)
 
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -7,7 +7,7 @@
 import grpclib.const
 import grpclib.server
 
-from cranberrylever.route_plan import RoutePlan
+from cranberrylever.route_plan import PlanChanges, RoutePlan
 
 _FEED_ATTACH_PATH = "/cranberrylever.Feed/Attach"
 
@@ -123,7 +123,8 @@
     ``rate_limits`` those that targets stated. ``peer_address`` is where the entry takes requests of other
     entries, empty while it takes none, and ``wants_peers`` asks for entries that take its own. ``leaving``
     are the ids and start times of targets whose answers said that they leave. ``reads_sections`` reports that
-    the entry reads ``FeedReply.sections``, ``reads_parts`` that it joins parts of them.
+    the entry reads ``FeedReply.sections``, ``reads_parts`` that it joins parts of them and reads changes of a
+    plan.
     """
 
     cluster_id: str
@@ -239,6 +240,7 @@
     An entry that joins parts gets the plan apart from other sections, so that a large one does not delay
     them: ``plan_part`` is a part of its compressed section. ``sections_left`` and ``plan_left`` are the bytes
     that later replies bring. ``is_plan_pending`` is set while the entry lacks the plan in force.
+    ``plan_changes`` are relative to a plan that the entry holds.
     """
 
     cluster_id: str
@@ -259,6 +261,7 @@
     plan_part: bytes = b""
     plan_left: int = 0
     is_plan_pending: bool = False
+    plan_changes: PlanChanges | None = None
 
 
 class FeedBase(abc.ABC):
--- a/cranberrylever/wire/_view_sections.py
+++ b/cranberrylever/wire/_view_sections.py
@@ -10,7 +10,7 @@
 import attrs
 
 from cranberrylever.errors import CodecError
-from cranberrylever.route_plan import RoutePlan
+from cranberrylever.route_plan import PlanChanges, RoutePlan
 from cranberrylever.wire._codec import decode, encode
 from cranberrylever.wire._feed import FeedReply, FleetView, RangesView
 
@@ -21,7 +21,10 @@
 
 @attrs.frozen
 class ViewSections:
-    """Sections that an entry lacks, ``None`` for those that it holds, and the versions it has afterwards."""
+    """Sections that an entry lacks, ``None`` for those that it holds, and the versions it has afterwards.
+
+    ``plan_changes`` stands in place of ``plan`` for an entry that holds an earlier plan.
+    """
 
     plan_version: int
     plan: RoutePlan | None
@@ -29,11 +32,13 @@
     fleet: FleetView | None
     ranges_version: int
     ranges: RangesView | None
+    plan_changes: PlanChanges | None = None
 
     @property
     def is_empty(self) -> bool:
         """Whether the entry lacks nothing."""
-        return self.plan is None and self.fleet is None and self.ranges is None
+        sections = self.plan, self.plan_changes, self.fleet, self.ranges
+        return all(section is None for section in sections)
 
 
 def compress_sections(sections: ViewSections) -> bytes:
@@ -72,6 +77,7 @@
         plan_part=b"",
         plan_version=sections.plan_version,
         plan=sections.plan,
+        plan_changes=sections.plan_changes,
         fleet_version=sections.fleet_version,
         fleet=sections.fleet,
         ranges_version=sections.ranges_version,
--- a/tests/wire/test_versions.py
+++ b/tests/wire/test_versions.py
@@ -13,7 +13,7 @@
 
 NEW_FIELDS = {
     FeedReport: ("leaving", "reads_sections", "reads_parts"),
-    FeedReply: ("sections", "sections_left", "plan_part", "plan_left", "is_plan_pending"),
+    FeedReply: ("sections", "sections_left", "plan_part", "plan_left", "is_plan_pending", "plan_changes"),
     RoutedTarget: ("draining",),
     RoutedService: ("granted_in_answers",),
 }
