Take the age of a view from the report that control answers, and know a leader while waiting for it

What callers saw: requests run by routes that a plan acknowledged two seconds before had changed (CONFIG). Cause: an entry took its view for new whenever a reply came, also one that had been under way for seconds behind other data; and it took a leader to exist for 1.5 s after one was named, but waited up to 3 s for an answer of a busy one, and served by its old view in between. Now a view is as old as the report that the last complete reply answers, and while a stream to the named leader is open a leader exists. A request that arrives later than 2 s after a report that was answered is refused at once (503, not run). Two tests, which failed before: a reply to a report of 3.4 s ago; a wait of 2.5 s at a named leader. The test of outdated views sets the new field; its bounds are unchanged.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -116,7 +116,7 @@
 
         While no leader exists or control cannot be reached, the last view stays in force.
         """
-        return now - self.view.received_at > MAX_VIEW_AGE_S and self.knows_leader(now)
+        return now - self.view.confirmed_at > MAX_VIEW_AGE_S and self.knows_leader(now)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -330,7 +330,7 @@
             plan=self.view.plan_version,
             fleet=self.view.fleet_version,
             ranges=self.view.ranges_version,
-            view_age_ms=round((record.started_at + elapsed - self.view.received_at) * 1000),
+            view_age_ms=round((record.started_at + elapsed - self.view.confirmed_at) * 1000),
             **_estimate_fields(request.estimate if request else None),
         )
 
--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -78,7 +78,8 @@
     Args:
         contacts: RPC addresses of control members to ask first.
         build_report: Builds a report from its sequence number and whether it is the first on its stream.
-        on_reply: Called with each reply of the leader.
+        on_reply: Called with each reply of the leader, and the loop time as of which the view is complete
+            with it: when the report that it answers was sent, minus infinity while something is pending.
         log: Program log.
         open_stream: Opens a stream to the control member at an address.
     """
@@ -87,7 +88,7 @@
         self,
         contacts: tuple[str, ...],
         build_report: Callable[[int, bool], FeedReport],
-        on_reply: Callable[[FeedReply], None],
+        on_reply: Callable[[FeedReply, float], None],
         log: Log,
         open_stream: Callable[[str], contextlib.AbstractAsyncContextManager[Stream]] = open_feed_stream,
     ) -> None:
@@ -103,7 +104,10 @@
         self.leader_named_at = -math.inf
         self.report_requested = asyncio.Event()
         self.sequence = 0
+        self.sent_at: dict[int, float] = {}
         self.leader_hint = ""
+        self.named_leader = ""
+        self.is_at_leader = False
         self.member_index = 0
         self.attached_address = ""
         self.failed_streams = 0
@@ -163,10 +167,12 @@
         async with self.open_stream(address) as stream:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await stream.send_message(self._next_report(is_first=True))
+            self.is_at_leader = address == self.named_leader
             sender = asyncio.get_running_loop().create_task(self._send_reports(stream))
             try:
                 await self._receive(stream, address)
             finally:
+                self.is_at_leader = False
                 sender.cancel()
                 # Unlike a suppressed error, gather does not hide the cancellation of this task.
                 (error,) = await asyncio.gather(sender, return_exceptions=True)
@@ -184,6 +190,8 @@
                 self.members = reply.control
             if reply.is_leader or reply.leader:
                 self.leader_named_at = asyncio.get_running_loop().time()
+                self.named_leader = address if reply.is_leader else reply.leader
+            self.is_at_leader = reply.is_leader
             if not reply.is_leader:
                 self.leader_hint = reply.leader if reply.leader != address else ""
                 raise ConnectionError(f"the member does not lead, it names {reply.leader or 'no leader'}")
@@ -193,7 +201,14 @@
             self.failed_streams = 0
             complete_reply = assembler.add(reply)
             if complete_reply is not None:
-                self.on_reply(complete_reply)
+                self.on_reply(complete_reply, self._confirmed_at(reply))
+
+    def _confirmed_at(self, reply: FeedReply) -> float:
+        """Return the loop time as of which an entry with this reply holds all that is in force."""
+        for sequence in [sequence for sequence in self.sent_at if sequence < reply.sequence]:
+            del self.sent_at[sequence]
+        is_complete = not (reply.is_plan_pending or reply.plan_part)
+        return self.sent_at.get(reply.sequence, -math.inf) if is_complete else -math.inf
 
     def _reply_timeout(self) -> float:
         """Return the time to wait for a reply, longer after each failure: a busy leader answers late."""
@@ -224,9 +239,15 @@
         )
 
     def knows_leader(self, now: float) -> bool:
-        """Return whether a member has named or been the leader shortly before the loop time ``now``."""
-        return now - self.leader_named_at < LEADER_KNOWN_S
+        """Return whether a leader is taken to exist at the loop time ``now``.
+
+        A member has named it shortly before, or a stream to it is open, however late it answers.
+        """
+        return self.is_at_leader or now - self.leader_named_at < LEADER_KNOWN_S
 
     def _next_report(self, is_first: bool = False) -> FeedReport:
         self.sequence += 1
+        if is_first:
+            self.sent_at.clear()
+        self.sent_at[self.sequence] = asyncio.get_running_loop().time()
         return self.build_report(self.sequence, is_first)
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -183,7 +183,7 @@
             reads_parts=True,
         )
 
-    def _on_reply(self, reply: FeedReply) -> None:
+    def _on_reply(self, reply: FeedReply, confirmed_at: float) -> None:
         now = asyncio.get_running_loop().time()
         if reply.permits:
             self.permits.record(reply.permits, reply.sequence, now)
@@ -191,7 +191,7 @@
         if reply.peers is not None:
             self.relay.set_peers(reply.peers, now)
         addresses_before = {target.info.address for target in self.view.targets.values()}
-        is_changed = self.view.apply(reply, now)
+        is_changed = self.view.apply(reply, now, confirmed_at)
         if is_changed:
             infos = [target.info for target in self.view.targets.values()]
             self.rate_limits.set_published(infos, now)
--- a/cranberrylever/route_entry/_view.py
+++ b/cranberrylever/route_entry/_view.py
@@ -95,6 +95,9 @@
 class EntryView:
     """Sections of the view and their versions, which never decrease.
 
+    ``received_at`` is when the last reply came. ``confirmed_at`` is when a report was sent that control has
+    answered without holding anything back: the view holds all that was in force then. Both are loop times.
+
     Args:
         limits: Limits over all entries.
     """
@@ -111,6 +114,7 @@
         self.entries = 1
         self.suspects: frozenset[str] = frozenset()
         self.received_at = 0.0
+        self.confirmed_at = 0.0
         self._changed = asyncio.Event()
 
     @property
@@ -118,10 +122,17 @@
         """Whether requests can be served."""
         return self.matcher is not None and self.fleet_version >= 0
 
-    def apply(self, reply: FeedReply, now: float) -> bool:
-        """Apply the newer sections of a reply; return whether there were any."""
+    def apply(self, reply: FeedReply, now: float, confirmed_at: float = -math.inf) -> bool:
+        """Apply the newer sections of a reply; return whether there were any.
+
+        Args:
+            reply: The reply.
+            now: Loop time in seconds.
+            confirmed_at: Loop time as of which the view is complete with this reply.
+        """
         changed = False
         self.received_at = now
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
         plan = self._next_plan(reply)
         if plan is not None:
             self.plan_version = reply.plan_version
--- a/tests/route_entry/test_feed.py
+++ b/tests/route_entry/test_feed.py
@@ -1,6 +1,7 @@
 """Tests of the stream of an entry to control."""
 
 import asyncio
+import contextlib
 
 import grpclib.server
 import testtools
@@ -10,7 +11,7 @@
 from cranberrylever.route_entry._feed import MIN_RECONNECT_DELAY_S, FeedClient
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.settings import LimitSettings
-from cranberrylever.wire import FeedBase, FeedReport, MsgpackCodec
+from cranberrylever.wire import FeedBase, FeedReply, FeedReport, MsgpackCodec
 from tests.support import end_slowly, run_in_simulated_time
 
 HOST = "127.0.0.1"
@@ -120,7 +121,7 @@
             feed = FeedClient(("a:1",), None, None, Log("entry", "e", "error"))
             feed.leader_named_at = now - leader_named_age
             view = EntryView(LimitSettings())
-            view.received_at = now - view_age
+            view.confirmed_at = now - view_age
             app = RouteEntryApp(view, None, None, None, None, None, feed.knows_leader)
             return app.is_view_outdated(now)
 
@@ -135,6 +136,63 @@
         """Guards against refusals while control is cut off or has no leader, who could change nothing."""
         assert not self.is_refused(view_age=5.0, leader_named_age=2.0)
 
+    def play_replies(self, replies, seconds):
+        """Play a stream on which replies arrive late; return the reasons for which a request is refused.
+
+        ``replies`` pairs the time of each reply with the number of the report that it answers; the member
+        at ``b:1`` answers it as the leader that ``a:1`` named.
+        """
+
+        class LateStream:
+            def __init__(self, address):
+                self.address = address
+                self.opened_at = asyncio.get_running_loop().time()
+
+            async def send_message(self, report):
+                pass
+
+            async def recv_message(self):
+                if self.address == "a:1":
+                    return FeedReply("c", 1, False, "b:1")
+                if not replies:
+                    await asyncio.sleep(3600)
+                at, sequence = replies.pop(0)
+                await asyncio.sleep(self.opened_at + at - asyncio.get_running_loop().time())
+                return FeedReply("c", sequence, True, "b:1")
+
+        @contextlib.asynccontextmanager
+        async def open_stream(address):
+            yield LateStream(address)
+
+        async def scenario():
+            view = EntryView(LimitSettings())
+
+            def on_reply(reply, *confirmed_at):
+                view.apply(reply, asyncio.get_running_loop().time(), *confirmed_at)
+
+            def build_report(sequence, is_first):
+                return FeedReport("c", "e", sequence, -1, -1, -1)
+
+            feed = FeedClient(("a:1",), build_report, on_reply, Log("entry", "e", "error"), open_stream)
+            feed.set_entry_count(ENTRY_COUNT)
+            app = RouteEntryApp(view, None, None, None, None, None, feed.knows_leader)
+            feed.start()
+            await asyncio.sleep(seconds)
+            is_outdated = app.is_view_outdated(asyncio.get_running_loop().time())
+            await feed.close()
+            return is_outdated
+
+        return run_in_simulated_time(scenario)
+
+    def test_reply_that_was_long_under_way_does_not_make_a_view_new(self):
+        """Guards against requests by an old plan behind a full link, on which replies come late but often."""
+        first_reports = [(0.1 * number, 2) for number in range(1, 40)]
+        assert self.play_replies(first_reports, 3.5)
+
+    def test_entry_that_waits_for_the_named_leader_refuses(self):
+        """Guards against requests by an old plan while a leader is too busy to answer a new stream."""
+        assert self.play_replies([], 2.5)
+
     def test_delays_grow_with_the_number_of_entries(self):
         """Guards against a leader that 185 entries keep busy, and against eight that wait for no reason."""
 
