Let a leader without a lease for a moment wait for it instead of sending everybody away

Cause: after a stall of the loop the lease, 0.225 s, has run out while the answers that renew it are still unread; the member then told entries that it does not lead, and refused operators and targets. Entries went to other members, who named it again, and asked it for views anew. A member that leads now waits for its lease, 0.5 s at most; without leadership it says so at once. The same in the control of tickets.

--- a/cranberrylever/control/_entries.py
+++ b/cranberrylever/control/_entries.py
@@ -89,7 +89,7 @@
     async def _handle_frame(self, entry: EntryStream, frame: EntryFrame) -> None:
         if frame.hello is not None:
             self.coordinator.record_hello(frame.hello)
-        elif not self.leader.is_serving():
+        elif not await self.leader.wait_until_serving():
             await self._reject_frame(entry, frame)
         elif frame.report is not None:
             now = asyncio.get_running_loop().time()
--- a/cranberrylever/control/_service.py
+++ b/cranberrylever/control/_service.py
@@ -88,5 +88,5 @@
         return self.leader.is_serving() or self.driver.leader_id is not None
 
     async def _check_leader(self) -> None:
-        if not self.leader.is_serving():
+        if not await self.leader.wait_until_serving():
             raise NotLeaderError(self.driver.leader_id)
--- a/cranberrylever/control_member/_leader.py
+++ b/cranberrylever/control_member/_leader.py
@@ -8,6 +8,9 @@
 from cranberrylever.errors import NotLeaderError, ProposalLostError
 from cranberrylever.logs import Log
 
+MAX_LEASE_WAIT_S = 0.5
+"""Time for which callers of a leader without a lease wait for one; by then another member may lead."""
+
 
 class LeaderBase(abc.ABC):
     """Runs steps at an interval and after each change, while this member leads and holds its lease.
@@ -34,6 +37,7 @@
         self.wake = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         self.proposals: set[asyncio.Task[None]] = set()
+        self._step_done = asyncio.Event()
 
     def start(self) -> None:
         """Start the loop."""
@@ -50,6 +54,24 @@
         """Return whether this member leads, holds its lease and has run a step in this term."""
         return self._is_leader_with_lease(asyncio.get_running_loop().time()) and self.term == self.driver.term
 
+    async def wait_until_serving(self, timeout: float = MAX_LEASE_WAIT_S) -> bool:
+        """Return whether this member serves; while it leads without a lease, wait for at most ``timeout`` s.
+
+        A stall of the loop outlasts the lease, although the answers that renew it have arrived. A member that
+        then says that it does not lead sends everybody to others, who name it again.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        while not self.is_serving():
+            if self.driver.leader_id != self.driver.config.member_id or loop.time() >= deadline:
+                return False
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._step_done.wait()
+            except TimeoutError:
+                continue
+        return True
+
     async def propose(self, command: object) -> object:
         """Commit a command and return the result of applying it.
 
@@ -92,6 +114,8 @@
                 # Without the handler the loop would end while this member still leads. The next step decides
                 # from the replicated state again.
                 self.log.failure("step_failed", error)
+            self._step_done.set()
+            self._step_done = asyncio.Event()
             self.after_step()
             # Sleeps for as long as the step took, so that calls of targets and entries get the same time.
             await asyncio.sleep(max(loop.time() - now, self.step_gap()))
--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -106,7 +106,7 @@
 
     async def _handle_report(self, entry: AttachedEntry, report: FeedReport) -> None:
         entry.sequence = report.sequence
-        if not self.leader.is_serving():
+        if not await self.leader.wait_until_serving():
             entry.entry_id = ""
             reply = FeedReply(
                 self.cluster_id, report.sequence, False, self.driver.leader_id or "", self.driver.group()
--- a/tests/control/test_entries.py
+++ b/tests/control/test_entries.py
@@ -20,6 +20,9 @@
     def is_serving(self):
         return True
 
+    async def wait_until_serving(self):
+        return True
+
     async def propose(self, command):
         self.index += 1
         return self.state.apply(self.index, decode_command(encode_command(command)))
--- a/tests/control_member/test_leader.py
+++ b/tests/control_member/test_leader.py
@@ -14,6 +14,12 @@
     term = 1
     leader_since = 0.0
     has_valid_lease = True
+    leader_id = "c1"
+    member_id = "c1"
+
+    @property
+    def config(self):
+        return self
 
     def has_lease(self, now):
         return self.has_valid_lease
@@ -65,6 +71,46 @@
 
         self.run_leader(scenario)
 
+    def test_leader_without_a_lease_for_a_moment_sends_nobody_away(self):
+        """Guards against a stall of 0.3 s after which all entries lose their streams to the leader."""
+
+        async def scenario(leader):
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(0.2)
+            leader.driver.has_valid_lease = False
+            loop.call_later(0.3, setattr, leader.driver, "has_valid_lease", True)
+            assert not leader.is_serving()
+            assert await leader.wait_until_serving()
+
+        self.run_leader(scenario)
+
+    def test_member_that_does_not_lead_says_so_at_once(self):
+        """Guards against callers that wait at a member that another one has replaced."""
+
+        async def scenario(leader):
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(0.2)
+            leader.driver.has_valid_lease = False
+            leader.driver.leader_id = "c2"
+            asked_at = loop.time()
+            assert not await leader.wait_until_serving()
+            assert loop.time() == asked_at
+
+        self.run_leader(scenario)
+
+    def test_wait_for_a_lease_that_does_not_come_ends(self):
+        """Guards against callers that a cut off leader holds until their own time is up."""
+
+        async def scenario(leader):
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(0.2)
+            leader.driver.has_valid_lease = False
+            asked_at = loop.time()
+            assert not await leader.wait_until_serving()
+            assert loop.time() - asked_at < 0.6
+
+        self.run_leader(scenario)
+
     def test_step_that_fails_does_not_end_the_loop(self):
         """Guards against a leader that holds its lease but runs no more steps."""
 
--- a/tests/route_control/test_feed_load.py
+++ b/tests/route_control/test_feed_load.py
@@ -85,6 +85,9 @@
     def is_serving(self):
         return True
 
+    async def wait_until_serving(self):
+        return True
+
     def record_report(self, report):
         pass
 
