Bound the log and the queues to other members in bytes

The class of the incident's memory (processes end three times, 'memory over the limit') looked for elsewhere: limits that count items, each of which may be large. A plan with 1,400 routes is 0.5 MB in the log, kept in memory until 10,000 entries are applied: 600 changes of such a plan are the 296 MB that a member has, and a restarted one reads them all again. The queue to a member that does not read held 1,024 frames, 0.5 GB of them.

--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -69,7 +69,9 @@
         self._is_cycle_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
-        self.snapshot_writer = SnapshotWriter(storage, state_machine, config.snapshot_entries)
+        self.snapshot_writer = SnapshotWriter(
+            storage, state_machine, config.snapshot_entries, config.snapshot_bytes
+        )
 
     # Status ------------------------------------------------------------------------------------
 
--- a/cranberrylever/consensus/_log.py
+++ b/cranberrylever/consensus/_log.py
@@ -98,6 +98,17 @@
         self.size -= _payload_bytes(self.entries[first:])
         del self.entries[first:]
 
+    def index_before_last(self, index: int, max_entries: int, max_bytes: int) -> int:
+        """Return the index before the last entries up to ``index`` that are within both limits."""
+        start = index
+        size = 0
+        while start > self.base_index and index - start < max_entries:
+            size += len(self.get(start).payload)
+            if size > max_bytes:
+                break
+            start -= 1
+        return start
+
     def compact(self, index: int) -> None:
         """Remove the entries up to and including ``index``."""
         if index <= self.base_index:
--- a/cranberrylever/consensus/_node.py
+++ b/cranberrylever/consensus/_node.py
@@ -237,14 +237,18 @@
         check(index <= self.log.last_index, f"committed entry {index} is not in the log")
         self.commit_index = index
 
-    def snapshot_saved(self, snapshot: Snapshot, keep_entries: int) -> None:
-        """Compact the log up to ``snapshot``, except for the last ``keep_entries`` entries."""
+    def snapshot_saved(self, snapshot: Snapshot, keep_entries: int, keep_bytes: int) -> None:
+        """Compact the log up to ``snapshot``, except for the last entries within both limits."""
         if self.snapshot is not None and snapshot.index <= self.snapshot.index:
             return
         check(snapshot.index <= self.commit_index, f"the snapshot at index {snapshot.index} is not committed")
         self.snapshot = snapshot
         self.log.compact(
-            min(snapshot.index - keep_entries, self.persisted_index, self._first_unsaved_index - 1)
+            min(
+                self.log.index_before_last(snapshot.index, keep_entries, keep_bytes),
+                self.persisted_index,
+                self._first_unsaved_index - 1,
+            )
         )
 
     # Proposals and reads ------------------------------------------------------------------------
--- a/cranberrylever/consensus/_snapshots.py
+++ b/cranberrylever/consensus/_snapshots.py
@@ -5,8 +5,8 @@
 from cranberrylever.consensus._state_machine import StateMachine
 from cranberrylever.consensus._storage import Storage
 
-KEPT_ENTRIES_DIVISOR = 4
-"""The log keeps ``snapshot_entries // KEPT_ENTRIES_DIVISOR`` entries before a snapshot for slow followers."""
+KEPT_DIVISOR = 4
+"""The log keeps this part of the entries and bytes that cause a snapshot, for slow followers."""
 
 
 class SnapshotWriter:
@@ -16,18 +16,23 @@
         storage: Durable state of the member.
         state_machine: State machine.
         snapshot_entries: Number of entries applied between two snapshots.
+        snapshot_bytes: Size of the log in bytes that also causes a snapshot.
     """
 
-    def __init__(self, storage: Storage, state_machine: StateMachine, snapshot_entries: int) -> None:
+    def __init__(
+        self, storage: Storage, state_machine: StateMachine, snapshot_entries: int, snapshot_bytes: int
+    ) -> None:
         self.storage = storage
         self.state_machine = state_machine
         self.snapshot_entries = snapshot_entries
+        self.snapshot_bytes = snapshot_bytes
         self.is_running = False
 
     def take_if_due(self, node: RaftNode, applied_index: int) -> Snapshot | None:
         """Return a new snapshot, which must be passed to ``save``, or ``None`` if none is due."""
         last = node.snapshot.index if node.snapshot else 0
-        if self.is_running or applied_index - last < self.snapshot_entries:
+        is_large = node.log.size >= self.snapshot_bytes and applied_index > last
+        if self.is_running or not (is_large or applied_index - last >= self.snapshot_entries):
             return None
         self.is_running = True
         _, membership = node.memberships.at(applied_index)
@@ -37,6 +42,8 @@
     async def save(self, node: RaftNode, snapshot: Snapshot) -> None:
         """Save ``snapshot`` and compact the log."""
         await self.storage.save_snapshot(snapshot)
-        node.snapshot_saved(snapshot, self.snapshot_entries // KEPT_ENTRIES_DIVISOR)
+        node.snapshot_saved(
+            snapshot, self.snapshot_entries // KEPT_DIVISOR, self.snapshot_bytes // KEPT_DIVISOR
+        )
         await self.storage.compact(node.log.base_index)
         self.is_running = False
--- a/cranberrylever/control_member/_peers.py
+++ b/cranberrylever/control_member/_peers.py
@@ -15,7 +15,8 @@
 from cranberrylever.wire import MsgpackCodec, PeerBase, PeerFrame, PeerStub
 
 MAX_QUEUED_FRAMES = 1024
-"""Maximum number of frames queued for one peer; beyond it the oldest is dropped."""
+MAX_QUEUED_BYTES = 16 * 1024 * 1024
+"""Limits of the frames queued for one peer; beyond either the oldest is dropped."""
 
 MIN_RECONNECT_DELAY_S = 0.05
 MAX_RECONNECT_DELAY_S = 0.3
@@ -51,6 +52,7 @@
         self.log = log
         self.host, self.port = split_address(address)
         self.queue: collections.deque[PeerFrame] = collections.deque()
+        self.queued_bytes = 0
         self.dropped = 0
         self.connections = 0
         self.last_used_at = 0.0
@@ -72,14 +74,23 @@
             await asyncio.wait([self._task])
 
     def put(self, frame: PeerFrame) -> None:
-        """Queue ``frame``; a full queue drops its oldest frame, because Raft sends lost messages again."""
-        if len(self.queue) >= MAX_QUEUED_FRAMES:
-            self.queue.popleft()
+        """Queue ``frame``; a full queue drops its oldest frames, because Raft sends lost messages again."""
+        size = len(frame.body)
+        while self.queue and (
+            len(self.queue) >= MAX_QUEUED_FRAMES or self.queued_bytes + size > MAX_QUEUED_BYTES
+        ):
+            self._take()
             self.dropped += 1
         self.queue.append(frame)
+        self.queued_bytes += size
         self.last_used_at = asyncio.get_running_loop().time()
         self._wake.set()
 
+    def _take(self) -> PeerFrame:
+        frame = self.queue.popleft()
+        self.queued_bytes -= len(frame.body)
+        return frame
+
     async def _run(self) -> None:
         """Reconnect each time the stream is lost, after an exponential delay with random jitter."""
         loop = asyncio.get_running_loop()
@@ -100,6 +111,7 @@
                 reconnect_delay = MIN_RECONNECT_DELAY_S
             await asyncio.sleep(reconnect_delay * random.uniform(0.5, 1.0))
             self.queue.clear()
+            self.queued_bytes = 0
             reconnect_delay = min(reconnect_delay * 2, MAX_RECONNECT_DELAY_S)
 
     def _log_disconnect(self, reason: str) -> None:
@@ -128,7 +140,7 @@
             while self.queue:
                 self._check_echo_timeout()
                 async with asyncio.timeout(SEND_TIMEOUT_S):
-                    await stream.send_message(self.queue.popleft())
+                    await stream.send_message(self._take())
             self._wake.clear()
             await self._wake.wait()
 
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -65,13 +65,23 @@
 class Cluster:
     """Group of named members; ``observe`` checks the safety properties across members."""
 
-    def __init__(self, size, seed=1, snapshot_entries=50, sync_times=(0.01,), folder=None, **network):
+    def __init__(
+        self,
+        size,
+        seed=1,
+        snapshot_entries=50,
+        snapshot_bytes=2**25,
+        sync_times=(0.01,),
+        folder=None,
+        **network,
+    ):
         self.rng = random.Random(seed)
         self.network = _ObservedNetwork(random.Random(seed + 1), **network)
         self.network.observer = self.observe
         self.names = [f"m{number}" for number in range(size)]
         self.addresses = {name: f"{name}:1" for name in self.names}
         self.snapshot_entries = snapshot_entries
+        self.snapshot_bytes = snapshot_bytes
         self.sync_times = sync_times
         self.folder = folder
         self.disks = {name: MemoryDisk() for name in self.names}
@@ -87,7 +97,13 @@
             storage = MemoryStorage(self.disks[name], CLUSTER, bootstrap, sync_time)
         else:
             storage = SimulatedDiskStorage(self.folder / name, CLUSTER, bootstrap, sync_time, self.rng)
-        config = ConsensusConfig(CLUSTER, name, self.addresses, snapshot_entries=self.snapshot_entries)
+        config = ConsensusConfig(
+            CLUSTER,
+            name,
+            self.addresses,
+            snapshot_entries=self.snapshot_entries,
+            snapshot_bytes=self.snapshot_bytes,
+        )
         driver = create_driver(
             config,
             storage,
--- a/tests/control_member/test_peers.py
+++ b/tests/control_member/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import grpclib.server
 import testtools
 
@@ -135,6 +136,21 @@
 
         asyncio.run(main())
 
+    def test_queue_of_large_frames_is_bounded(self):
+        """Guards against plans that fill the memory while a peer is down: 200 of 0.5 MB are 100 MB."""
+
+        async def main():
+            sender = Peer("a", {"b": f"{HOST}:1"})
+            for _ in range(200):
+                sender.transport.send("b", attrs.evolve(frame(1), body=bytes(500_000)))
+            link = sender.transport.links["b"]
+            self.assertTrue(sum(len(item.body) for item in link.queue) <= _peers.MAX_QUEUED_BYTES)
+            self.assertEqual(200, len(link.queue) + link.dropped)
+            sender.transport.send("b", attrs.evolve(frame(2), body=bytes(2 * _peers.MAX_QUEUED_BYTES)))
+            self.assertEqual(1, len(link.queue))
+
+        asyncio.run(main())
+
     def test_peer_without_echoes_is_reconnected(self):
         """Guards against a link that sends on a dead connection until TCP times out."""
 
