--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -22,6 +22,7 @@
     FeedReply,
     FeedReport,
     GrantedPermits,
+    fill_sections,
 )
 
 MAX_PUSHES_PER_S = 1_000.0
@@ -183,7 +184,7 @@
             if entry.reads_sections:
                 reply = attrs.evolve(reply, sections=self.view.compressed_since(*versions))
             else:
-                reply = attrs.evolve(reply, **attrs.asdict(sections, recurse=False))
+                reply = fill_sections(reply, sections)
             entry.group = group
             await entry.write(reply)
             self.metrics.count("view_bytes_sent", len(reply.sections))
--- a/cranberrylever/wire/__init__.py
+++ b/cranberrylever/wire/__init__.py
@@ -48,7 +48,7 @@
     PeerStub,
 )
 from cranberrylever.wire._view_parts import ReplyAssembler, split_parts
-from cranberrylever.wire._view_sections import ViewSections, compress_sections, unpack_sections
+from cranberrylever.wire._view_sections import ViewSections, compress_sections, fill_sections, unpack_sections
 
 __all__ = [
     "COLD_PERMIT_WINDOW_S",
@@ -97,6 +97,7 @@
     "encode",
     "ViewSections",
     "compress_sections",
+    "fill_sections",
     "split_parts",
     "unpack_sections",
 ]
--- a/cranberrylever/wire/_view_sections.py
+++ b/cranberrylever/wire/_view_sections.py
@@ -71,15 +71,9 @@
             f"sections are cut off or exceed {MAX_SECTIONS_BYTES} bytes", "check the control member"
         )
     sections = decode(data, ViewSections)
-    return attrs.evolve(
-        reply,
-        sections=b"",
-        plan_part=b"",
-        plan_version=sections.plan_version,
-        plan=sections.plan,
-        plan_changes=sections.plan_changes,
-        fleet_version=sections.fleet_version,
-        fleet=sections.fleet,
-        ranges_version=sections.ranges_version,
-        ranges=sections.ranges,
-    )
+    return fill_sections(attrs.evolve(reply, sections=b"", plan_part=b""), sections)
+
+
+def fill_sections(reply: FeedReply, sections: ViewSections) -> FeedReply:
+    """Return a reply with ``sections`` as its fields, which have the same names."""
+    return attrs.evolve(reply, **attrs.asdict(sections, recurse=False))
--- a/tests/route_control/test_feed_load.py
+++ b/tests/route_control/test_feed_load.py
@@ -11,16 +11,15 @@
 from cranberrylever.route_control._commands import SubmitPlan
 from cranberrylever.route_control._feed import FeedService
 from cranberrylever.route_control._measurements import TargetMeasurements
-from cranberrylever.route_control._permits import PermitLedger
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.route_entry._feed import FeedClient
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.route_plan import Route, RoutedService, RoutePlan, RouteShare
 from cranberrylever.settings import LimitSettings
 from cranberrylever.wire import FeedReport, ViewSections, compress_sections, encode
+from tests.route_control.fake_leader import MEMBER, FakeDriver, FakeLeader
 from tests.support import run_in_simulated_time
 
-MEMBER = "m:1"
 SERVICES = (
     RoutedService("ledger", True, "/h", 100, 3.0, 10.0, 2.0),
     RoutedService("desk", False, "/h", 100, 3.0, 10.0, 0.0),
@@ -65,57 +64,6 @@
     return RoutePlan(number, tuple(routes), SERVICES, source=b"{}", digest=str(number))
 
 
-@attrs.define
-class FakeLeaseManager:
-    """A lease manager without any answers."""
-
-    change_count: int = 0
-
-
-@attrs.define
-class FakeLeader:
-    """What the feed reads of a leader."""
-
-    measurements: TargetMeasurements
-    term: int = 1
-    lease_manager: FakeLeaseManager = attrs.field(factory=FakeLeaseManager)
-    permits: PermitLedger = attrs.field(factory=lambda: PermitLedger(0.0))
-    wake: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-    def is_serving(self):
-        return True
-
-    async def wait_until_serving(self):
-        return True
-
-    def record_report(self, report):
-        pass
-
-    def published_owner(self, item, service):
-        return ""
-
-    def service(self, name):
-        return None
-
-
-@attrs.define
-class FakeDriver:
-    """The consensus driver of a group of one member."""
-
-    leader_id: str = MEMBER
-
-    @property
-    def config(self):
-        return self
-
-    @property
-    def member_id(self):
-        return MEMBER
-
-    def group(self):
-        return (MEMBER,)
-
-
 class Direction:
     """One direction of a connection: bytes arrive at a rate, a full socket buffer blocks the sender."""
 
--- a/tests/route_control/test_published_view.py
+++ b/tests/route_control/test_published_view.py
@@ -1,6 +1,5 @@
 """Tests of the published view with many entries and targets."""
 
-import attrs
 import testtools
 
 from cranberrylever.route_control._measurements import TargetMeasurements
@@ -9,6 +8,7 @@
 from cranberrylever.route_control._suspects import SuspectTracker
 from cranberrylever.target_registry import TargetAnnouncement
 from cranberrylever.wire import FeedReply, ReportedLoad, unpack_sections
+from tests.route_control.fake_leader import FakeLeader
 from tests.route_control.test_ownership import SERVICE
 
 TARGET_COUNT = 300
@@ -16,22 +16,6 @@
 STEP_S = 0.05
 
 
-@attrs.define
-class FakeLeaseManager:
-    """A lease manager without any answers."""
-
-    change_count: int = 0
-
-
-@attrs.define
-class FakeLeader:
-    """What the published view reads of a leader."""
-
-    measurements: TargetMeasurements
-    term: int = 1
-    lease_manager: FakeLeaseManager = attrs.field(factory=FakeLeaseManager)
-
-
 def announcement(number, draining=False):
     return TargetAnnouncement(
         f"t{number}", 1, 1, SERVICE, f"10.0.{number // 250}.{number % 250}:80", "z", 3, draining, 0.0
