Confirm to an entry only reports that came while the leader held its lease

Found while reading the change: a report that waits for the lease had already become the one that replies name, so a reply on its way, such as the last part of a plan, confirmed it although another member might lead by then. Test: fails before (a reply names report 2, which came without a lease), passes after.

--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -106,7 +106,6 @@
         task.add_done_callback(entry.tasks.discard)
 
     async def _handle_report(self, entry: AttachedEntry, report: FeedReport) -> None:
-        entry.sequence = report.sequence
         if not await self.leader.wait_until_serving():
             entry.entry_id = ""
             reply = FeedReply(
@@ -115,6 +114,8 @@
             async with entry.lock:
                 await entry.stream.send_message(reply)
             return
+        # Replies name the last report that came before a moment at which this member held its lease.
+        entry.sequence = report.sequence
         if not entry.entry_id:
             self.log.info("entry_attached", entry=report.entry_id, plan=report.plan_version)
             entry.record_first_report(report)
@@ -179,7 +180,7 @@
                 control=group if group != entry.group else (),
                 permits=permits,
                 peers=peers,
-                is_plan_pending=self._lacks_plan(entry),
+                is_plan_pending=entry.reads_parts and self._lacks_plan(entry),
             )
             if entry.reads_sections:
                 reply = attrs.evolve(reply, sections=self.view.compressed_since(*versions))
--- a/tests/route_control/fake_leader.py
+++ b/tests/route_control/fake_leader.py
@@ -26,11 +26,14 @@
     lease_manager: FakeLeaseManager = attrs.field(factory=FakeLeaseManager)
     permits: PermitLedger = attrs.field(factory=lambda: PermitLedger(0.0))
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    is_without_lease: bool = False
 
     def is_serving(self):
         return True
 
     async def wait_until_serving(self):
+        if self.is_without_lease:
+            await asyncio.Event().wait()
         return True
 
     def record_report(self, report):
--- a/tests/route_control/test_feed_load.py
+++ b/tests/route_control/test_feed_load.py
@@ -8,6 +8,7 @@
 
 from cranberrylever.logs import Log
 from cranberrylever.metrics import NullMetrics
+from cranberrylever.route_control._attached_entry import AttachedEntry
 from cranberrylever.route_control._commands import SubmitPlan
 from cranberrylever.route_control._feed import FeedService
 from cranberrylever.route_control._measurements import TargetMeasurements
@@ -245,3 +246,34 @@
         site, _ = self.play(plan(1, 10), [plan(2, 12_000)])
         largest = max(link.largest_message for link in site.links)
         assert largest <= MAX_WAITING_BYTES, largest
+
+
+class ConfirmedReportTest(testtools.TestCase):
+    """A leader whose lease ends while it sends an entry a plan."""
+
+    def test_report_that_came_without_a_lease_is_not_confirmed(self):
+        """Guards against an entry that takes an old plan for current because a replaced leader told it so."""
+
+        async def scenario():
+            sent = []
+
+            class RecordingStream:
+                async def send_message(self, reply):
+                    await asyncio.sleep(0.1)
+                    sent.append(reply)
+
+            site = Site()
+            site.submit(plan(1, 1))
+            entry = AttachedEntry(RecordingStream())
+            service = site.service
+            await service._handle_report(entry, FeedReport("test", "e", 1, -1, -1, -1, **ALL_FORMS))
+            service.leader.is_without_lease = True
+            late = asyncio.create_task(
+                service._handle_report(entry, FeedReport("test", "e", 2, -1, -1, -1, **ALL_FORMS))
+            )
+            await asyncio.sleep(1.0)
+            late.cancel()
+            assert {reply.sequence for reply in sent} == {1}, sent
+            assert sent[-1].is_plan_pending is False
+
+        run_in_simulated_time(scenario)
