Change the number of routes and slow the links of members in the fault soak

Plans have 0, 500 or 1,500 routes more by turns, a member's link may carry 100 kB/s for a while, and after the last fault every entry must know the route that only the newest plan has.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import math
 
 import attrs
 
 CHUNK_BYTES = 65_536
+SLOW_CHUNK_BYTES = 4_096
+"""Bytes that pass a slow relay at a time."""
 
 
 @attrs.define(eq=False)
@@ -21,12 +24,14 @@
     """Forwards connections to ``upstream``; while cut it holds all bytes, as in a partition without resets.
 
     Held bytes are delivered when the relay heals, as TCP does after a partition; this is a harder
-    case for the protocols than a reset. Each chunk is delayed by ``delay`` seconds.
+    case for the protocols than a reset. Each chunk is delayed by ``delay`` seconds, and each direction of a
+    connection carries ``bytes_per_s``.
     """
 
     upstream: str
     address: str
     delay: float = 0.0
+    bytes_per_s: float = math.inf
     forward_gate: asyncio.Event = attrs.field(factory=asyncio.Event)
     return_gate: asyncio.Event = attrs.field(factory=asyncio.Event)
     server: asyncio.Server | None = None
@@ -49,8 +54,9 @@
         self.return_gate.clear()
 
     def heal(self) -> None:
-        """Remove cuts and delay; held bytes are forwarded first."""
+        """Remove cuts, delay and the limit of bytes; held bytes are forwarded first."""
         self.delay = 0.0
+        self.bytes_per_s = math.inf
         self.forward_gate.set()
         self.return_gate.set()
 
@@ -96,6 +102,9 @@
             self.connections.discard(connection)
             writer.close()
 
+    def _chunk_bytes(self) -> int:
+        return CHUNK_BYTES if self.bytes_per_s == math.inf else SLOW_CHUNK_BYTES
+
     async def forward(
         self,
         reader: asyncio.StreamReader,
@@ -108,9 +117,11 @@
         Raises:
             ConnectionResetError: The direction has ended; this ends the other direction too.
         """
-        while data := await reader.read(CHUNK_BYTES):
+        while data := await reader.read(self._chunk_bytes()):
             if self.delay:
                 await asyncio.sleep(self.delay)
+            if self.bytes_per_s < math.inf:
+                await asyncio.sleep(len(data) / self.bytes_per_s)
             await gate.wait()
             if reader.exception() is not None:
                 # Delayed bytes are lost when their sender has reset the connection.
--- a/bench/routes/callers.py
+++ b/bench/routes/callers.py
@@ -52,12 +52,16 @@
                 return
             await asyncio.sleep(0.1)
 
-    async def _send(self, route: str, key: int) -> int | None:
+    async def send_to(self, address: str, route: str) -> int | None:
+        """Send a request to one entry; returns the status, ``None`` without an answer."""
+        return await self._send(route, self.random.randrange(KEY_COUNT), address)
+
+    async def _send(self, route: str, key: int, address: str = "") -> int | None:
         self.sent += 1
         request_id = f"q{self.sent}"
         if route != "read":
             self.non_idempotent.add(request_id)
-        _, address = self.random.choice(self.cluster.entries)
+        address = address or self.random.choice(self.cluster.entries)[1]
         method = "GET" if route == "read" else "POST"
         lines = [f"{method} /{route}/x HTTP/1.1", f"host: {HOST}", f"cranberrylever-request-id: {request_id}"]
         lines += [f"cranberrylever-deadline-ms: {DEADLINE_S * 1000:.0f}", f"cranberrylever-key: {key}"]
--- a/bench/routes/cluster.py
+++ b/bench/routes/cluster.py
@@ -27,14 +27,31 @@
     return address.rpartition(":")[2]
 
 
+ROUTE_COUNTS = (0, 500, 1_500)
+"""Routes that plans have besides those that callers use, by turns."""
+
+
+def newest_route(number: int) -> str:
+    """Return the name of the route that only plan ``number`` has."""
+    return f"plan-{number}"
+
+
 def route_plan(number: int, timeout: float = 2.0, granted_in_answers: bool = False) -> dict:
     """Return a plan with a keyed and a pooled service; ``timeout`` in seconds distinguishes plans."""
     ledger = {"name": "ledger", "keyed": True, "granted_in_answers": granted_in_answers}
     shared = {"host": HOST, "timeout": timeout, "objective": 0.5, "attempts": 2}
     cold = {"max_connections": 60, "cold_time": 1.0, "cold_rate": 20.0, "takeover_time": 1.0}
+    other_names = [newest_route(number)]
+    other_names += [f"other-{index}" for index in range(ROUTE_COUNTS[number % len(ROUTE_COUNTS)])]
+    desk = [{"service": "desk", "weight": 1.0}]
+    others = [
+        {"name": name, "prefix": f"/{name}/", "shares": desk, "idempotent": True, "priority": 1, **shared}
+        for name in other_names
+    ]
     return {
         "number": number,
         "routes": [
+            *others,
             {
                 "name": "read",
                 "prefix": "/read/",
--- a/bench/routes/faults.py
+++ b/bench/routes/faults.py
@@ -15,6 +15,7 @@
 FAULT_DURATION_S = (0.3, 3.0)
 LINK_DELAY_S = (0.02, 0.3)
 DOWNTIME_S = (0.1, 1.5)
+SLOW_LINK_BYTES_PER_S = 100_000.0
 LIMIT_DURATION_S = (5.0, 9.0)
 RATE_LIMITS_PER_S = (0.5, 1.4, 4.0)
 REPAIR_TIME_S = 6.0
@@ -75,13 +76,13 @@
         self.disrupted_until = max(self.disrupted_until, now + duration)
 
     async def disrupt_member(self) -> None:
-        """Kill, stop, pause or cut off a control member, or remove its data directory."""
+        """Kill, stop, pause, cut off or slow a control member, or remove its data directory."""
         now = asyncio.get_running_loop().time()
         if now < self.next_member_fault_at:
             return
         member = self.random.choice(self.cluster.members)
         duration = self.random.uniform(*FAULT_DURATION_S)
-        action = self.random.choice(("kill", "stop", "pause", "cut", "cut back", "folder"))
+        action = self.random.choice(("kill", "stop", "pause", "cut", "cut back", "slow", "folder"))
         self.next_member_fault_at = now + duration + REPAIR_TIME_S
         self.record(f"{action} {member.process.name}", duration)
         if action == "pause":
@@ -90,6 +91,10 @@
             member.process.resume()
         elif action in ("cut", "cut back"):
             await self._cut(member.relay, action, duration)
+        elif action == "slow":
+            member.relay.bytes_per_s = SLOW_LINK_BYTES_PER_S
+            await asyncio.sleep(duration)
+            member.relay.heal()
         else:
             if action == "stop":
                 await member.process.terminate()
--- a/bench/routes/soak.py
+++ b/bench/routes/soak.py
@@ -8,7 +8,7 @@
 import attrs
 
 from bench.routes.callers import SoakCallers
-from bench.routes.cluster import SoakCluster, create_soak_cluster
+from bench.routes.cluster import SoakCluster, create_soak_cluster, newest_route
 from bench.routes.faults import RouteFaults
 
 WITHDRAWAL_LIMIT_S = 5.0
@@ -20,6 +20,7 @@
 RECOVERY_LIMIT_S = 15.0
 """Time after the last fault within which requests must be served again."""
 
+NOT_FOUND = 404
 CHECK_INTERVAL_S = 0.3
 RECOVERED_SERVED_SHARE = 0.9
 """Share of served requests from which the cluster counts as recovered."""
@@ -70,6 +71,7 @@
         tasks.append(domain_check)
         await faults.run(seconds)
         problems = await _check_recovery(cluster, callers, monitor)
+        problems += await _check_newest_route(cluster, callers)
         if domain_check.done():
             problems += domain_check.result()
     finally:
@@ -131,3 +133,14 @@
     return [
         f"{RECOVERY_LIMIT_S} s after the last fault a share of {share:.2f} is served, plan {visible_plan}"
     ]
+
+
+async def _check_newest_route(cluster: SoakCluster, callers: SoakCallers) -> list[str]:
+    """Ask each entry for a route that only the last acknowledged plan has."""
+    route = newest_route(cluster.plan_number)
+    problems = []
+    for process, address in cluster.entries:
+        status = await callers.send_to(address, route)
+        if status == NOT_FOUND:
+            problems.append(f"{process.name} does not know {route} after it served again")
+    return problems
--- a/tests/bench/test_relay.py
+++ b/tests/bench/test_relay.py
@@ -40,3 +40,31 @@
             return first, during, after
 
         self.assertEqual((b"one", None, b"two"), asyncio.run(main()))
+
+    def test_slow_relay_takes_the_time_of_its_link(self):
+        """Guards against a soak whose slow links are as fast as loopback."""
+
+        async def main():
+            async def send(reader, writer):
+                writer.write(bytes(40_000))
+                await writer.drain()
+                writer.close()
+
+            server = await asyncio.start_server(send, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            relay = Relay(f"{host}:{port}", free_address())
+            await relay.start()
+            relay.bytes_per_s = 100_000.0
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            reader, writer = await asyncio.open_connection("127.0.0.1", int(relay.address.rpartition(":")[2]))
+            received = await reader.readexactly(40_000)
+            elapsed = loop.time() - started_at
+            writer.close()
+            await relay.close()
+            server.close()
+            return len(received), elapsed
+
+        received, elapsed = asyncio.run(main())
+        self.assertEqual(40_000, received)
+        assert elapsed >= 0.35, elapsed
