--- a/cranberrylever/route_control/_attached_entry.py
+++ b/cranberrylever/route_control/_attached_entry.py
@@ -48,14 +48,13 @@
 
     async def write(self, reply: FeedReply) -> None:
         """Write a reply, its sections in parts if the entry joins them; the caller holds ``lock``."""
+        parts = split_parts(reply.sections) if self.reads_parts else [(reply.sections, 0)]
+        # Permits and other fields are valid once all sections are known, so the last part has them.
+        header = FeedReply(reply.cluster_id, reply.sequence, True, reply.leader)
         self.waiting_bytes += len(reply.sections)
         try:
-            for part, left in split_parts(reply.sections) if self.reads_parts else ((reply.sections, 0),):
-                is_last = left == 0
-                # Permits and other fields are valid once all sections are known.
-                message = (
-                    reply if is_last else FeedReply(reply.cluster_id, reply.sequence, True, reply.leader)
-                )
+            for part, left in parts:
+                message = reply if left == 0 else header
                 await self.stream.send_message(attrs.evolve(message, sections=part, sections_left=left))
         finally:
             self.waiting_bytes -= len(reply.sections)
--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -82,6 +82,12 @@
             with it: when the report that it answers was sent, minus infinity while something is pending.
         log: Program log.
         open_stream: Opens a stream to the control member at an address.
+
+    Attributes:
+        leader_hint: Address of the leader that was named last, until it is asked.
+        named_leader: The same, kept until another leader is named.
+        is_at_leader: Whether the open stream goes to the named leader.
+        sent_at: Loop times of the reports on the open stream that a reply may still name.
     """
 
     def __init__(
@@ -202,11 +208,15 @@
             complete_reply = assembler.add(reply)
             if complete_reply is not None:
                 self.on_reply(complete_reply, self._confirmed_at(reply))
+            self._forget_reports_before(reply.sequence)
+
+    def _forget_reports_before(self, sequence: int) -> None:
+        """Drop the times of reports that no later reply on this stream names."""
+        for answered in [number for number in self.sent_at if number < sequence]:
+            del self.sent_at[answered]
 
     def _confirmed_at(self, reply: FeedReply) -> float:
         """Return the loop time as of which an entry with this reply holds all that is in force."""
-        for sequence in [sequence for sequence in self.sent_at if sequence < reply.sequence]:
-            del self.sent_at[sequence]
         is_complete = not (reply.is_plan_pending or reply.plan_part)
         return self.sent_at.get(reply.sequence, -math.inf) if is_complete else -math.inf
 
