--- a/cranberrylever/consensus/_config.py
+++ b/cranberrylever/consensus/_config.py
@@ -41,7 +41,8 @@
             joins an existing group. Memberships in the log take precedence.
         timings: Raft timings.
         snapshot_entries: Number of entries applied between two snapshots.
-        snapshot_bytes: Size of the log in bytes, which is kept in memory, that also causes a snapshot.
+        snapshot_bytes: Size of the log in bytes that also causes a snapshot. The log is kept in memory, and
+            a restarted member applies it before it can lead.
         contacts: Ids of members that get the join requests of a member outside the group.
         silent_since: Loop time in seconds from which the vote delay of the start counts, such as the start of
             the process; the process must not have heard from a leader since then. ``None`` and times after
@@ -53,7 +54,7 @@
     members: dict[str, str]
     timings: Timings = attrs.field(factory=Timings)
     snapshot_entries: int = 10_000
-    snapshot_bytes: int = 32 * 1024 * 1024
+    snapshot_bytes: int = 8 * 1024 * 1024
     contacts: tuple[str, ...] = ()
     silent_since: float | None = None
 
--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -25,7 +25,11 @@
 from cranberrylever.wire import PeerFrame, decode, encode
 
 MAX_APPLY_BATCH = 128
-"""Maximum number of entries applied in one cycle; other events of the loop run between two cycles."""
+MAX_APPLY_BYTES = 256 * 1024
+"""Limits of the entries applied in one cycle; a single entry may exceed the limit in bytes.
+
+Heartbeats and other events of the loop run between two cycles.
+"""
 
 SYNC_TIMEOUT_S = 0.5
 """Duration in seconds of an unfinished sync after which a leader transfers leadership."""
@@ -330,7 +334,9 @@
         if node.unsaved_snapshot is not None:
             return
         limit = min(node.commit_index, node.persisted_index, self.applied_index + MAX_APPLY_BATCH)
-        while self.applied_index < limit:
+        applied_bytes = 0
+        while self.applied_index < limit and applied_bytes < MAX_APPLY_BYTES:
+            applied_bytes += len(node.log.get(self.applied_index + 1).payload)
             self._apply_entry(self.applied_index + 1)
         if self.applied_index < min(node.commit_index, node.persisted_index):
             self._schedule_cycle()
