Wait for changes by one signal

Ruled out: the view of tickets (entry/_views.py), which wakes futures of its own so that one of them can be cancelled without a task; sharing it would change how its requests end. Behaviour is unchanged.

--- a/cranberrylever/control_member/_leader.py
+++ b/cranberrylever/control_member/_leader.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Callable
 
+from cranberrylever.change_signal import ChangeSignal
 from cranberrylever.consensus import RaftDriver
 from cranberrylever.errors import NotLeaderError, ProposalLostError
 from cranberrylever.logs import Log
@@ -37,7 +38,7 @@
         self.wake = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         self.proposals: set[asyncio.Task[None]] = set()
-        self._step_done = asyncio.Event()
+        self.step_done = ChangeSignal()
 
     def start(self) -> None:
         """Start the loop."""
@@ -54,22 +55,18 @@
         """Return whether this member leads, holds its lease and has run a step in this term."""
         return self._is_leader_with_lease(asyncio.get_running_loop().time()) and self.term == self.driver.term
 
-    async def wait_until_serving(self, timeout: float = MAX_LEASE_WAIT_S) -> bool:
-        """Return whether this member serves; while it leads without a lease, wait for at most ``timeout`` s.
+    async def wait_until_serving(self) -> bool:
+        """Return whether this member serves; while it leads without a lease, wait for it for a moment.
 
         A stall of the loop outlasts the lease, although the answers that renew it have arrived. A member that
         then says that it does not lead sends everybody to others, who name it again.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout
+        deadline = loop.time() + MAX_LEASE_WAIT_S
         while not self.is_serving():
             if self.driver.leader_id != self.driver.config.member_id or loop.time() >= deadline:
                 return False
-            try:
-                async with asyncio.timeout_at(deadline):
-                    await self._step_done.wait()
-            except TimeoutError:
-                continue
+            await self.step_done.wait(deadline - loop.time())
         return True
 
     async def propose(self, command: object) -> object:
@@ -114,8 +111,7 @@
                 # Without the handler the loop would end while this member still leads. The next step decides
                 # from the replicated state again.
                 self.log.failure("step_failed", error)
-            self._step_done.set()
-            self._step_done = asyncio.Event()
+            self.step_done.notify()
             self.after_step()
             # Sleeps for as long as the step took, so that calls of targets and entries get the same time.
             await asyncio.sleep(max(loop.time() - now, self.step_gap()))
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cranberrylever.change_signal import ChangeSignal
 from cranberrylever.consensus import RaftDriver
 from cranberrylever.control_member import LeaderBase
 from cranberrylever.keyspace import (
@@ -97,7 +98,7 @@
         self.state = state
         self.lease_manager = lease_manager
         self.granter = AnnouncedGranter(lease_manager, log)
-        self.applied = asyncio.Event()
+        self.applied = ChangeSignal()
         self.overdue_after = OVERDUE_ANNOUNCEMENT_INTERVALS * notice_interval
         self._start_term(0.0)
 
@@ -116,19 +117,10 @@
     def on_applied(self, index: int, command: object, result: object) -> None:
         """Run the next step immediately after a change, and log the ranges that it freed without an edit."""
         self.wake.set()
-        self.applied.set()
-        self.applied = asyncio.Event()
+        self.applied.notify()
         if isinstance(command, RecordTarget) and result and self.is_serving():
             log_freed_ranges(self.log, self.lease_manager, result, asyncio.get_running_loop().time())
 
-    async def wait_for_edit(self, timeout: float) -> None:
-        """Wait until a command is applied, at most ``timeout`` seconds."""
-        try:
-            async with asyncio.timeout(timeout):
-                await self.applied.wait()
-        except TimeoutError:
-            return
-
     def encode(self, command: RouteControlCommand) -> bytes:
         """Return the form in which a command is written to the replicated log."""
         return command_codec.encode(command)
--- a/cranberrylever/route_control/_service.py
+++ b/cranberrylever/route_control/_service.py
@@ -161,7 +161,7 @@
         leader.granter.record_report(table.ranges, target, report, loop.time())
         answer_by = loop.time() + MAX_ANSWER_DELAY_S
         while loop.time() < answer_by and leader.granter.awaits_edits(table.ranges, target, report):
-            await leader.wait_for_edit(max(MIN_EDIT_WAIT_S, answer_by - loop.time()))
+            await leader.applied.wait(max(MIN_EDIT_WAIT_S, answer_by - loop.time()))
         if leader.granter.end_releasing(table.ranges, target):
             await asyncio.sleep(RELEASE_DELAY_S)
         self._check_leader()
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -217,7 +217,7 @@
         wait_until = min(view_expected_at, arrived_at + FIRST_VIEW_WAIT_SHARE * (deadline or 0.0))
         now = arrived_at
         while not self.view.is_complete and now < wait_until:
-            await self.view.wait_for_change(wait_until - now)
+            await self.view.changed.wait(wait_until - now)
             now = asyncio.get_running_loop().time()
         if not self.view.is_complete:
             raise _AnsweredError(
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -234,7 +234,7 @@
         if state.connect_failures >= MAX_CONNECT_FAILURES:
             raise_failure(request, f"cannot connect to {target.info.target_id}", 0.5)
         if request.key is not None:
-            await self.view.wait_for_change(min(CONNECT_RETRY_DELAY_S, max(0.0, request.remaining(now))))
+            await self.view.changed.wait(min(CONNECT_RETRY_DELAY_S, max(0.0, request.remaining(now))))
 
     def _handle_lost_answer(
         self, request: RoutedRequest, target: TargetState, error: AnswerLostError
@@ -286,7 +286,7 @@
             remaining_wait = end - self._now()
             if remaining_wait <= 0:
                 return False
-            await self.view.wait_for_change(remaining_wait)
+            await self.view.changed.wait(remaining_wait)
         return True
 
     def _capacity_delay(self, target: TargetState, request: RoutedRequest) -> float:
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -187,7 +187,7 @@
         now = asyncio.get_running_loop().time()
         if reply.permits:
             self.permits.record(reply.permits, reply.sequence, now)
-            self.view.notify_change()
+            self.view.changed.notify()
         if reply.peers is not None:
             self.relay.set_peers(reply.peers, now)
         addresses_before = {target.info.address for target in self.view.targets.values()}
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -117,7 +117,7 @@
                 recovery_time = unserved_since + OWNER_RECOVERY_TIME_S - current_time
                 retry_after = max(MIN_OWNER_RETRY_AFTER_S, recovery_time)
                 raise_failure(request, "no target serves the key at present", retry_after)
-            await self.view.wait_for_change(wait_until - current_time)
+            await self.view.changed.wait(wait_until - current_time)
 
     async def _wait_for_permit(
         self, request: RoutedRequest, target: TargetState, delay: float, state: DispatchState
@@ -130,7 +130,7 @@
             raise_failure(request, reason, max(delay, MIN_RETRY_AFTER_S))
         state.permit_target = target
         with self.permits.waiting(target, request.service, now):
-            await self.view.wait_for_change(max(delay, PERMIT_CHECK_INTERVAL_S))
+            await self.view.changed.wait(max(delay, PERMIT_CHECK_INTERVAL_S))
 
 
 def _now() -> float:
--- a/cranberrylever/route_entry/_view.py
+++ b/cranberrylever/route_entry/_view.py
@@ -1,11 +1,11 @@
 """The view in force at an entry: routes, targets and key owners."""
 
-import asyncio
 import bisect
 import math
 
 import attrs
 
+from cranberrylever.change_signal import ChangeSignal
 from cranberrylever.route_entry._estimates import TargetLoadEstimate
 from cranberrylever.route_plan import RouteMatcher, RoutePlan, apply_changes
 from cranberrylever.settings import LimitSettings
@@ -97,6 +97,7 @@
 
     ``received_at`` is when the last reply came. ``confirmed_at`` is when a report was sent that control has
     answered without holding anything back: the view holds all that was in force then. Both are loop times.
+    ``changed`` wakes tasks when a section changes or permits arrive.
 
     Args:
         limits: Limits over all entries.
@@ -115,7 +116,7 @@
         self.suspects: frozenset[str] = frozenset()
         self.received_at = 0.0
         self.confirmed_at = 0.0
-        self._changed = asyncio.Event()
+        self.changed = ChangeSignal()
 
     @property
     def is_complete(self) -> bool:
@@ -147,7 +148,7 @@
             self._apply_ranges(reply.ranges, now)
             changed = True
         if changed:
-            self.notify_change()
+            self.changed.notify()
         return changed
 
     def _next_plan(self, reply: FeedReply) -> RoutePlan | None:
@@ -159,24 +160,11 @@
             return apply_changes(self.matcher.plan, changes)
         return reply.plan
 
-    def notify_change(self) -> None:
-        """Wake all tasks that wait for a change."""
-        self._changed.set()
-        self._changed = asyncio.Event()
-
     @staticmethod
     def _is_applicable(section: FleetView | RangesView | None, version: int, held_version: int) -> bool:
         """Return whether a section is newer and complete, or lists the changes since the version held."""
         return section is not None and version > held_version and section.base_version in (-1, held_version)
 
-    async def wait_for_change(self, timeout: float) -> None:
-        """Wait until a section changes or permits arrive, at most ``timeout`` seconds."""
-        try:
-            async with asyncio.timeout(timeout):
-                await self._changed.wait()
-        except TimeoutError:
-            return
-
     def owner(self, service: str, key: int, now: float) -> TargetState | None:
         """Return the target that owns a key and may serve it, ``None`` if there is none."""
         owners = self.owners.get(service)
