Ask for the lease of the leader in one place

Change: LeaderBase.require_serving serves both. Ruled out: the checks of routes after a wait, which must not wait again and stay as they are. Behaviour is unchanged: tests of control, leader, feeds, lease, path, plans and wire pass.

--- a/cranberrylever/control/_service.py
+++ b/cranberrylever/control/_service.py
@@ -6,7 +6,6 @@
 from cranberrylever.control._leader import LeaderLoop
 from cranberrylever.control._operator import OperatorService
 from cranberrylever.control._status import build_status
-from cranberrylever.errors import NotLeaderError
 from cranberrylever.membership import Announcement
 from cranberrylever.operator_api import AnnounceOutcome, ClusterStatus, TicketSummary
 from cranberrylever.ownership import Coordinator
@@ -35,7 +34,7 @@
 
         A refused or repeated ticket adds no log entry, because the leader's state is current.
         """
-        await self._check_leader()
+        await self.leader.require_serving()
         ticket = parse_ticket(text).unwrap()
         outcome = self.state.tickets.check(ticket)
         if outcome is not None:
@@ -44,7 +43,7 @@
 
     async def announce(self, announcement: Announcement) -> AnnounceOutcome:
         """Record a target's announcement; an unchanged one adds no log entry."""
-        await self._check_leader()
+        await self.leader.require_serving()
         record = self.state.targets.get(announcement.target_id)
         if record is not None and record.announcement == announcement:
             return AnnounceOutcome(True)
@@ -63,30 +62,26 @@
 
     async def tickets(self) -> tuple[TicketSummary, ...]:
         """Return the accepted tickets in the history, in order of acceptance."""
-        await self._check_leader()
+        await self.leader.require_serving()
         history = self.state.tickets.history.values()
         return tuple(TicketSummary(item.number, item.digest, item.index) for item in history)
 
     async def ticket(self, number: int) -> AcceptedTicket | None:
         """Return an accepted ticket, or ``None`` if it is not in the history."""
-        await self._check_leader()
+        await self.leader.require_serving()
         return self.state.tickets.history.get(number)
 
     async def configuration(self) -> Configuration:
         """Return the accepted state of all objects."""
-        await self._check_leader()
+        await self.leader.require_serving()
         return self.state.tickets.configuration()
 
     async def status(self) -> ClusterStatus:
         """Return the state of the cluster."""
-        await self._check_leader()
+        await self.leader.require_serving()
         now = asyncio.get_running_loop().time()
         return build_status(self.cluster_id, self.driver, self.coordinator, now)
 
     async def ready(self) -> bool:
         """Return whether this member leads or knows a leader."""
         return self.leader.is_serving() or self.driver.leader_id is not None
-
-    async def _check_leader(self) -> None:
-        if not await self.leader.wait_until_serving():
-            raise NotLeaderError(self.driver.leader_id)
--- a/cranberrylever/control_member/_leader.py
+++ b/cranberrylever/control_member/_leader.py
@@ -69,6 +69,15 @@
             await self.step_done.wait(deadline - loop.time())
         return True
 
+    async def require_serving(self) -> None:
+        """Return once this member serves, see ``wait_until_serving``.
+
+        Raises:
+            NotLeaderError: It does not lead, or gets no lease.
+        """
+        if not await self.wait_until_serving():
+            raise NotLeaderError(self.driver.leader_id)
+
     async def propose(self, command: object) -> object:
         """Commit a command and return the result of applying it.
 
--- a/cranberrylever/route_control/_service.py
+++ b/cranberrylever/route_control/_service.py
@@ -109,7 +109,7 @@
         if report is None and not self.leader.is_serving() and self.relay.accept(announcement):
             self.metrics.count("notices_relayed")
             return None
-        await self._require_leader()
+        await self.leader.require_serving()
         self.metrics.count("notices")
         is_latest = self.leader.measurements.liveness.is_latest(announcement)
         self.leader.record_announcement(announcement)
@@ -171,7 +171,7 @@
 
     async def deregister(self, target_id: str, started_ms: int | None) -> None:
         """Mark a target as leaving."""
-        await self._require_leader()
+        await self.leader.require_serving()
         target = self.state.fleet.targets.get(target_id)
         if target is None or started_ms not in (None, target.started_ms):
             return
@@ -180,7 +180,7 @@
 
     async def submit_plan(self, plan: RoutePlan, base: int) -> PlanOutcome:
         """Put a plan in force, or return why it was rejected."""
-        await self._require_leader()
+        await self.leader.require_serving()
         outcome = await self._commit(SubmitPlan(plan, base))
         self.log.info(
             "plan_submitted",
@@ -195,13 +195,13 @@
 
     async def plan(self) -> RoutePlan | None:
         """Return the plan in force."""
-        await self._require_leader()
+        await self.leader.require_serving()
         await self.driver.read_barrier()
         return self.state.plans.current
 
     async def set_domain(self, failure_domain: str, withdrawn: bool) -> None:
         """Withdraw a failure domain, or restore it; a request that changes nothing is committed as well."""
-        await self._require_leader()
+        await self.leader.require_serving()
         await self._commit(SetDomainState(failure_domain, withdrawn))
         self.log.info("domain_set", failure_domain=failure_domain, withdrawn=withdrawn)
 
@@ -214,11 +214,6 @@
         self.metrics.timing("commit_ms", (loop.time() - started) * 1000)
         return result
 
-    async def _require_leader(self) -> None:
-        """Wait for the lease of a leader that has none at present."""
-        if not await self.leader.wait_until_serving():
-            raise NotLeaderError(self.driver.leader_id)
-
     def _check_leader(self) -> None:
         if not self.leader.is_serving():
             raise NotLeaderError(self.driver.leader_id)
