Say once which sections an entry gets together and which plan it lacks

Cause: the feed asked in four places whether an entry joins parts, with the same expression twice. Change: _needs_plan and _held_versions. The client marks a stream as one to the leader where it knows that it is.

--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -95,8 +95,7 @@
 
     def _start_plan(self, entry: AttachedEntry) -> None:
         """Begin to send the plan to an entry that joins parts, unless it holds it or it is under way."""
-        is_served = bool(entry.entry_id) and entry.reads_parts
-        if is_served and self._lacks_plan(entry) and not entry.is_plan_under_way:
+        if entry.entry_id and self._needs_plan(entry) and not entry.is_plan_under_way:
             entry.is_plan_under_way = True
             self._start_task(entry, self._push_plan_to(entry))
 
@@ -145,7 +144,7 @@
     async def _push_plan_to(self, entry: AttachedEntry) -> None:
         """Send the plan in force to an entry that lacks it, and then that nothing is pending."""
         try:
-            while self._lacks_plan(entry):
+            while self._needs_plan(entry):
                 await self._send_plan(entry)
         except Exception as error:
             self.log.write("debug", "push_failed", entry=entry.entry_id, error=repr(error))
@@ -171,8 +170,7 @@
         """Send the sections that an entry lacks; it counts as holding them once they are written."""
         async with entry.lock:
             started_at = asyncio.get_running_loop().time()
-            plan_version = self.state.plan_version if entry.reads_parts else entry.plan_version
-            versions = plan_version, entry.fleet_version, entry.ranges_version
+            versions = self._held_versions(entry)
             sections = self.view.sections_since(*versions)
             group = self.driver.group()
             reply = attrs.evolve(
@@ -180,7 +178,7 @@
                 control=group if group != entry.group else (),
                 permits=permits,
                 peers=peers,
-                is_plan_pending=entry.reads_parts and self._lacks_plan(entry),
+                is_plan_pending=self._needs_plan(entry),
             )
             if entry.reads_sections:
                 reply = attrs.evolve(reply, sections=self.view.compressed_since(*versions))
@@ -212,9 +210,15 @@
         """Return the size in bytes of the sections that entries have not taken yet."""
         return sum(entry.waiting_bytes for entry in self.attached_entries)
 
-    def _lacks_plan(self, entry: AttachedEntry) -> bool:
-        return self.state.plans.current is not None and entry.plan_version < self.state.plan_version
+    def _needs_plan(self, entry: AttachedEntry) -> bool:
+        """Return whether an entry that joins parts lacks the plan in force, which it gets apart."""
+        is_behind = self.state.plans.current is not None and entry.plan_version < self.state.plan_version
+        return entry.reads_parts and is_behind
 
-    def _is_behind(self, entry: AttachedEntry) -> bool:
+    def _held_versions(self, entry: AttachedEntry) -> tuple[int, int, int]:
+        """Return what an entry holds of the sections that come together: not the plan if it comes apart."""
         plan_version = self.state.plan_version if entry.reads_parts else entry.plan_version
-        return self.view.is_behind(plan_version, entry.fleet_version, entry.ranges_version)
+        return plan_version, entry.fleet_version, entry.ranges_version
+
+    def _is_behind(self, entry: AttachedEntry) -> bool:
+        return self.view.is_behind(*self._held_versions(entry))
--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -197,10 +197,10 @@
             if reply.is_leader or reply.leader:
                 self.leader_named_at = asyncio.get_running_loop().time()
                 self.named_leader = address if reply.is_leader else reply.leader
-            self.is_at_leader = reply.is_leader
             if not reply.is_leader:
                 self.leader_hint = reply.leader if reply.leader != address else ""
                 raise ConnectionError(f"the member does not lead, it names {reply.leader or 'no leader'}")
+            self.is_at_leader = True
             if self.attached_address != address:
                 self.attached_address = address
                 self.log.info("control_attached", address=address, sequence=reply.sequence)
--- a/cranberrylever/route_plan/_changes.py
+++ b/cranberrylever/route_plan/_changes.py
@@ -38,7 +38,7 @@
     """Return the plan that ``changes`` make of ``plan``; changed routes may stand in another order."""
     routes = _routes_by_place(plan)
     for place in changes.removed:
-        routes.pop(tuple(place), None)
+        routes.pop(place, None)
     routes.update((_place(route), route) for route in changes.routes)
     return RoutePlan(changes.number, tuple(routes.values()), changes.services, changes.limits)
 
