Take applying entries and building frames out of the Raft driver

Change: EntryApplier applies committed entries within its limits and holds the applied index; build_frame and read_frame turn messages into frames and back. Ruled out: taking the saving of batches out as well, whose state (one batch at a time, its start, the cycle after it) the driver needs in four places.

--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -3,9 +3,11 @@
 import asyncio
 import random
 
+from cranberrylever.consensus._applier import EntryApplier
 from cranberrylever.consensus._config import ConsensusConfig, MemberStatus
+from cranberrylever.consensus._frames import build_frame, read_frame
 from cranberrylever.consensus._leadership import Leadership
-from cranberrylever.consensus._messages import MESSAGE_KINDS, EntryKind, Message
+from cranberrylever.consensus._messages import LogEntry, Message
 from cranberrylever.consensus._node import RaftNode
 from cranberrylever.consensus._pending import PendingCalls, proposal_lost_error
 from cranberrylever.consensus._snapshots import SnapshotWriter
@@ -22,14 +24,7 @@
     StorageError,
 )
 from cranberrylever.logs import Log
-from cranberrylever.wire import PeerFrame, decode, encode
-
-MAX_APPLY_BATCH = 128
-MAX_APPLY_BYTES = 256 * 1024
-"""Limits of the entries applied in one cycle; a single entry may exceed the limit in bytes.
-
-Heartbeats and other events of the loop run between two cycles.
-"""
+from cranberrylever.wire import PeerFrame
 
 SYNC_TIMEOUT_S = 0.5
 """Duration in seconds of an unfinished sync after which a leader transfers leadership."""
@@ -58,10 +53,10 @@
         self.storage = storage
         self.transport = transport
         self.state_machine = state_machine
+        self.applier = EntryApplier(state_machine, self._on_applied)
         self.rng = rng
         self.log = Log("consensus", config.member_id)
         self.node: RaftNode | None = None
-        self.applied_index = 0
         self.leader_since: float | None = None
         self.error: CranberryleverError | None = None
         self.stopped = asyncio.Event()
@@ -94,6 +89,11 @@
         """Highest index known to be committed."""
         return self.node.commit_index if self.node else 0
 
+    @property
+    def applied_index(self) -> int:
+        """Index of the last entry that the state machine contains."""
+        return self.applier.applied_index
+
     @property
     def is_retired(self) -> bool:
         """Whether another member has refused this member's data directory."""
@@ -139,8 +139,7 @@
         stored = self.storage.load()
         self.node = RaftNode(self.config, stored, self._now(), self.rng)
         if stored.snapshot is not None:
-            self.state_machine.restore(stored.snapshot.index, stored.snapshot.data)
-            self.applied_index = stored.snapshot.index
+            self.applier.restore(stored.snapshot)
         self.transport.set_receiver(self._on_frame)
         self._run_cycle()
 
@@ -216,16 +215,13 @@
     # Input -------------------------------------------------------------------------------------
 
     def _on_frame(self, frame: PeerFrame) -> None:
-        if frame.cluster_id != self.config.cluster_id or frame.receiver != self.config.member_id:
-            return
-        kind = MESSAGE_KINDS.get(frame.kind)
-        if kind is None:
-            return
         try:
-            message = decode(frame.body, kind)
+            message = read_frame(self.config, frame)
         except CodecError as error:
             self.log.warning("frame_refused", sender=frame.sender, error=str(error))
             return
+        if message is None:
+            return
         try:
             self.node.step(frame.sender, frame.folder_id, message, self._now())
         except Exception as error:
@@ -279,15 +275,7 @@
             self.node.transfer_leadership(now)
 
     def _send(self, receiver: str, message: Message) -> None:
-        kind = type(message).__name__
-        frame = PeerFrame(
-            self.config.cluster_id,
-            self.config.member_id,
-            receiver,
-            self.node.folder_id,
-            kind,
-            encode(message),
-        )
+        frame = build_frame(self.config, self.node.folder_id, receiver, message)
         self.transport.send(receiver, frame)
 
     def _save_next(self) -> None:
@@ -310,8 +298,7 @@
         if self.stopped.is_set():
             return
         if batch.snapshot is not None:
-            self.state_machine.restore(batch.snapshot.index, batch.snapshot.data)
-            self.applied_index = batch.snapshot.index
+            self.applier.restore(batch.snapshot)
         self._is_saving = False
         for receiver, message in batch.messages:
             self._send(receiver, message)
@@ -330,25 +317,15 @@
             self._fail(error)
 
     def _apply(self) -> None:
-        node = self.node
-        if node.unsaved_snapshot is not None:
+        """Apply committed entries, unless a snapshot that replaces the state is not saved yet."""
+        if self.node.unsaved_snapshot is not None:
             return
-        limit = min(node.commit_index, node.persisted_index, self.applied_index + MAX_APPLY_BATCH)
-        applied_bytes = 0
-        while self.applied_index < limit and applied_bytes < MAX_APPLY_BYTES:
-            applied_bytes += len(node.log.get(self.applied_index + 1).payload)
-            self._apply_entry(self.applied_index + 1)
-        if self.applied_index < min(node.commit_index, node.persisted_index):
+        if self.applier.apply_next(self.node):
             self._schedule_cycle()
         self._start_snapshot()
 
-    def _apply_entry(self, index: int) -> None:
-        entry = self.node.log.get(index)
-        result = None
-        if entry.kind == EntryKind.COMMAND:
-            result = self.state_machine.apply(index, entry.payload)
-        self.applied_index = index
-        self._pending.finish_proposal(index, entry.term, result)
+    def _on_applied(self, entry: LogEntry, result: object) -> None:
+        self._pending.finish_proposal(entry.index, entry.term, result)
 
     def _start_snapshot(self) -> None:
         """Start a snapshot if enough entries were applied since the last one."""
