--- a/cranberrylever/consensus/_applier.py
+++ b/cranberrylever/consensus/_applier.py
@@ -23,17 +23,20 @@
 
     Attributes:
         applied_index: Index of the last entry that was applied or is in the restored snapshot.
+        bytes_since_snapshot: Size of the entries applied since the last snapshot was taken or restored.
     """
 
     def __init__(self, state_machine: StateMachine, on_applied: Callable[[LogEntry, object], None]) -> None:
         self.state_machine = state_machine
         self.on_applied = on_applied
         self.applied_index = 0
+        self.bytes_since_snapshot = 0
 
     def restore(self, snapshot: Snapshot) -> None:
         """Replace the state by a snapshot."""
         self.state_machine.restore(snapshot.index, snapshot.data)
         self.applied_index = snapshot.index
+        self.bytes_since_snapshot = 0
 
     def apply_next(self, node: RaftNode) -> bool:
         """Apply the next committed entries within the limits; return whether more are left."""
@@ -44,6 +47,7 @@
             entry = node.log.get(self.applied_index + 1)
             applied_bytes += len(entry.payload)
             self._apply(entry)
+        self.bytes_since_snapshot += applied_bytes
         return self.applied_index < committed
 
     def _apply(self, entry: LogEntry) -> None:
--- a/cranberrylever/consensus/_config.py
+++ b/cranberrylever/consensus/_config.py
@@ -41,8 +41,8 @@
             joins an existing group. Memberships in the log take precedence.
         timings: Raft timings.
         snapshot_entries: Number of entries applied between two snapshots.
-        snapshot_bytes: Size of the log in bytes that also causes a snapshot. The log is kept in memory, and
-            a restarted member applies it before it can lead.
+        snapshot_bytes: Size in bytes of the entries applied between two snapshots at most. The log is kept in
+            memory, and a restarted member applies what follows its last snapshot before it can lead.
         contacts: Ids of members that get the join requests of a member outside the group.
         silent_since: Loop time in seconds from which the vote delay of the start counts, such as the start of
             the process; the process must not have heard from a leader since then. ``None`` and times after
--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -329,7 +329,7 @@
 
     def _start_snapshot(self) -> None:
         """Start a snapshot if enough entries were applied since the last one."""
-        snapshot = self.snapshot_writer.take_if_due(self.node, self.applied_index)
+        snapshot = self.snapshot_writer.take_if_due(self.node, self.applier)
         if snapshot is not None:
             self._start_task(self.snapshot_writer.save(self.node, snapshot))
 
--- a/cranberrylever/consensus/_snapshots.py
+++ b/cranberrylever/consensus/_snapshots.py
@@ -1,5 +1,6 @@
 """Periodic snapshots of the state machine and compaction of the log."""
 
+from cranberrylever.consensus._applier import EntryApplier
 from cranberrylever.consensus._messages import Snapshot
 from cranberrylever.consensus._node import RaftNode
 from cranberrylever.consensus._state_machine import StateMachine
@@ -16,7 +17,7 @@
         storage: Durable state of the member.
         state_machine: State machine.
         snapshot_entries: Number of entries applied between two snapshots.
-        snapshot_bytes: Size of the log in bytes that also causes a snapshot.
+        snapshot_bytes: Size in bytes of the entries applied between two snapshots at most.
     """
 
     def __init__(
@@ -28,16 +29,17 @@
         self.snapshot_bytes = snapshot_bytes
         self.is_running = False
 
-    def take_if_due(self, node: RaftNode, applied_index: int) -> Snapshot | None:
+    def take_if_due(self, node: RaftNode, applier: EntryApplier) -> Snapshot | None:
         """Return a new snapshot, which must be passed to ``save``, or ``None`` if none is due."""
+        index = applier.applied_index
         last = node.snapshot.index if node.snapshot else 0
-        is_large = node.log.size >= self.snapshot_bytes and applied_index > last
-        if self.is_running or not (is_large or applied_index - last >= self.snapshot_entries):
+        is_due = index - last >= self.snapshot_entries or applier.bytes_since_snapshot >= self.snapshot_bytes
+        if self.is_running or not is_due:
             return None
         self.is_running = True
-        _, membership = node.memberships.at(applied_index)
-        term = node.log.term_at(applied_index)
-        return Snapshot(applied_index, term, membership, self.state_machine.snapshot())
+        applier.bytes_since_snapshot = 0
+        _, membership = node.memberships.at(index)
+        return Snapshot(index, node.log.term_at(index), membership, self.state_machine.snapshot())
 
     async def save(self, node: RaftNode, snapshot: Snapshot) -> None:
         """Save ``snapshot`` and compact the log."""
--- a/tests/consensus/test_log_size.py
+++ b/tests/consensus/test_log_size.py
@@ -6,7 +6,7 @@
 
 from cranberrylever.consensus._log import RaftLog
 from cranberrylever.consensus._messages import EntryKind, LogEntry
-from tests.consensus.cluster import Cluster, wait_for
+from tests.consensus.cluster import Cluster, ListMachine, wait_for
 from tests.support import run_in_simulated_time
 
 COMMAND_BYTES = 20_000
@@ -51,6 +51,40 @@
         """Guards against a member that exceeds its memory each time it starts."""
         assert self.play(restarts_member=True) <= 1.5 * SNAPSHOT_BYTES
 
+    def test_restarted_member_takes_no_snapshot_for_what_one_covers(self):
+        """Guards against a recovery that writes one snapshot after the other before the member can lead."""
+
+        async def scenario():
+            cluster = Cluster(1, snapshot_entries=10_000, snapshot_bytes=SNAPSHOT_BYTES)
+            await cluster.start_all()
+            leader = await cluster.wait_leader()
+            for number in range(COMMANDS):
+                await cluster.propose(leader, b"%d" % number + b"x" * COMMAND_BYTES)
+                snapshot = leader.node.snapshot
+                # Almost enough commands for the next snapshot, besides those kept before the last one.
+                if snapshot is not None and leader.applied_index - snapshot.index == 18:
+                    break
+            else:
+                raise AssertionError("snapshots come more often than their limit of bytes says")
+            name = leader.config.member_id
+            await cluster.kill(name)
+            taken = []
+            take_snapshot = ListMachine.snapshot
+
+            def count_and_take(machine):
+                taken.append(len(machine.items))
+                return take_snapshot(machine)
+
+            self.patch(ListMachine, "snapshot", count_and_take)
+            await cluster.start(name)
+            restarted = await cluster.wait_leader()
+            await asyncio.sleep(1.0)
+            assert restarted.applied_index == restarted.commit_index
+            await cluster.close()
+            return taken
+
+        assert run_in_simulated_time(scenario) == []
+
     def test_size_follows_appends_truncations_and_compaction(self):
         """Guards against a size that drifts, so that no snapshot is taken or one after the other."""
         log = RaftLog(0, 0, [])
