--- a/review/1/case.py
+++ b/review/1/case.py
@@ -90,7 +90,7 @@
         late = [run for run in server.runs if run[0] > acknowledged_at + EVAC_S]
         if late:
             broken.append(
-                f"EVAC {server.name} in {server.zone} got {len(late)} requests later than {EVAC_S} s after the"
+                f"EVAC {server.name} in {server.zone} got {len(late)} requests over {EVAC_S} s after the"
                 f" acknowledgement at {acknowledged_at:.2f}, the last at {late[-1][0]:.2f}"
             )
     answered = [status for _, status in client.answers.values()]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Servers of a keyed service shed requests and repeat some of their answers late, with the same request id."""
+"""Servers of a keyed service shed requests and repeat some answers late, with the same request id."""
 
 import asyncio
 import collections
@@ -36,7 +36,7 @@
 
 
 class FaultyServer(Server):
-    """A server that sheds a share of its requests, and repeats a share of its answers where the next one is due."""
+    """A server that sheds a share of its requests, and repeats some answers where the next one is due."""
 
     sheds = 0.0
     repeats = 0.0
@@ -48,7 +48,9 @@
         if extra:
             request_id = headers.get("cranberrylever-request-id", "")
             status = extra.split(b" ", 2)[1].decode()
-            self.record.write(f"server {self.name} sends an extra answer {status} where that to {request_id} is due")
+            self.record.write(
+                f"server {self.name} sends an extra answer {status} where that to {request_id} is due"
+            )
             writer.write(extra)
         await super().handle(writer, method, path, headers, body)
 
@@ -56,7 +58,9 @@
         """Send an answer; some answers to requests come again later on the connection."""
         await super().reply(writer, status, headers, body)
         if "Cranberrylever-Request-Id" in (headers or {}) and random.random() < self.repeats:
-            writer.extra_answer = encode_message(f"HTTP/1.1 {status} X", {"Keep-Alive": "timeout=10", **headers}, body)
+            writer.extra_answer = encode_message(
+                f"HTTP/1.1 {status} X", {"Keep-Alive": "timeout=10", **headers}, body
+            )
 
     async def run_request(self, writer, method, path, headers, body):
         """Reject a share of the requests without running them."""
@@ -74,7 +78,9 @@
     for number in range(10):
         ip = f"{system.network}.{150 + number}"
         zone = ZONES[number % len(ZONES)]
-        servers.append(await FaultyServer(system, f"i-{number}", "project-ledger", zone, ip, sharded=True).start())
+        servers.append(
+            await FaultyServer(system, f"i-{number}", "project-ledger", zone, ip, sharded=True).start()
+        )
     plan = system.plan(
         3,
         [route("visit-booking", "project-ledger", "unsafe", timeout_s=1.0, slo_s=0.4, attempts=2)],
@@ -105,7 +111,9 @@
     for server in servers:
         for _, request_id, _, _ in server.runs:
             runs[request_id].append(server.name)
-    broken = [f"TWICE {key} ran {len(where)} times, at {where}" for key, where in runs.items() if len(where) > 1]
+    broken = [
+        f"TWICE {key} ran {len(where)} times, at {where}" for key, where in runs.items() if len(where) > 1
+    ]
     broken += [
         f"REFUSED {key} was answered {status} and ran"
         for key, (_, status) in client.answers.items()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -151,11 +151,11 @@
             was_at_work_late = ended_at >= stopped_at + LAST_SIXTH_S and sent_at <= stopped_at + LATEST_SENT_S
             if is_deadline_reached or was_at_work_late:
                 continue
-            # Also left out: work that would have lasted into the last sixth, so that the excuse might be meant for it.
+            # Also left out: work that would have lasted into the last sixth, for which the excuse may be meant.
             if began_at + work >= stopped_at + LAST_SIXTH_S:
                 continue
             lost.append(
-                f"LOST {request_id} sent {sent_at - stopped_at:+.2f} s after the SIGTERM of {name}, ran {work:.2f} s"
+                f"LOST {request_id} sent {sent_at - stopped_at:+.2f} s after SIGTERM of {name}, work of {work:.2f} s"
                 f" until {began_at + work - stopped_at:+.2f} s, ended at {ended_at - stopped_at:+.2f} s"
                 f" with status {status}"
             )
@@ -193,7 +193,9 @@
     statuses = sorted({result[4] for result in results})
     record.say(
         f"{len(results)} requests: "
-        + ", ".join(f"{sum(result[4] == status for result in results)} with status {status}" for status in statuses)
+        + ", ".join(
+            f"{sum(result[4] == status for result in results)} with status {status}" for status in statuses
+        )
     )
     return find_lost(stops, results, servers)
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -1,6 +1,6 @@
-"""Starts the programs of the deploy file on loopback, with stand-ins for the platform, operator, servers and clients.
+"""Starts the programs of the deploy file on loopback, with stand-ins for all that is around them.
 
-Only the standard library is used. All addresses are loopback addresses, and all files are in a temporary folder.
+Only the standard library is used. All addresses are loopback addresses, all files in a temporary folder.
 """
 
 import asyncio
@@ -99,7 +99,9 @@
     try:
         async with asyncio.timeout(timeout):
             reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(encode_message(f"{method} {path} HTTP/1.1", {"Host": address, **(headers or {})}, body))
+            writer.write(
+                encode_message(f"{method} {path} HTTP/1.1", {"Host": address, **(headers or {})}, body)
+            )
             line, answer_headers, answer_body = await read_message(reader)
             return Answer(int(line.split()[1]), answer_headers, answer_body)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError):
@@ -237,7 +239,7 @@
         return task
 
     def start(self, control_zones, entry_zones):
-        """Start all machines at about the same time: one control process and one entry for each zone given."""
+        """Start all machines at once: one control process and one entry for each zone given."""
         if not (REPOSITORY / "target" / "deps").is_dir():
             raise CannotRunError("target/deps is missing: run the build of the deploy file")
         ips = [f"{self.network}.{number}" for number in range(1, len(control_zones) + 1)]
@@ -276,12 +278,17 @@
 
     def plan(self, number, routes, services):
         """Return the body of a configuration."""
-        limits = {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15}
+        limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        }
         document = {"version": f"r{number}", "routes": routes, "services": services, "limits": limits}
         return json.dumps(document).encode()
 
     async def put(self, body, base, addresses=None, seconds=20.0):
-        """Send a configuration until it gets a clear answer; return its status and the daemon that gave it."""
+        """Send a configuration until it gets a clear answer; return its status and the daemon."""
         headers = {"Cranberrylever-Base-Version": f"r{base}", "Content-Type": "application/json"}
         return await self.order("/Config.Put", headers, body, addresses, seconds)
 
@@ -293,7 +300,9 @@
         while True:
             for address in addresses:
                 answer = await call(address, "POST", path, headers, body)
-                self.record.write(f"operator POST {path} {headers or ''} to {address}: {answer.status} {answer.body[:90]}")
+                self.record.write(
+                    f"operator POST {path} {headers or ''} to {address}: {answer.status} {answer.body[:90]}"
+                )
                 if answer.status and answer.status < 500 and answer.status not in (408, 429):
                     return answer.status, address
                 if time.monotonic() > end:
@@ -454,7 +463,9 @@
 
     async def reply(self, writer, status, headers=None, body=b""):
         """Send an answer and keep the connection."""
-        writer.write(encode_message(f"HTTP/1.1 {status} X", {"Keep-Alive": "timeout=10", **(headers or {})}, body))
+        writer.write(
+            encode_message(f"HTTP/1.1 {status} X", {"Keep-Alive": "timeout=10", **(headers or {})}, body)
+        )
         await writer.drain()
 
     def _load(self):
@@ -489,7 +500,11 @@
             finally:
                 self.running.pop(request_id, None)
         self.record.write(f"server {self.name} ends {request_id}")
-        answer = {**self._echo(headers), **self._load(), "Cranberrylever-Upstream-Signature": f"s.{request_id}"}
+        answer = {
+            **self._echo(headers),
+            **self._load(),
+            "Cranberrylever-Upstream-Signature": f"s.{request_id}",
+        }
         await self.reply(writer, 200, answer, f"{self.name} ran {request_id} {method} {path}".encode())
 
     def begin(self, request_id, key, path):
