--- a/review/3/case.py
+++ b/review/3/case.py
@@ -151,11 +151,11 @@
             was_at_work_late = ended_at >= stopped_at + LAST_SIXTH_S and sent_at <= stopped_at + LATEST_SENT_S
             if is_deadline_reached or was_at_work_late:
                 continue
-            # Also left out: work that would have lasted into the last sixth, for which the excuse may be meant.
+            # Left out as well: work that would have lasted into the last sixth, which may be excused.
             if began_at + work >= stopped_at + LAST_SIXTH_S:
                 continue
             lost.append(
-                f"LOST {request_id} sent {sent_at - stopped_at:+.2f} s after SIGTERM of {name}, work of {work:.2f} s"
+                f"LOST {request_id} sent {sent_at - stopped_at:+.2f} s after SIGTERM of {name}, work {work:.2f} s"
                 f" until {began_at + work - stopped_at:+.2f} s, ended at {ended_at - stopped_at:+.2f} s"
                 f" with status {status}"
             )
