--- a/review/3/case.py
+++ b/review/3/case.py
@@ -155,8 +155,8 @@
             if began_at + work >= stopped_at + LAST_SIXTH_S:
                 continue
             lost.append(
-                f"LOST {request_id} sent {sent_at - stopped_at:+.2f} s after SIGTERM of {name}, work {work:.2f} s"
-                f" until {began_at + work - stopped_at:+.2f} s, ended at {ended_at - stopped_at:+.2f} s"
+                f"LOST {request_id} sent {sent_at - stopped_at:+.2f} s after SIGTERM of {name}, work"
+                f" of {work:.2f} s until {began_at + work - stopped_at:+.2f} s, ended at {ended_at - stopped_at:+.2f} s"
                 f" with status {status}"
             )
     return lost
