--- a/review/3/case.py
+++ b/review/3/case.py
@@ -154,10 +154,11 @@
             # Left out as well: work that would have lasted into the last sixth, which may be excused.
             if began_at + work >= stopped_at + LAST_SIXTH_S:
                 continue
+            worked_until = began_at + work - stopped_at
             lost.append(
-                f"LOST {request_id} sent {sent_at - stopped_at:+.2f} s after SIGTERM of {name}, work"
-                f" of {work:.2f} s until {began_at + work - stopped_at:+.2f} s, ended at {ended_at - stopped_at:+.2f} s"
-                f" with status {status}"
+                f"LOST {request_id} sent {sent_at - stopped_at:+.2f} s after SIGTERM of {name},"
+                f" work of {work:.2f} s until {worked_until:+.2f} s,"
+                f" ended at {ended_at - stopped_at:+.2f} s with status {status}"
             )
     return lost
 
