--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,6 +12,7 @@
 from harness import CannotRunError, Client, Server, System, call, main, route, service  # noqa: E402
 
 ZONES = ["lhr-a", "lhr-b", "skt-a", "skt-b", "gjw-a"]
+TOLERATED = 2  # as on pbdtc-gate-grown; one is lost at a time here
 FREEZE_S = 6.5  # node_freeze of core machines lasts up to 7.8 s on the sites' days
 RECOVERY_S = 4.0  # a machine stays lost for recovery_s after it is back
 CONTACT_S = 3.0
@@ -99,4 +100,4 @@
 
 
 if __name__ == "__main__":
-    main(CASE, script, ZONES)
+    main(CASE, script, ZONES, TOLERATED)
--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
