Keep a replaced control member from founding a second group

Cause: a member that the group has replaced empties its directory and starts again in the same process, where `bootstrap` is still what it was at the first start. The empty directory became a founder's, and a founder without a membership may vote; two of three such founders elect each other.

Change: a replaced directory gets a new identity by one atomic write, never a founder's, and the next start removes the other files. On the same path: a founder that lost its disk and was replaced meanwhile never asked to join, as it took the configured founders for the group; a member that knows no membership and is no founder now asks.

Ruled out: clearing `bootstrap` in the process only, as a kill between the two steps and a restart with the flag founds a group again.

--- a/cranberrylever/consensus/__init__.py
+++ b/cranberrylever/consensus/__init__.py
@@ -1,7 +1,7 @@
 """Raft consensus: node, storage, transport and the driver that connects them."""
 
 from cranberrylever.consensus._config import ConsensusConfig, MemberStatus, Role, Timings
-from cranberrylever.consensus._disk import DiskStorage, open_disk_storage
+from cranberrylever.consensus._disk import DiskStorage, open_disk_storage, reset_disk_folder
 from cranberrylever.consensus._driver import RaftDriver, create_driver
 from cranberrylever.consensus._files import FileOperations
 from cranberrylever.consensus._state_machine import StateMachine
@@ -26,4 +26,5 @@
     "Transport",
     "create_driver",
     "open_disk_storage",
+    "reset_disk_folder",
 ]
--- a/cranberrylever/consensus/_disk.py
+++ b/cranberrylever/consensus/_disk.py
@@ -37,11 +37,19 @@
 
 @attrs.frozen
 class _FolderRecord:
-    """Stored identity of a data directory."""
+    """Stored identity of a data directory.
+
+    Args:
+        cluster_id: Cluster of the directory.
+        folder_id: Random id of the directory.
+        founder: Whether the directory was created with bootstrap.
+        is_reset: Whether the other files belong to a replaced identity and are to be removed.
+    """
 
     cluster_id: str
     folder_id: str
     founder: bool
+    is_reset: bool = False
 
 
 def _encode_with_crc(record: object) -> bytes:
@@ -166,6 +174,9 @@
                 f"{self.path} belongs to cluster {record.cluster_id!r}, not {cluster_id!r}",
                 "start with the data directory of this cluster",
             )
+        if record.is_reset:
+            self._create_files()
+            self._write_record(attrs.evolve(record, is_reset=False))
         hard_state = _read_with_crc(self.path / _HARD_STATE_FILE, HardState)
         snapshot = self._read_snapshot()
         log_entries = self.log.open()
@@ -201,21 +212,28 @@
 
         A directory with a changed hard state but no identity was in use before and is refused.
         """
-        log_folder = self.path / _LOG_FOLDER
-        snapshot_folder = self.path / _SNAPSHOT_FOLDER
         if (self.path / _HARD_STATE_FILE).exists():
             state = _read_with_crc(self.path / _HARD_STATE_FILE, HardState)
             if state != HardState():
                 raise log_damaged_error(self.path / _FOLDER_FILE, "the file is missing")
-        log_folder.mkdir(exist_ok=True)
-        snapshot_folder.mkdir(exist_ok=True)
+        self._create_files()
+        self._write_record(_FolderRecord(cluster_id, new_folder_id(), bootstrap))
+        self.files.sync_folder(self.path.parent)
+
+    def _create_files(self) -> None:
+        """Create an empty log and hard state in place of any that exist."""
+        for folder in (self.path / _LOG_FOLDER, self.path / _SNAPSHOT_FOLDER):
+            folder.mkdir(exist_ok=True)
+            for path in folder.iterdir():
+                self.files.remove(path)
+            self.files.sync_folder(folder)
         self.log.create()
         self.log.close()
         self.log.segments.clear()
         self.files.replace_file(self.path / _HARD_STATE_FILE, _encode_with_crc(HardState()))
-        record = _FolderRecord(cluster_id, new_folder_id(), bootstrap)
+
+    def _write_record(self, record: _FolderRecord) -> None:
         self.files.replace_file(self.path / _FOLDER_FILE, _encode_with_crc(record))
-        self.files.sync_folder(self.path.parent)
 
     def _read_snapshot(self) -> Snapshot | None:
         folder = self.path / _SNAPSHOT_FOLDER
@@ -263,3 +281,21 @@
         StorageError: The directory cannot be read or written, or another process uses it.
     """
     return DiskStorage(Path(path), cluster_id, bootstrap)
+
+
+def reset_disk_folder(path: str | Path, cluster_id: str, files: FileOperations | None = None) -> None:
+    """Give a data directory that the group has replaced a new identity, which never founds a group.
+
+    Its other files are removed when the directory is opened next. A crash at any point leaves either the old
+    identity, which the group refuses again, or the new one.
+
+    Raises:
+        StorageError: The directory cannot be written.
+    """
+    record = _FolderRecord(cluster_id, new_folder_id(), founder=False, is_reset=True)
+    try:
+        (files or FileOperations()).replace_file(Path(path) / _FOLDER_FILE, _encode_with_crc(record))
+    except OSError as error:
+        raise StorageError(
+            f"{path} cannot be written: {error.strerror or error}", "free space or replace the disk"
+        ) from error
--- a/cranberrylever/consensus/_node.py
+++ b/cranberrylever/consensus/_node.py
@@ -111,7 +111,13 @@
         return list(dict.fromkeys(member for item in memberships for member in item.folders))
 
     def is_outside_group(self) -> bool:
-        """Return whether neither the committed nor the latest membership names this member."""
+        """Return whether this member has to ask to join the group.
+
+        Neither the committed nor the latest membership names it, or it knows none and is no founder:
+        an initial member that lost its disk may have been replaced meanwhile.
+        """
+        if not self._active_memberships() and not self.founder:
+            return True
         return self.config.member_id not in self.group()
 
     def _active_memberships(self) -> list[Membership]:
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -1,14 +1,18 @@
 """The route control program: one member of the control group."""
 
 import asyncio
-import shutil
 from collections.abc import Callable
 from pathlib import Path
 
 import grpclib.server
 from starlette.applications import Starlette
 
-from cranberrylever.consensus import ConsensusConfig, create_driver, open_disk_storage
+from cranberrylever.consensus import (
+    ConsensusConfig,
+    create_driver,
+    open_disk_storage,
+    reset_disk_folder,
+)
 from cranberrylever.control_member import LeaderForwarder, PeerTransport, StateMachineAdapter
 from cranberrylever.errors import CranberryleverError, StorageError
 from cranberrylever.http_server import HttpServer
@@ -189,7 +193,8 @@
     async def _watch_driver(self) -> None:
         """Restart the member after a disk failure; any other error stops the program.
 
-        When the group has replaced this member, it restarts as a learner with an empty data directory.
+        When the group has replaced this member, it restarts as a learner with an empty data directory. That
+        directory keeps an identity, so that it cannot found a second group, whatever the settings say.
         """
         while True:
             error = await self.driver.wait_stopped()
@@ -202,15 +207,16 @@
             await self._close_member()
             if self.driver.is_retired:
                 self.log.warning("member_retired", error=str(error), folder_id=self.driver.folder_id)
-                shutil.rmtree(self.settings.data_dir, ignore_errors=True)
-            await self._restart_member(error)
+            await self._restart_member(error, self.driver.is_retired)
 
-    async def _restart_member(self, error: CranberryleverError) -> None:
+    async def _restart_member(self, error: CranberryleverError, is_retired: bool) -> None:
         """Retry until the data directory can be used; a full or faulty disk may recover."""
         while True:
             self.log.warning("member_restarts", error=str(error), pause=STORAGE_RETRY_INTERVAL_S)
             await asyncio.sleep(STORAGE_RETRY_INTERVAL_S)
             try:
+                if is_retired:
+                    reset_disk_folder(self.settings.data_dir, self.settings.cluster_id)
                 await self._start_member()
             except (StorageError, OSError) as restart_error:
                 error = StorageError(str(restart_error), "free disk space or replace the disk")
--- a/tests/consensus/test_disk.py
+++ b/tests/consensus/test_disk.py
@@ -9,7 +9,13 @@
 
 import testtools
 
-from cranberrylever.consensus import DiskStorage, FileOperations, MemoryDisk, open_disk_storage
+from cranberrylever.consensus import (
+    DiskStorage,
+    FileOperations,
+    MemoryDisk,
+    open_disk_storage,
+    reset_disk_folder,
+)
 from cranberrylever.consensus._messages import HardState, LogEntry, Membership, Snapshot
 from cranberrylever.consensus._segments import _encode_record
 from cranberrylever.consensus._storage import StorageBatch, consistent_entries
@@ -257,6 +263,8 @@
 
 
 class IdentityTest(FolderCase):
+    ENTRY = LogEntry(1, 1, 0, b"x")
+
     def test_kill_during_creation(self):
         """Guards against a data directory that is unusable after a kill during its creation."""
         kill_at = 0
@@ -281,6 +289,33 @@
         error = self.assertRaises(SettingError, self.open, bootstrap=True)
         self.assertIn("--bootstrap", str(error))
 
+    def test_kill_during_a_reset(self):
+        """Guards against a replaced directory that founds a group, or mixes two identities, after a kill."""
+        kill_at = 0
+        is_complete = False
+        while not is_complete:
+            kill_at += 1
+            shutil.rmtree(self.folder / "data", ignore_errors=True)
+            old_id, _ = self.with_storage(self._identity, bootstrap=True)
+            self.with_storage(
+                lambda storage: storage.save(batch(HardState(1, "m1", 0), entries=[self.ENTRY]))
+            )
+            files = KillingFiles(kill_at, random.Random(kill_at))
+            try:
+                reset_disk_folder(self.folder / "data", CLUSTER, files)
+                self.with_storage(self._identity, files=files)
+                is_complete = True
+            except KilledError:
+                files.lose_unsynced()
+            self.assertRaises(SettingError, self.open, bootstrap=True)
+            state = self.load()
+            if state.folder_id == old_id:
+                self.assertEqual((True, [self.ENTRY]), (state.founder, state.entries))
+            else:
+                expected = (False, HardState(), [])
+                self.assertEqual(expected, (state.founder, state.hard_state, state.entries))
+        self.assertGreater(kill_at, 10)
+
     async def _identity(self, storage):
         state = storage.load()
         return state.folder_id, state.founder
--- a/tests/consensus/test_join.py
+++ b/tests/consensus/test_join.py
@@ -11,6 +11,7 @@
     MemoryNetwork,
     MemoryStorage,
     MemoryTransport,
+    Timings,
     create_driver,
 )
 from cranberrylever.errors import CranberryleverError, StorageError
@@ -30,9 +31,9 @@
         self.drivers = {}
         self.machines = {}
 
-    async def start(self, name, bootstrap=False):
+    async def start(self, name, bootstrap=False, members=()):
         disk = self.disks.setdefault(name, MemoryDisk())
-        members = {member: member for member in FOUNDERS} if bootstrap else {}
+        members = {member: member for member in (FOUNDERS if bootstrap else members)}
         # Contacts are the addresses known at the start of the member, like a list given by an operator.
         known = dict.fromkeys((*FOUNDERS, *self.drivers))
         contacts = tuple(member for member in known if member != name)
@@ -104,6 +105,26 @@
 
         run_in_simulated_time(scenario)
 
+    def test_founder_with_a_lost_disk_joins_after_it_was_replaced(self):
+        """Guards against a founder that waits forever for a group that no longer names it."""
+
+        async def scenario():
+            group = Group()
+            await group.form()
+            lost = group.follower()
+            await group.stop(lost)
+            await group.start("d:1")
+            await wait_for(lambda: "d:1" in group.leader().group() and lost not in group.leader().group())
+            await asyncio.sleep(Timings().learner_timeout + 1.0)
+            group.disks.pop(lost)
+            await group.start(lost, members=FOUNDERS)
+            await group.leader().propose(b"two")
+            await wait_for(lambda: group.machines[lost].payloads == {b"two"})
+            assert not group.drivers[lost].node.may_vote()
+            await group.stop_all()
+
+        run_in_simulated_time(scenario)
+
     def test_replaced_member_learns_that_its_folder_is_retired(self):
         """Guards against a replaced member that returns and votes in addition to its replacement."""
 
