Grow the control group to the voters that the stated losses take

Cause: nothing read the stated losses. Three founders voted whatever the settings said, the other members had no vote, so two lost directories took the majority that could have replaced a voter.

Change: the stated losses are settings in the product's own words, for instances and for failure domains (regions are counted as their domains). The leader adds learners as voters, spread over the failure domains, until a majority survives them; a new group serves once it has its voters, or after 2 s when the members do not exist.

Ruled out: more founders, as the platform names three; waiting for the voters without a limit, as a group with too few members would never serve.

--- a/cranberrylever/consensus/__init__.py
+++ b/cranberrylever/consensus/__init__.py
@@ -6,6 +6,7 @@
 from cranberrylever.consensus._files import FileOperations
 from cranberrylever.consensus._state_machine import StateMachine
 from cranberrylever.consensus._storage import MemoryDisk, MemoryStorage, Storage
+from cranberrylever.consensus._tolerance import voters_needed
 from cranberrylever.consensus._transport import MemoryNetwork, MemoryTransport, Receiver, Transport
 
 __all__ = [
@@ -27,4 +28,5 @@
     "create_driver",
     "open_disk_storage",
     "reset_disk_folder",
+    "voters_needed",
 ]
--- a/cranberrylever/consensus/_config.py
+++ b/cranberrylever/consensus/_config.py
@@ -19,6 +19,8 @@
         learner_timeout: Time without a message from a learner after which the leader stops replication to it.
         replace_after: Time without a message from a voter after which an up-to-date learner replaces it;
             longer than a restart takes.
+        formation_timeout: Time for which the leader of a new group waits for the learners that it needs to
+            reach its number of voters, before it serves with fewer.
     """
 
     heartbeat: float = 0.05
@@ -28,6 +30,7 @@
     join_interval: float = 0.25
     learner_timeout: float = 5.0
     replace_after: float = 2.5
+    formation_timeout: float = 2.0
 
 
 @attrs.frozen
@@ -47,6 +50,9 @@
         silent_since: Loop time in seconds from which the vote delay of the start counts, such as the start of
             the process; the process must not have heard from a leader since then. ``None`` and times after
             the start of the member are treated as the start of the member.
+        failure_domain: Failure domain of this member; voters are spread evenly over the domains.
+        voters: Number of voters that the leader grows the group to while learners allow it; a smaller number
+            than there are initial members changes nothing.
     """
 
     cluster_id: str
@@ -57,6 +63,8 @@
     snapshot_bytes: int = 8 * 1024 * 1024
     contacts: tuple[str, ...] = ()
     silent_since: float | None = None
+    failure_domain: str = ""
+    voters: int = 0
 
 
 class Role(enum.Enum):
--- a/cranberrylever/consensus/_driver.py
+++ b/cranberrylever/consensus/_driver.py
@@ -354,7 +354,9 @@
             self.leader_since = None
             self._pending.fail_proposals(proposal_lost_error(), before_term=self.term if leadership else None)
         self._log_changes()
-        if leadership and self.leader_since is None and self.applied_index >= leadership.term_start_index:
+        if leadership is None or self.leader_since is not None:
+            return
+        if self.applied_index >= leadership.term_start_index and not leadership.is_forming(now):
             self.leader_since = now
 
     def _log_changes(self) -> None:
--- a/cranberrylever/consensus/_election.py
+++ b/cranberrylever/consensus/_election.py
@@ -132,7 +132,7 @@
             if reply.term > self.hard_state.term:
                 self.become_follower(reply.term, now)
             return
-        if not is_voter(self.memberships.latest, sender, folder_id, reply.founder):
+        if not self.is_electing_voter(sender, folder_id, reply.founder):
             return
         if reply.pre_vote and self.role is Role.PRE_CANDIDATE and reply.term == self.hard_state.term + 1:
             self.votes_received.add(sender)
--- a/cranberrylever/consensus/_follower.py
+++ b/cranberrylever/consensus/_follower.py
@@ -84,6 +84,7 @@
             request.round,
             self.founder,
             self.is_persisted_voter(),
+            self.config.failure_domain,
         )
         self.send_after_sync(sender, reply)
 
@@ -138,5 +139,6 @@
             chunk.round,
             self.founder,
             self.is_persisted_voter(),
+            self.config.failure_domain,
         )
         self.send_after_sync(sender, reply)
--- a/cranberrylever/consensus/_leadership.py
+++ b/cranberrylever/consensus/_leadership.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cranberrylever.consensus._log import is_voter, membership_entry
+from cranberrylever.consensus._membership_changes import MembershipChanges
 from cranberrylever.consensus._messages import (
     AppendReply,
     AppendRequest,
@@ -36,7 +37,7 @@
     round: int = 0
 
 
-class Leadership:
+class Leadership(MembershipChanges):
     """State of the leader for one term.
 
     Args:
@@ -92,75 +93,14 @@
         if now - self.round_sent_at[self.confirmed_round] > self.node.config.timings.election_max:
             self.node.step_down(now)
             return
-        self._remove_silent_learners(now)
-        self._replace_silent_voter(now)
+        self.change_membership(now)
         self.start_round(now)
 
-    def _remove_silent_learners(self, now: float) -> None:
-        """Stop replication to silent members outside the group: learners and replaced voters."""
-        group = set(self.node.group())
-        timeout = self.node.config.timings.learner_timeout
-        for member in [member for member in self.progress if member not in group]:
-            if self._time_since_contact(member, now) > timeout:
-                del self.progress[member]
-
-    def _time_since_contact(self, member: str, now: float) -> float:
-        folder = self.node.peer_folders.get(member)
-        return now - max(folder.heard_at if folder else -math.inf, self.started_at)
-
-    def _replace_silent_voter(self, now: float) -> None:
-        """Replace a silent voter with a learner that holds all committed entries.
-
-        Neither of the two counts towards the majority that commits the membership change, so all other
-        voters must be reachable.
-        """
-        node = self.node
-        latest = node.memberships.latest
-        if not self.has_committed or latest is None or node.memberships.latest_index > node.commit_index:
-            return
-        timings = node.config.timings
-        voters = [member for member in latest.folders if member != node.config.member_id]
-        silent = [
-            member for member in voters if self._time_since_contact(member, now) > timings.replace_after
-        ]
-        others = [member for member in voters if member not in silent]
-        if len(silent) != 1 or any(
-            self._time_since_contact(member, now) > timings.election_max for member in others
-        ):
-            return
-        learner = next((member for member in self.progress if self._can_replace_voter(member, now)), None)
-        if learner is None:
-            return
-        self._append_replacement(silent[0], learner, self.progress[learner].folder_id)
-
-    def _can_replace_voter(self, member: str, now: float) -> bool:
-        """Return whether ``member`` is a reachable, up-to-date learner that can replace a voter."""
-        node = self.node
-        progress = self.progress[member]
-        latest = node.memberships.latest
-        is_learner = member not in latest.folders and progress.folder_id not in (*latest.retired, "")
-        is_up_to_date = progress.match_index >= node.commit_index
-        return (
-            is_learner
-            and is_up_to_date
-            and self._time_since_contact(member, now) < node.config.timings.election_max
-        )
-
     def transferee(self) -> str | None:
         """Return the voter with the highest match index, or ``None`` if no other member counts as a voter."""
         voters = [member for member in self.progress if self.counts_toward_quorum(member)]
         return max(voters, key=lambda member: self.progress[member].match_index, default=None)
 
-    def _append_replacement(self, removed: str, added: str, folder_id: str) -> None:
-        node = self.node
-        latest = node.memberships.latest
-        voting_folder_id = latest.folders[removed]
-        folders = {member: folder for member, folder in latest.folders.items() if member != removed}
-        folders[added] = folder_id
-        retired = latest.retired + ((voting_folder_id,) if voting_folder_id else ())
-        index = node.log.last_index + 1
-        node.append_entry(membership_entry(index, node.hard_state.term, Membership(folders, retired)))
-
     def start_round(self, now: float) -> None:
         """Start a heartbeat round: send pending entries, or an empty append request, to every member."""
         self.round += 1
@@ -249,6 +189,7 @@
             self.progress[member] = Progress(self.node.log.last_index + 1, folder_id)
         self.progress[member].founder = reply.founder
         self.progress[member].votes = reply.votes
+        self.progress[member].failure_domain = reply.failure_domain
 
     def on_append_reply(self, member: str, reply: AppendReply, now: float) -> None:
         """Update the member's progress and the commit index from an append reply."""
@@ -263,7 +204,7 @@
             progress.acknowledge(reply.match_index, self.round)
             self.node.advance_commit_index(min(reply.match_index, reply.commit_index))
             self.update_commit_index()
-            self._promote_learner(member)
+            self.record_new_folder(member)
         else:
             self._on_rejection(member, progress, reply)
         self._confirm_reads()
@@ -296,7 +237,7 @@
         if reply.installed:
             progress.acknowledge(reply.last_index, self.round)
             self.update_commit_index()
-            self._promote_learner(member)
+            self.record_new_folder(member)
             self._send(member, is_heartbeat=False)
             return
         if progress.snapshot is None or progress.snapshot.index != reply.last_index:
@@ -309,7 +250,7 @@
     def counts_toward_quorum(self, member: str) -> bool:
         """Return whether replies of ``member`` count towards a majority.
 
-        The data directory must be a voter under the committed and the latest membership. A replaced directory
+        The data directory must be a voter under the settled and the latest membership. A replaced directory
         stops counting when the membership entry is appended. The new one counts once that entry is
         committed and the member has synced the commit; otherwise a crash could make the member a learner
         again after the leader counted its copy.
@@ -317,11 +258,9 @@
         progress = self.progress[member]
         if not progress.votes:
             return False
-        history = self.node.memberships
-        _, committed = history.at(self.node.commit_index)
         return all(
             is_voter(membership, member, progress.folder_id, progress.founder)
-            for membership in (committed, history.latest)
+            for membership in (self.node.settled_membership(), self.node.memberships.latest)
         )
 
     def _quorum_value(self, own: int, values: dict[str, int]) -> int:
@@ -373,23 +312,3 @@
         self.reads = [read for read in self.reads if not 0 < read.round <= newest]
         for read in confirmed:
             self.node.confirmed_reads.append((read.read_id, self.node.commit_index))
-
-    def _promote_learner(self, member: str) -> None:
-        """Append a membership entry that makes a caught-up member with a new data directory a voter."""
-        node = self.node
-        progress = self.progress[member]
-        history = node.memberships
-        if not self.has_committed or history.latest_index > node.commit_index or history.latest is None:
-            return
-        if not progress.folder_id or progress.folder_id in history.latest.retired:
-            return
-        voting_folder_id = history.latest.folders.get(member, "")
-        if member not in history.latest.folders:
-            return
-        if voting_folder_id == progress.folder_id or progress.match_index < node.commit_index:
-            return
-        retired = history.latest.retired + ((voting_folder_id,) if voting_folder_id else ())
-        folders = {**history.latest.folders, member: progress.folder_id}
-        index = node.log.last_index + 1
-        node.append_entry(membership_entry(index, node.hard_state.term, Membership(folders, retired)))
-        self.broadcast()
--- a/cranberrylever/consensus/_log.py
+++ b/cranberrylever/consensus/_log.py
@@ -157,6 +157,16 @@
                 return start, membership
         return self.items[0]
 
+    def settled(self, commit_index: int) -> Membership | None:
+        """Return the newest membership that is certainly committed, given the known commit index.
+
+        A leader proposes a membership only after the commit of the one before, so all but the latest are
+        committed, whatever this member knows.
+        """
+        if self.latest_index <= commit_index or len(self.items) == 1:
+            return self.latest
+        return self.items[-2][1]
+
     def record(self, entry: LogEntry) -> None:
         """Add the membership in ``entry`` if it is a membership entry."""
         if entry.kind == EntryKind.MEMBERSHIP:
@@ -172,6 +182,15 @@
         self.items = [(index, membership)]
 
 
+def adds_voters_only(before: Membership | None, after: Membership) -> bool:
+    """Return whether ``after`` has all voters of ``before`` with the same data directories, and more."""
+    return (
+        before is not None
+        and len(after.folders) > len(before.folders)
+        and before.folders.items() <= after.folders.items()
+    )
+
+
 def is_voter(membership: Membership | None, member_id: str, folder_id: str, founder: bool) -> bool:
     """Return whether a member with this data directory is a voter under ``membership``.
 
--- a/cranberrylever/consensus/_messages.py
+++ b/cranberrylever/consensus/_messages.py
@@ -124,6 +124,7 @@
         round: ``round`` of the request.
         founder: Whether the follower's data directory was created with bootstrap.
         votes: Whether the follower is a voter under the state that it has synced.
+        failure_domain: Failure domain of the follower, empty if unknown.
     """
 
     term: int
@@ -135,6 +136,7 @@
     round: int
     founder: bool = False
     votes: bool = False
+    failure_domain: str = ""
 
 
 @attrs.frozen
@@ -165,6 +167,7 @@
     round: int
     founder: bool = False
     votes: bool = False
+    failure_domain: str = ""
 
 
 @attrs.frozen
--- a/cranberrylever/consensus/_node.py
+++ b/cranberrylever/consensus/_node.py
@@ -8,6 +8,7 @@
 from cranberrylever.consensus._config import ConsensusConfig, Role
 from cranberrylever.consensus._election import ElectionRules
 from cranberrylever.consensus._follower import FollowerRules
+from cranberrylever.consensus._group import GroupRules
 from cranberrylever.consensus._leadership import Leadership
 from cranberrylever.consensus._log import MembershipHistory, RaftLog
 from cranberrylever.consensus._messages import (
@@ -18,7 +19,6 @@
     JoinHint,
     JoinRequest,
     LogEntry,
-    Membership,
     Message,
     Snapshot,
     SnapshotChunk,
@@ -41,7 +41,7 @@
     heard_at: float
 
 
-class RaftNode(ElectionRules, FollowerRules):
+class RaftNode(GroupRules, ElectionRules, FollowerRules):
     """Raft state of one member.
 
     Args:
@@ -92,38 +92,6 @@
         self.failed_reads: list[int] = []
         self._next_read = 0
 
-    @property
-    def peers(self) -> list[str]:
-        """Ids of the other members of the committed and the latest membership."""
-        return [member for member in self.group() if member != self.config.member_id]
-
-    @property
-    def quorum(self) -> int:
-        """Number of members that form a majority under both the committed and the latest membership."""
-        sizes = [len(membership.folders) for membership in self._active_memberships()]
-        return max(sizes, default=len(self.config.members)) // 2 + 1
-
-    def group(self) -> list[str]:
-        """Return the ids of all members of the group, including this one if it belongs to the group."""
-        memberships = self._active_memberships()
-        if not memberships:
-            return list(self.config.members)
-        return list(dict.fromkeys(member for item in memberships for member in item.folders))
-
-    def is_outside_group(self) -> bool:
-        """Return whether this member has to ask to join the group.
-
-        Neither the committed nor the latest membership names it, or it knows none and is no founder:
-        an initial member that lost its disk may have been replaced meanwhile.
-        """
-        if not self._active_memberships() and not self.founder:
-            return True
-        return self.config.member_id not in self.group()
-
-    def _active_memberships(self) -> list[Membership]:
-        _, committed = self.memberships.at(self.commit_index)
-        return [item for item in (self.memberships.latest, committed) if item is not None]
-
     def _load_log(self, stored: StoredState) -> None:
         snapshot = stored.snapshot
         if stored.entries:
--- a/cranberrylever/consensus/_progress.py
+++ b/cranberrylever/consensus/_progress.py
@@ -25,6 +25,7 @@
         folder_id: Id of the member's data directory, empty until its first message.
         founder: Whether that directory was created with bootstrap.
         votes: Whether the member has synced a state under which it is a voter.
+        failure_domain: Failure domain of the member, empty until its first reply.
         match_index: Last index that the member has synced and that matches the leader's log.
         match_round: Heartbeat round in which ``match_index`` was raised last.
         acknowledged_round: Latest heartbeat round that the member answered.
@@ -39,6 +40,7 @@
     folder_id: str = ""
     founder: bool = False
     votes: bool = False
+    failure_domain: str = ""
     match_index: int = 0
     match_round: int = 0
     acknowledged_round: int = 0
--- a/cranberrylever/route_control/_metrics.py
+++ b/cranberrylever/route_control/_metrics.py
@@ -57,6 +57,9 @@
             self._update_leader_gauges(now)
 
     def _update_leader_gauges(self, now: float) -> None:
+        voters = [member for member in self.driver.members() if member.role != "learner"]
+        self.metrics.gauge("voters", len(voters))
+        self.metrics.gauge("voters_wanted", self.driver.config.voters)
         targets = self.state.fleet.targets.values()
         self.metrics.gauge("targets", len(targets))
         self.metrics.gauge("targets_leaving", sum(target.leaving for target in targets))
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -12,6 +12,7 @@
     create_driver,
     open_disk_storage,
     reset_disk_folder,
+    voters_needed,
 )
 from cranberrylever.control_member import LeaderForwarder, PeerTransport, StateMachineAdapter
 from cranberrylever.errors import CranberryleverError, StorageError
@@ -128,6 +129,10 @@
             members,
             contacts=contacts,
             silent_since=self._take_running_since(),
+            failure_domain=settings.failure_domain,
+            voters=voters_needed(
+                settings.tolerated_instances, settings.tolerated_domains, len(settings.failure_domains)
+            ),
         )
         self.state = RouteControlState()
         machine = StateMachineAdapter(self.state, command_codec.decode)
--- a/cranberrylever/settings/__init__.py
+++ b/cranberrylever/settings/__init__.py
@@ -10,7 +10,12 @@
     PeerAddress,
     TargetSettings,
 )
-from cranberrylever.settings._routes import LimitSettings, RouteControlSettings, RouteEntrySettings
+from cranberrylever.settings._routes import (
+    MAX_TOLERATED_LOSSES,
+    LimitSettings,
+    RouteControlSettings,
+    RouteEntrySettings,
+)
 from cranberrylever.settings._values import (
     ValueProblemError,
     listen_address,
@@ -19,6 +24,7 @@
 )
 
 __all__ = [
+    "MAX_TOLERATED_LOSSES",
     "ControlSettings",
     "DevSettings",
     "EntrySettings",
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -7,6 +7,7 @@
 from cranberrylever.settings._values import (
     boolean,
     identifier,
+    integer,
     listen_address,
     number,
     optional_address,
@@ -16,6 +17,7 @@
 )
 
 MAX_TIME_S = 600.0
+MAX_TOLERATED_LOSSES = 4
 
 
 @attrs.frozen
@@ -109,6 +111,18 @@
         (),
         is_list=True,
     )
+    failure_domain: str = setting("Failure domain (zone) of this instance.", plain_text, "")
+    tolerated_instances: int = setting(
+        "Control members that may be lost at the same time, with their disks; 2 need five members. The group "
+        "grows to the voters that this takes, as far as there are members.",
+        integer(0, MAX_TOLERATED_LOSSES),
+        0,
+    )
+    tolerated_domains: int = setting(
+        "Failure domains whose control members may be lost at the same time instead.",
+        integer(0, MAX_TOLERATED_LOSSES),
+        0,
+    )
     notice_interval: float = setting(
         "Seconds between two announcements of a target.", number(0.05, 60.0), 1.0
     )
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -73,6 +73,7 @@
         snapshot_bytes=2**25,
         sync_times=(0.01,),
         folder=None,
+        founders=None,
         **network,
     ):
         self.rng = random.Random(seed)
@@ -80,6 +81,7 @@
         self.network.observer = self.observe
         self.names = [f"m{number}" for number in range(size)]
         self.addresses = {name: f"{name}:1" for name in self.names}
+        self.founders = self.names[:founders]
         self.snapshot_entries = snapshot_entries
         self.snapshot_bytes = snapshot_bytes
         self.sync_times = sync_times
@@ -100,7 +102,9 @@
         config = ConsensusConfig(
             CLUSTER,
             name,
-            self.addresses,
+            {founder: self.addresses[founder] for founder in self.founders} if name in self.founders else {},
+            contacts=tuple(self.names),
+            voters=len(self.names),
             snapshot_entries=self.snapshot_entries,
             snapshot_bytes=self.snapshot_bytes,
         )
@@ -117,7 +121,7 @@
 
     async def start_all(self):
         for name in self.names:
-            await self.start(name, bootstrap=True)
+            await self.start(name, bootstrap=name in self.founders)
 
     async def kill(self, name):
         """Kill a member; a random part of its unsynced writes survives."""
--- a/tests/consensus/test_join.py
+++ b/tests/consensus/test_join.py
@@ -6,65 +6,14 @@
 import testtools
 
 from cranberrylever.consensus import (
-    ConsensusConfig,
     MemoryDisk,
-    MemoryNetwork,
-    MemoryStorage,
-    MemoryTransport,
     Timings,
-    create_driver,
 )
 from cranberrylever.errors import CranberryleverError, StorageError
-from tests.consensus.cluster import ListMachine, wait_for
+from tests.consensus.cluster import wait_for
+from tests.consensus.group import FOUNDERS, Group
 from tests.support import run_in_simulated_time
 
-CLUSTER = "test"
-FOUNDERS = ("a:1", "b:1", "c:1")
-
-
-class Group:
-    """Group whose member ids are addresses."""
-
-    def __init__(self):
-        self.network = MemoryNetwork(min_delay=0.001, max_delay=0.003)
-        self.disks = {}
-        self.drivers = {}
-        self.machines = {}
-
-    async def start(self, name, bootstrap=False, members=()):
-        disk = self.disks.setdefault(name, MemoryDisk())
-        members = {member: member for member in (FOUNDERS if bootstrap else members)}
-        # Contacts are the addresses known at the start of the member, like a list given by an operator.
-        known = dict.fromkeys((*FOUNDERS, *self.drivers))
-        contacts = tuple(member for member in known if member != name)
-        config = ConsensusConfig(CLUSTER, name, members, contacts=contacts)
-        storage = MemoryStorage(disk, CLUSTER, bootstrap)
-        self.machines[name] = ListMachine()
-        transport = MemoryTransport(self.network, name)
-        self.drivers[name] = create_driver(config, storage, transport, self.machines[name])
-        await self.drivers[name].start()
-
-    async def stop(self, name):
-        await self.drivers.pop(name).close()
-        self.network.transports.pop(name, None)
-
-    async def stop_all(self):
-        for name in list(self.drivers):
-            await self.stop(name)
-
-    def leader(self):
-        leaders = [driver for driver in self.drivers.values() if driver.leader_since is not None]
-        return leaders[0] if len(leaders) == 1 else None
-
-    async def form(self):
-        for name in FOUNDERS:
-            await self.start(name, bootstrap=True)
-        await wait_for(self.leader)
-
-    def follower(self):
-        leader = self.leader()
-        return next(name for name, driver in self.drivers.items() if driver is not leader)
-
 
 class JoinTest(testtools.TestCase):
     """Replacement of a control member by an empty one at another address."""
--- a/tests/consensus/test_random.py
+++ b/tests/consensus/test_random.py
@@ -16,15 +16,19 @@
 
 
 class Schedule:
-    """Runs random steps on a cluster and loses at most as many disks at a time as the group tolerates."""
+    """Runs random steps on a cluster and loses at most as many disks at a time as the group tolerates.
 
-    def __init__(self, size, seed, folder=None):
+    A group of fewer ``founders`` grows during the steps; no disk is lost before it has its voters.
+    """
+
+    def __init__(self, size, seed, folder=None, founders=None):
         self.cluster = Cluster(
             size,
             seed,
             snapshot_entries=30,
             sync_times=(0.002, 0.01, 0.2),
             folder=folder,
+            founders=founders,
             min_delay=0.0005,
             max_delay=0.02,
             loss=0.02,
@@ -36,16 +40,22 @@
         self.tasks = []
         self.paused = set()
         self.lost_disks = 0
+        self.is_grown = founders is None
+
+    def has_all_voters(self):
+        return all(self.cluster.is_active_voter(name) for name in self.cluster.names)
 
     async def run(self):
         cluster = self.cluster
         await cluster.start_all()
         await cluster.wait_leader()
-        await wait_for(lambda: all(cluster.is_active_voter(name) for name in cluster.names))
+        if cluster.founders == cluster.names:
+            await wait_for(self.has_all_voters)
         for _ in range(STEPS):
             await self.step()
             await asyncio.sleep(self.rng.choice([0.005, 0.05, 0.3]))
             cluster.observe()
+            self.is_grown = self.is_grown or self.has_all_voters()
             self.recovering = {name for name in self.recovering if not cluster.is_active_voter(name)}
         await self.recover()
 
@@ -114,7 +124,7 @@
 
     async def lose_disk(self):
         name = self.rng.choice(self.cluster.names)
-        if len(self.recovering | {name}) <= self.max_lost_disks:
+        if self.is_grown and len(self.recovering | {name}) <= self.max_lost_disks:
             self.recovering.add(name)
             self.lost_disks += 1
             await self.cluster.lose_disk(name)
@@ -128,7 +138,7 @@
         await self.heal()
         await self.restart()
         await cluster.wait_leader()
-        await wait_for(lambda: all(cluster.is_active_voter(name) for name in cluster.names))
+        await wait_for(self.has_all_voters)
         await asyncio.gather(*self.tasks)
         for attempt in range(ATTEMPTS_AFTER_RECOVERY):
             leader = await cluster.wait_leader()
@@ -152,11 +162,11 @@
         self.patch(leadership, "MAX_APPEND_ENTRIES", 4)
         self.patch(leadership, "MAX_IN_FLIGHT", 3)
 
-    def run_schedules(self, size, seeds, on_disk=False):
+    def run_schedules(self, size, seeds, on_disk=False, founders=None):
         lost_disks = 0
         for seed in seeds:
             with tempfile.TemporaryDirectory() as folder:
-                schedule = Schedule(size, seed, Path(folder) if on_disk else None)
+                schedule = Schedule(size, seed, Path(folder) if on_disk else None, founders)
                 try:
                     run_in_simulated_time(schedule.run)
                 except BaseException as error:
@@ -182,3 +192,7 @@
         At most two disks are lost at a time.
         """
         self.run_schedules(5, range(101, 104))
+
+    def test_three_founders_that_grow_to_five_members(self):
+        """Guards against two leaders in a term, lost entries and a stuck group while voters are added."""
+        self.run_schedules(5, range(301, 307), founders=3)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -79,6 +79,20 @@
         assert settings.rpc in settings.founders
         assert settings.bootstrap
 
+    def test_stated_losses_are_read(self):
+        """Guards against a control group that is too small for the losses that the file states."""
+        zones = "".join(f"zones.{zone}={region}\n" for zone, region in zip("abcde", "xxyyz", strict=True))
+        cases = {
+            "tolerate.nodes=2\ntolerate.zones=1\ntolerate.regions=0\n": (2, 1),
+            "tolerate.nodes=1\ntolerate.zones=1\ntolerate.regions=1\n": (1, 2),
+            "tolerate.nodes=1\ntolerate.zones=3\ntolerate.regions=1\n": (1, 3),
+            "tolerate.nodes=x\n": (0, 0),
+            "": (0, 0),
+        }
+        for text, losses in cases.items():
+            settings = settings_file.control_settings(self.read(CONTROL_FILE + zones + text))
+            self.assertEqual(losses, (settings.tolerated_instances, settings.tolerated_domains), text)
+
     def test_missing_field_is_named(self):
         """Guards against a start without an address, and an error that does not name the field."""
         error = self.assertRaises(SettingError, settings_file.control_settings, {"ip": "10.0.0.1"})
