Send a request at most once on a connection

Cause: a keyed request that its target rejects goes to the same target again, on the connection just put back. Both sends have the request's id, by which answers are told apart, so a late copy of the rejection counted for the answer to the second send.

Change: a connection remembers the ids that it has carried; the pool takes another idle or a new one for the same id. A connection is closed after 256 ids, so that none is forgotten while a copy may follow; this costs one new connection in 256 requests. The rule is in the pool, so it holds for keyed and pooled services and for requests that other entries pass on.

Ruled out: other ids for second sends, as the platform wants the caller's; a new connection for each second send, as connections are dear and another idle one does as well (test_second_send_uses_another_idle_connection).

--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -21,6 +21,9 @@
 MAX_SKIPPED_ANSWERS = 16
 """Limit on interim answers and answers to other requests before the one that is expected."""
 
+MAX_REQUEST_IDS = 256
+"""Ids of requests after which a connection is closed, because it remembers all of them."""
+
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time for which sent bytes may stay unacknowledged before the kernel closes the connection."""
 
@@ -77,6 +80,7 @@
         self.keep_alive_s: float | None = None
         self.idle_since = 0.0
         self.use_count = 0
+        self.carried_ids: set[bytes] = set()
         self._waiter: asyncio.Future[TargetAnswer] | None = None
         self._request_id = b""
         self._method = b""
@@ -101,6 +105,8 @@
         self._skipped_answers = 0
         self._waiter = asyncio.get_running_loop().create_future()
         self.use_count += 1
+        if request_id:
+            self.carried_ids.add(request_id)
         self.transport.write(request)
         try:
             return await self._waiter
@@ -113,7 +119,11 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another request may follow: the connection is open and no partial answer is pending."""
-        return not self.is_closed and not self._in_message
+        return not self.is_closed and not self._in_message and len(self.carried_ids) < MAX_REQUEST_IDS
+
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether a request with this id was sent on the connection before."""
+        return request_id in self.carried_ids
 
     def abort(self) -> None:
         """Reset the connection; bytes in transit are lost."""
--- a/cranberrylever/target_http/_pool.py
+++ b/cranberrylever/target_http/_pool.py
@@ -81,7 +81,7 @@
             AnswerLostError: The request may have arrived and there is no complete answer.
         """
         max_idle = IDEMPOTENT_MAX_IDLE_S if is_idempotent else self.max_idle
-        connection = self._take_idle(address, max_idle) or await self._connect(address)
+        connection = self._take_idle(address, max_idle, request_id) or await self._connect(address)
         answer = await connection.exchange(method, request, request_id)
         self._store_idle(address, connection)
         return answer
@@ -125,19 +125,22 @@
         for connection in self.idle.pop(address, ()):
             connection.abort()
 
-    def _take_idle(self, address: str, max_idle: float) -> TargetConnection | None:
-        """Return the most recently used connection that is reusable; close those idle for too long."""
-        connections = self.idle.get(address)
+    def _take_idle(self, address: str, max_idle: float, request_id: bytes) -> TargetConnection | None:
+        """Return the most recently used connection that is reusable; close those idle for too long.
+
+        A connection that has carried the same request before is left out: a late copy of the answer to that
+        send could not be told from the answer to this one.
+        """
+        connections = self.idle.get(address, [])
         now = asyncio.get_running_loop().time()
-        while connections:
-            connection = connections[-1]
+        for connection in reversed(connections.copy()):
             idle = now - connection.idle_since
             if connection.is_closed or idle >= self._max_idle_time(connection, IDEMPOTENT_MAX_IDLE_S):
-                connections.pop().abort()
-            elif idle >= self._max_idle_time(connection, max_idle):
-                return None
-            else:
-                return connections.pop()
+                connections.remove(connection)
+                connection.abort()
+            elif idle < self._max_idle_time(connection, max_idle) and not connection.has_carried(request_id):
+                connections.remove(connection)
+                return connection
         return None
 
     @staticmethod
--- a/tests/target_http/test_connection.py
+++ b/tests/target_http/test_connection.py
@@ -6,6 +6,7 @@
 import testtools
 
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetPool
+from cranberrylever.target_http._connection import MAX_REQUEST_IDS
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 
@@ -43,6 +44,44 @@
         writer.close()
 
 
+def request(request_id):
+    return b"GET / HTTP/1.1\r\nhost: x\r\nx-id: %s\r\n\r\n" % request_id
+
+
+class RepeatingServer(ScriptedServer):
+    """Server that repeats its last answer on a connection before each next one; the answers are numbered."""
+
+    def __init__(self):
+        super().__init__()
+        self.answers = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        last = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.answers += 1
+                request_id = head.split(b"x-id: ")[1].split(b"\r\n")[0]
+                late, last = last, answer(request_id, b"answer %d" % self.answers)
+                writer.write(late + last)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+
+async def exchange_with_repeater(request_ids):
+    """Return the body of each answer in a sequence, and the number of connections."""
+    async with RepeatingServer() as server:
+        pool = TargetPool(b"x-id")
+        results = []
+        for request_id in request_ids:
+            result = await pool.exchange(server.address, b"GET", request(request_id), request_id)
+            results.append(result.body)
+        pool.close()
+        return results, server.connections
+
+
 def sends(*parts, close=False):
     async def step(writer):
         for part in parts:
@@ -94,6 +133,34 @@
         results, _ = exchange_with(sends(answer(b"1")), sends(late + answer(b"2", b"own")), ids=(b"1", b"2"))
         assert results == [b"ok", b"own"]
 
+    def test_late_copy_of_a_rejection_is_not_the_answer_to_the_second_send(self):
+        """Guards against a request that runs twice, or runs though its caller is told that it did not."""
+        for other_ids in ([], [b"2"], [b"2", b"3"]):
+            results, connections = asyncio.run(exchange_with_repeater([b"1", *other_ids, b"1"]))
+            assert results == [b"answer %d" % number for number in range(1, len(results) + 1)]
+            assert connections == 2
+
+    def test_second_send_uses_another_idle_connection(self):
+        """Guards against a new connection for each second send."""
+
+        async def main():
+            async with RepeatingServer() as server:
+                pool = TargetPool(b"x-id")
+                await asyncio.gather(
+                    *(pool.exchange(server.address, b"GET", request(name), name) for name in (b"1", b"2"))
+                )
+                second = await pool.exchange(server.address, b"GET", request(b"2"), b"2")
+                pool.close()
+                return second.body, server.connections
+
+        assert asyncio.run(main()) == (b"answer 3", 2)
+
+    def test_connection_with_many_requests_is_closed(self):
+        """Guards against ids of requests that fill the memory, or are forgotten while copies may follow."""
+        names = [b"%d" % number for number in range(MAX_REQUEST_IDS + 1)]
+        _, connections = asyncio.run(exchange_with_repeater(names))
+        assert connections == 2
+
     def test_bytes_after_a_whole_answer_end_the_connection(self):
         """Guards against surplus bytes that become the answer to the next request."""
         results, connections = exchange_with(
