--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -108,6 +108,7 @@
         self.log = log
         self.knows_leader = knows_leader
         self.draining = False
+        self.stops_at = math.inf
         self.requests = 0
         self.started_at = asyncio.get_running_loop().time()
 
@@ -118,6 +119,15 @@
         """
         return now - self.view.confirmed_at > MAX_VIEW_AGE_S and self.knows_leader(now)
 
+    def start_draining(self, stops_at: float) -> None:
+        """Prepare for the stop: ``stops_at`` is the loop time at which requests that still run are cut off.
+
+        A request that arrives from now on is refused at once if its answer is not expected by then, so that
+        its caller can send it to another entry.
+        """
+        self.draining = True
+        self.stops_at = stops_at
+
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
@@ -184,10 +194,13 @@
         if route is None:
             raise _AnsweredError(404, "invalid", "no route matches the host and path")
         record.route = route.name
+        if now + self.dispatcher.service_times.expected(route.name) > self.stops_at:
+            raise _AnsweredError(503, "refused", "this entry stops before an answer is expected", 0.0)
         time_limit = min(
             route.timeout, caller_headers.deadline if caller_headers.deadline is not None else route.timeout
         )
-        body = await self._read_body(headers, receive, now + time_limit)
+        deadline = min(now + time_limit, self.stops_at)
+        body = await self._read_body(headers, receive, deadline)
         if body is None:
             return None
         service = matcher.services[matcher.choose(route)]
@@ -206,7 +219,7 @@
             service=service,
             key=caller_headers.key if service.keyed else None,
             arrived_at=now,
-            deadline=now + time_limit,
+            deadline=deadline,
             is_caller_retry=time_limit < CALLER_RETRY_SHARE * route.timeout,
             is_relayed=is_relayed,
         )
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -114,12 +114,16 @@
 
     async def close(self) -> None:
         """Stop gracefully: fail readiness checks, wait for the load balancer, finish the requests, close."""
-        self.app.draining = True
-        self.log.info("entry_draining", requests=self.app.requests)
-        await asyncio.sleep(self.settings.drain_delay)
+        settings = self.settings
+        stops_in = settings.drain_delay + settings.finish_timeout
+        self.app.start_draining(asyncio.get_running_loop().time() + stops_in)
+        self.log.info("entry_draining", requests=self.app.requests, stops_in=stops_in)
+        await asyncio.sleep(settings.drain_delay)
         for server in self.servers:
             server.stop_accepting()
-        await asyncio.gather(*(server.wait_finished(self.settings.finish_timeout) for server in self.servers))
+        await asyncio.gather(*(server.wait_finished(settings.finish_timeout) for server in self.servers))
+        if self.app.requests:
+            self.log.warning("requests_cut_off", requests=self.app.requests)
         await self.feed.close()
         if self.link_probe is not None:
             self.link_probe.cancel()
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -72,7 +72,10 @@
         "Seconds between failing readiness checks and closing the listener.", number(0.0, MAX_TIME_S), 2.2
     )
     finish_timeout: float = setting(
-        "Seconds for running requests to finish after the listener has closed.", number(0.0, MAX_TIME_S), 1.6
+        "Seconds for running requests to finish after the listener has closed. Together with the drain delay "
+        "it has to end before the process is killed.",
+        number(0.0, MAX_TIME_S),
+        30.0,
     )
     rules: LimitSettings = attrs.field(factory=LimitSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -73,6 +73,14 @@
         assert settings.failure_domain == "puget"
         assert settings.peer_listen == "10.1.0.10:7721"
 
+    def test_requests_have_the_grace_period_to_finish(self):
+        """Guards against requests cut off long before the process is killed, or accepted until then."""
+        for grace in (1, 2, 3, 4.5, 6, 8, 10, 15, 20, 60):
+            settings = settings_file.entry_settings(self.read(f"{ENTRY_FILE}bounds=grace_s={grace}\n"))
+            stop = settings.drain_delay + settings.finish_timeout
+            assert 5 / 6 * grace < stop < grace, (grace, stop)
+            assert settings.drain_delay < 3.0, (grace, settings.drain_delay)
+
     def test_control(self):
         """Guards against a founding member whose own RPC address is not among the founders."""
         settings = settings_file.control_settings(self.read(CONTROL_FILE))
--- /dev/null
+++ b/tests/platform/test_planned_stop.py
@@ -0,0 +1,51 @@
+"""Requests at an entry that is asked to stop, over loopback."""
+
+import asyncio
+
+import testtools
+
+from tests.platform.running_system import RunningSystem
+
+DRAIN_DELAY_S = 0.1
+FINISH_TIMEOUT_S = 1.0
+
+
+class PlannedStopTest(testtools.TestCase):
+    def test_request_that_cannot_finish_before_the_stop_is_refused_at_once(self):
+        """Guards against a request that is accepted during a stop and cut off without an answer."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                entry = system.route_entries[0]
+                for _ in range(20):
+                    entry.dispatcher.service_times.record("b", 4.0)
+                loop = asyncio.get_running_loop()
+                stop = loop.create_task(entry.close())
+                await asyncio.sleep(DRAIN_DELAY_S / 2)
+                started_at = loop.time()
+                answer = await system.request("POST", "/desk/x")
+                elapsed = loop.time() - started_at
+                await stop
+                system.route_entries.clear()
+                return answer.status, elapsed
+
+        status, elapsed = asyncio.run(main())
+        assert status == 503
+        assert elapsed < 0.3, elapsed
+
+    def test_request_is_answered_until_just_before_the_stop(self):
+        """Guards against an entry that cuts off a request before the time that it has to finish."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                for target in system.targets:
+                    target.work = DRAIN_DELAY_S + FINISH_TIMEOUT_S - 0.2
+                running = asyncio.ensure_future(system.request("POST", "/desk/x"))
+                await asyncio.sleep(0.05)
+                await system.route_entries[0].close()
+                system.route_entries.clear()
+                return (await running).status
+
+        assert asyncio.run(main()) == 200
