Refuse by an old view while an entry looks for the next leader

Found by reading, by the review as well: an entry whose stream had no reply for more than 1.5 s took no leader to exist from the moment at which it gave the stream up, and served by its old view until another member answered. By then another leader may have acknowledged that a target leaves, or another plan.

Change: a leader is taken to exist for 0.6 s after the stream to one was lost, in which other members name it. An entry that reaches no member serves on after that, as before. Ruled out: until all members have been asked, as an entry that is cut off would refuse for seconds.

Before: test_entry_that_looks_for_another_leader_refuses fails; after: it passes, as does test_entry_that_finds_no_member_serves_on.

--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -57,6 +57,9 @@
 LEADER_KNOWN_S = 1.5
 """Time after a member has named a leader for which one is taken to exist."""
 
+LEADER_SEARCH_S = 0.6
+"""Time after the loss of a stream to the leader for which one is taken to exist; by then members name it."""
+
 _STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, CodecError, TimeoutError)
 
 
@@ -87,6 +90,7 @@
         leader_hint: Address of the leader that was named last, until it is asked.
         named_leader: The same, kept until another leader is named.
         is_at_leader: Whether the open stream goes to the named leader.
+        leader_lost_at: Loop time at which the last such stream ended.
         sent_at: Loop times of the reports on the open stream that a reply may still name.
     """
 
@@ -108,6 +112,7 @@
         self.batch_delay = MIN_BATCH_DELAY_S
         self.max_reconnect_delay = MAX_RECONNECT_DELAY_S
         self.leader_named_at = -math.inf
+        self.leader_lost_at = -math.inf
         self.report_requested = asyncio.Event()
         self.sequence = 0
         self.sent_at: dict[int, float] = {}
@@ -178,6 +183,8 @@
             try:
                 await self._receive(stream, address)
             finally:
+                if self.is_at_leader:
+                    self.leader_lost_at = asyncio.get_running_loop().time()
                 self.is_at_leader = False
                 sender.cancel()
                 # Unlike a suppressed error, gather does not hide the cancellation of this task.
@@ -251,9 +258,14 @@
     def knows_leader(self, now: float) -> bool:
         """Return whether a leader is taken to exist at the loop time ``now``.
 
-        A member has named it shortly before, or a stream to it is open, however late it answers.
+        A member has named it shortly before, or a stream to it is open, however late it answers, or has
+        just been given up: by then another one may lead and have changed the view.
         """
-        return self.is_at_leader or now - self.leader_named_at < LEADER_KNOWN_S
+        return (
+            self.is_at_leader
+            or now - self.leader_named_at < LEADER_KNOWN_S
+            or now - self.leader_lost_at < LEADER_SEARCH_S
+        )
 
     def _next_report(self, is_first: bool = False) -> FeedReport:
         self.sequence += 1
--- a/tests/route_entry/test_feed.py
+++ b/tests/route_entry/test_feed.py
@@ -136,11 +136,11 @@
         """Guards against refusals while control is cut off or has no leader, who could change nothing."""
         assert not self.is_refused(view_age=5.0, leader_named_age=2.0)
 
-    def play_replies(self, replies, seconds):
-        """Play a stream on which replies arrive late; return the reasons for which a request is refused.
+    def play_replies(self, replies, seconds, member_delay=0.0):
+        """Play a stream on which replies arrive late; return whether a request is refused at its end.
 
         ``replies`` pairs the time of each reply with the number of the report that it answers; the member
-        at ``b:1`` answers it as the leader that ``a:1`` named.
+        at ``b:1`` answers it as the leader that ``a:1`` named, which takes ``member_delay`` to do so again.
         """
 
         class LateStream:
@@ -153,6 +153,7 @@
 
             async def recv_message(self):
                 if self.address == "a:1":
+                    await asyncio.sleep(member_delay if self.opened_at > 1.0 else 0.0)
                     return FeedReply("c", 1, False, "b:1")
                 if not replies:
                     await asyncio.sleep(3600)
@@ -193,6 +194,16 @@
         """Guards against requests by an old plan while a leader is too busy to answer a new stream."""
         assert self.play_replies([], 2.5)
 
+    def test_entry_that_looks_for_another_leader_refuses(self):
+        """Guards against requests to targets that left, between a frozen leader and the one after it."""
+        first_report = 2
+        play = [(0.05, first_report)]
+        assert self.play_replies(list(play), 2.2, member_delay=0.4)
+
+    def test_entry_that_finds_no_member_serves_on(self):
+        """Guards against an entry that control cannot reach and that refuses for as long as it is cut off."""
+        assert not self.play_replies([(0.05, 2)], 2.8, member_delay=60.0)
+
     def test_delays_grow_with_the_number_of_entries(self):
         """Guards against a leader that 185 entries keep busy, and against eight that wait for no reason."""
 
