--- a/cranberrylever/consensus/_leadership.py
+++ b/cranberrylever/consensus/_leadership.py
@@ -28,6 +28,9 @@
 
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 
+CHUNK_RESEND_S = 0.5
+"""Time without an answer after which a snapshot chunk is sent again; it may still be under way before."""
+
 
 @attrs.define
 class _PendingRead:
@@ -127,8 +130,10 @@
             self._send_chunk(member)
             return
         if progress.mode is Mode.SNAPSHOT:
-            if is_heartbeat:
+            if is_heartbeat and self._is_chunk_lost(progress):
                 self._send_chunk(member)
+            elif is_heartbeat:
+                self._send_append(member, progress, ())
             return
         while (
             not progress.is_paused
@@ -164,8 +169,12 @@
             progress.in_flight.append(entries[-1].index)
         self.node.send(member, request)
 
+    def _is_chunk_lost(self, progress: Progress) -> bool:
+        return self.round_sent_at[self.round] - progress.chunk_sent_at >= CHUNK_RESEND_S
+
     def _send_chunk(self, member: str) -> None:
         progress = self.progress[member]
+        progress.chunk_sent_at = self.round_sent_at[self.round]
         snapshot = progress.snapshot
         offset = progress.snapshot_offset
         data = snapshot.data[offset : offset + SNAPSHOT_CHUNK_BYTES]
--- a/cranberrylever/consensus/_progress.py
+++ b/cranberrylever/consensus/_progress.py
@@ -34,6 +34,7 @@
         in_flight: Last index of each unanswered request.
         snapshot: Snapshot being sent.
         snapshot_offset: Offset in bytes of the next snapshot chunk.
+        chunk_sent_at: Start in seconds of the heartbeat round in which that chunk was sent last.
     """
 
     next_index: int
@@ -49,6 +50,7 @@
     in_flight: collections.deque[int] = attrs.field(factory=collections.deque)
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
+    chunk_sent_at: float = 0.0
 
     def start_probe(self, next_index: int) -> None:
         """Switch to probe mode: send one request at a time from ``next_index`` until one succeeds."""
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -1,15 +1,17 @@
 """Tests of a complete group with lost disks, promotion, snapshot installation, full disks and partitions."""
 
 import asyncio
+import collections
 import errno
 
 import testtools
 
 from cranberrylever.consensus import MemoryDisk, MemoryStorage
 from cranberrylever.consensus import _leadership as leadership
-from cranberrylever.consensus._messages import LogEntry
+from cranberrylever.consensus._messages import LogEntry, SnapshotChunk
 from cranberrylever.consensus._storage import StorageBatch
 from cranberrylever.errors import NotLeaderError, ProposalLostError, StorageError
+from cranberrylever.wire import decode
 from tests.consensus.cluster import Cluster, wait_for
 from tests.support import run_in_simulated_time
 
@@ -166,6 +168,34 @@
 
         self.run_group(scenario)
 
+    def test_chunk_under_way_is_not_sent_again(self):
+        """Guards against a slow member for which the leader queues the same chunks again and again."""
+
+        async def scenario(cluster):
+            self.patch(leadership, "SNAPSHOT_CHUNK_BYTES", 700)
+            name = self.follower_names(cluster)[0]
+            await cluster.kill(name)
+            await self.propose_many(cluster, 0, 800)
+            leader = cluster.leader()
+            await wait_for(lambda: leader.node.log.base_index > 500)
+            sent = collections.Counter()
+            deliver = cluster.network.deliver
+
+            def deliver_slowly(frame):
+                if frame.receiver != name or frame.kind != "SnapshotChunk":
+                    deliver(frame)
+                    return
+                chunk = decode(frame.body, SnapshotChunk)
+                sent[chunk.last_index, chunk.offset] += 1
+                asyncio.get_running_loop().call_later(0.2, deliver, frame)
+
+            cluster.network.deliver = deliver_slowly
+            await cluster.start(name)
+            await wait_for(lambda: cluster.drivers[name].applied_index >= leader.commit_index)
+            self.assertEqual({1}, set(sent.values()), sent)
+
+        self.run_group(scenario)
+
     def test_log_is_compacted(self):
         """Guards against a log that grows without bound."""
 
