Let the soak lose two of five members, and targets repeat answers

The soak of real processes played three members, so it could show neither a replaced founder nor the loss of two directories; its targets answered once.

Change: five members, three of them founders, two losses tolerated and played at once; pauses longer than a replacement takes; targets that reject a share of the requests and send answers a second time, late.

--- a/bench/routes/cluster.py
+++ b/bench/routes/cluster.py
@@ -13,7 +13,9 @@
 from bench.routes.target import ANNOUNCE_INTERVAL_S, SoakTarget, TargetObservations
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetAnswer, TargetPool
 
-MEMBER_COUNT = 3
+MEMBER_COUNT = 5
+FOUNDER_COUNT = 3
+TOLERATED_MEMBERS = 2
 ENTRY_COUNT = 2
 FAILURE_DOMAINS = ("north", "south")
 HOST = "soak.example"
@@ -165,12 +167,13 @@
             arguments = ["route-control", "--cluster-id", "soak", "--rpc", rpc, "--log", "stdout"]
             arguments += ["--rpc-listen", relay.upstream, "--http", f"{host}:{http_port}"]
             arguments += ["--data-dir", str(data_dir), "--notice-interval", str(ANNOUNCE_INTERVAL_S)]
-            for contact in rpcs:
-                arguments += ["--contacts", contact, "--founders", contact]
+            arguments += ["--tolerated-instances", str(TOLERATED_MEMBERS)]
+            for founder in rpcs[:FOUNDER_COUNT]:
+                arguments += ["--contacts", founder, "--founders", founder]
             process = ManagedProcess(f"member-{number}", (), self.root / f"member-{number}.log")
             member = Member(process, data_dir, relay, f"{host}:{http_port}", tuple(arguments))
             self.members.append(member)
-            await member.start(bootstrap=True)
+            await member.start(bootstrap=number <= FOUNDER_COUNT)
 
     async def _start_entries(self) -> None:
         for number in range(1, ENTRY_COUNT + 1):
--- a/bench/routes/faults.py
+++ b/bench/routes/faults.py
@@ -7,27 +7,31 @@
 import attrs
 
 from bench.relay import Relay
-from bench.routes.cluster import FAILURE_DOMAINS, SoakCluster
+from bench.routes.cluster import FAILURE_DOMAINS, TOLERATED_MEMBERS, Member, SoakCluster
 from bench.routes.target import SoakTarget
 
 # Each pair is the range from which a random time is drawn.
 FAULT_INTERVAL_S = (0.2, 1.5)
 FAULT_DURATION_S = (0.3, 3.0)
+LONG_PAUSE_S = (5.5, 7.0)
 LINK_DELAY_S = (0.02, 0.3)
 DOWNTIME_S = (0.1, 1.5)
 SLOW_LINK_BYTES_PER_S = 100_000.0
 LIMIT_DURATION_S = (5.0, 9.0)
+REPEAT_DURATION_S = (2.0, 5.0)
+REJECTED_SHARE = 0.2
+REPEATED_SHARE = 0.1
 RATE_LIMITS_PER_S = (0.5, 1.4, 4.0)
 REPAIR_TIME_S = 6.0
-"""Time after a fault of a control member without a fault of another, so that a lost member can rejoin."""
+"""Time after a fault of a control member for which it still counts as lost, so that it can rejoin."""
 
 
 @attrs.define(eq=False)
 class RouteFaults:
     """Injects faults from a seeded random source.
 
-    At most one control member has a fault at a time, since the cluster tolerates the loss of one. Entries,
-    targets and links have faults independently of each other.
+    No more control members have a fault at a time than the cluster tolerates. Entries, targets and links
+    have faults independently of each other.
 
     Attributes:
         history: Faults in order, for the report of problems.
@@ -40,7 +44,7 @@
     history: list[str] = attrs.field(factory=list)
     disrupted_until: float = 0.0
     withdrawn: dict[str, float] = attrs.field(factory=dict)
-    next_member_fault_at: float = 0.0
+    lost_members: set[str] = attrs.field(factory=set)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     async def run(self, seconds: float) -> None:
@@ -50,11 +54,13 @@
         kinds = (
             self.disrupt_member,
             self.disrupt_member,
+            self.lose_folders,
             self.disrupt_entry,
             self.crash_target,
             self.freeze_target,
             self.drain_target,
             self.limit_target,
+            self.repeat_answers,
             self.disrupt_link,
             self.disrupt_link,
             self.change_plan,
@@ -75,17 +81,33 @@
         self.history.append(f"{now:.2f} {text} for {duration:.2f} s")
         self.disrupted_until = max(self.disrupted_until, now + duration)
 
+    def _take_members(self, count: int) -> list[Member]:
+        """Return ``count`` members without a fault and count them as lost, none if that would be too many."""
+        sound = [item for item in self.cluster.members if item.process.name not in self.lost_members]
+        if len(self.lost_members) + count > TOLERATED_MEMBERS:
+            return []
+        taken = self.random.sample(sound, count)
+        self.lost_members |= {member.process.name for member in taken}
+        return taken
+
+    async def _return_members(self, members: list[Member]) -> None:
+        await asyncio.sleep(REPAIR_TIME_S)
+        self.lost_members -= {member.process.name for member in members}
+
     async def disrupt_member(self) -> None:
         """Kill, stop, pause, cut off or slow a control member, or remove its data directory."""
-        now = asyncio.get_running_loop().time()
-        if now < self.next_member_fault_at:
+        members = self._take_members(1)
+        if not members:
             return
-        member = self.random.choice(self.cluster.members)
+        (member,) = members
         duration = self.random.uniform(*FAULT_DURATION_S)
-        action = self.random.choice(("kill", "stop", "pause", "cut", "cut back", "slow", "folder"))
-        self.next_member_fault_at = now + duration + REPAIR_TIME_S
+        action = self.random.choice(
+            ("kill", "stop", "pause", "long pause", "cut", "cut back", "slow", "folder")
+        )
+        if action == "long pause":
+            duration = self.random.uniform(*LONG_PAUSE_S)
         self.record(f"{action} {member.process.name}", duration)
-        if action == "pause":
+        if action in ("pause", "long pause"):
             member.process.pause()
             await asyncio.sleep(duration)
             member.process.resume()
@@ -104,7 +126,22 @@
                 member.remove_data_dir()
             await asyncio.sleep(duration)
             await member.start()
-        self.next_member_fault_at = asyncio.get_running_loop().time() + REPAIR_TIME_S
+        await self._return_members(members)
+
+    async def lose_folders(self) -> None:
+        """Kill as many control members as are tolerated and remove their data directories."""
+        members = self._take_members(TOLERATED_MEMBERS)
+        if not members:
+            return
+        duration = self.random.uniform(*DOWNTIME_S)
+        self.record(f"folders of {', '.join(member.process.name for member in members)}", duration)
+        for member in members:
+            await member.process.kill()
+            member.remove_data_dir()
+        await asyncio.sleep(duration)
+        for member in members:
+            await member.start()
+        await self._return_members(members)
 
     async def disrupt_entry(self) -> None:
         """Pause, kill or stop an entry; a stopped or killed entry is restarted."""
@@ -180,6 +217,18 @@
         await asyncio.sleep(duration)
         target.limit_rate(0.0)
 
+    async def repeat_answers(self) -> None:
+        """Let a target reject some requests and send some answers a second time, late, for some seconds."""
+        target = self._healthy_target()
+        if target is None:
+            return
+        duration = self.random.uniform(*REPEAT_DURATION_S)
+        now = asyncio.get_running_loop().time()
+        self.history.append(f"{now:.2f} {target.name} rejects and repeats for {duration:.2f} s")
+        target.rejected_share, target.repeated_share = REJECTED_SHARE, REPEATED_SHARE
+        await asyncio.sleep(duration)
+        target.rejected_share = target.repeated_share = 0.0
+
     async def disrupt_link(self) -> None:
         """Delay, reset, silence or cut the link to a target."""
         target = self.random.choice(self.cluster.targets)
--- a/bench/routes/target.py
+++ b/bench/routes/target.py
@@ -81,6 +81,8 @@
         self.finishing: list[HeldRange] = []
         self.released: list[dict] = []
         self.started_ms = 0
+        self.rejected_share = 0.0
+        self.repeated_share = 0.0
         self.rate_limit = 0.0
         self.limited_at = 0.0
         self.limited_arrivals: list[float] = []
@@ -178,6 +180,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         self.tasks.add(task)
+        repeated = b""
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -193,7 +196,9 @@
                 status, extra, content = await self._answer(method, path, headers, body, arrived)
                 await self.resumed.wait()
                 lines = [f"HTTP/1.1 {status} X", f"content-length: {len(content)}", *extra]
-                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + content)
+                answer = "\r\n".join(lines).encode() + b"\r\n\r\n" + content
+                writer.write(repeated + answer)
+                repeated = answer if random.random() < self.repeated_share else b""
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
@@ -252,6 +257,9 @@
                 self.observations.problems.append(
                     f"{self.name} runs a request for key {key} while {other_holders} hold it"
                 )
+        if random.random() < self.rejected_share:
+            return 503, [echo, "cranberrylever-outcome: not-run"], b""
+        if self.keyed:
             self.running[request_id] = key
         self.observations.runs.setdefault(request_id, []).append(self.name)
         self.observations.starts.append((now, self.domain, request_id))
--- a/tests/wire/test_versions.py
+++ b/tests/wire/test_versions.py
@@ -4,6 +4,7 @@
 import msgspec
 import testtools
 
+from cranberrylever.consensus._messages import AppendReply, SnapshotReply
 from cranberrylever.route_control._commands import RecordTarget, SubmitPlan, command_codec
 from cranberrylever.route_plan import RoutedService
 from cranberrylever.target_registry import TargetAnnouncement
@@ -16,6 +17,8 @@
     FeedReply: ("sections", "sections_left", "plan_part", "plan_left", "is_plan_pending", "plan_changes"),
     RoutedTarget: ("draining",),
     RoutedService: ("granted_in_answers",),
+    AppendReply: ("failure_domain",),
+    SnapshotReply: ("failure_domain",),
 }
 """Fields that the version before does not know."""
 
@@ -45,6 +48,8 @@
             FeedReply("c", 1, True, "leader", sections=b"x", sections_left=9, plan_part=b"y", plan_left=8),
             attrs.evolve(target("a"), draining=True),
             attrs.evolve(PLAN.services[0], granted_in_answers=True),
+            AppendReply(1, True, 2, 1, 0, 1, 3, failure_domain="north"),
+            SnapshotReply(1, 2, 0, False, 3, failure_domain="north"),
         )
 
     def test_messages_of_the_version_before_are_read(self):
