Give the data directory back when a member's restart fails

Found by reading the restart of a replaced member: if a listener could not be opened, the attempt kept the lock on the data directory, so that each further attempt found it "locked by another process" and the member never ran again. A SIGTERM at that moment ended the process by an exception.

Change: what was opened before the failure is closed before the next attempt.

Before: test_member_restarts_after_a_restart_that_failed fails; after: it passes.

--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -158,9 +158,11 @@
         )
         self.http = HttpServer(self.create_app(service, self.forwarder), settings.http)
         self.rpc = grpclib.server.Server([self.transport, self.feed], codec=MsgpackCodec())
+        self.is_rpc_started = False
         # The data directory is read first, so that nothing else is open when that fails.
         await self.driver.start()
         await self.rpc.start(*split_address(settings.rpc_listen or settings.rpc))
+        self.is_rpc_started = True
         await self.transport.start()
         self.leader.start()
         self.relay.start()
@@ -187,13 +189,17 @@
         await self.lease_manager.close()
         await self.driver.close()
         await self.http.close()
+        if self.is_rpc_started:
+            await self._close_rpc()
+        await self.transport.close()
+
+    async def _close_rpc(self) -> None:
         self.rpc.close()
         try:
             async with asyncio.timeout(RPC_CLOSE_TIMEOUT_S):
                 await self.rpc.wait_closed()
         except TimeoutError:
             self.log.warning("rpc_close_timeout", seconds=RPC_CLOSE_TIMEOUT_S)
-        await self.transport.close()
 
     async def _watch_driver(self) -> None:
         """Restart the member after a disk failure; any other error stops the program.
@@ -224,6 +230,8 @@
                     reset_disk_folder(self.settings.data_dir, self.settings.cluster_id)
                 await self._start_member()
             except (StorageError, OSError) as restart_error:
+                # What was opened before the failure, such as the lock on the data directory, is given back.
+                await self._close_member()
                 error = StorageError(str(restart_error), "free disk space or replace the disk")
             else:
                 return
--- a/tests/route_control/test_retired_member.py
+++ b/tests/route_control/test_retired_member.py
@@ -54,6 +54,28 @@
 
         assert asyncio.run(main()) == (False, False, True)
 
+    def test_member_restarts_after_a_restart_that_failed(self):
+        """Guards against a member that keeps its data directory locked and never runs again."""
+
+        async def main():
+            with tempfile.TemporaryDirectory() as folder:
+                member = create_founder(f"{folder}/data")
+                await member.start()
+                await member.http.close()
+                host, _, port = member.settings.http.rpartition(":")
+                other = await asyncio.start_server(lambda reader, writer: writer.close(), host, int(port))
+                member.driver.node.refusal_reason = "the data directory was replaced"
+                member.driver._schedule_cycle()
+                await asyncio.sleep(1.0)
+                other.close()
+                await other.wait_closed()
+                async with asyncio.timeout(5.0):
+                    while member.http.task is None or member.http.task.done():
+                        await asyncio.sleep(0.05)
+                await member.close()
+
+        asyncio.run(main())
+
     def test_replaced_founder_founds_no_second_group_after_a_restart_with_bootstrap(self):
         """Guards against the same after a kill between the loss of the old identity and the new start."""
 
