Repeat more answers in the soak

A tenth of the answers was repeated, which rarely hits the rejection of a keyed request whose second send follows on the same connection.

--- a/bench/routes/faults.py
+++ b/bench/routes/faults.py
@@ -20,7 +20,7 @@
 LIMIT_DURATION_S = (5.0, 9.0)
 REPEAT_DURATION_S = (2.0, 5.0)
 REJECTED_SHARE = 0.2
-REPEATED_SHARE = 0.1
+REPEATED_SHARE = 0.3
 RATE_LIMITS_PER_S = (0.5, 1.4, 4.0)
 REPAIR_TIME_S = 6.0
 """Time after a fault of a control member for which it still counts as lost, so that it can rejoin."""
