--- a/tests/process/test_route_soak.py
+++ b/tests/process/test_route_soak.py
@@ -17,3 +17,7 @@
         request that ran, and a plan that reverts.
         """
         self.assertEqual([], asyncio.run(run_soak(seed=1, seconds=SECONDS)))
+
+    def test_late_copies_of_rejections_make_no_request_run_twice(self):
+        """Guards against a second send that takes the answer to the first one for its own."""
+        self.assertEqual([], asyncio.run(run_soak(seed=37201, seconds=SECONDS)))
