Forward the query of a request to the leader

Before: test_query_is_forwarded fails; after: it passes. The platform's interface has the base in a header, which was forwarded already.

--- a/cranberrylever/control_member/_forwarding.py
+++ b/cranberrylever/control_member/_forwarding.py
@@ -89,7 +89,9 @@
 
     async def _send(self, request: Request, body: bytes, address: str) -> TargetAnswer:
         method = request.method.encode()
-        lines = [method + b" " + request.scope["raw_path"] + b" HTTP/1.1", b"host: " + address.encode()]
+        query = request.scope["query_string"]
+        url = request.scope["raw_path"] + (b"?" + query if query else b"")
+        lines = [method + b" " + url + b" HTTP/1.1", b"host: " + address.encode()]
         lines.append(FORWARDED_HEADER.encode() + b": 1")
         lines.extend(
             f"{name}: {request.headers[name]}".encode("latin-1")
