Send plans of the soak until their outcome is clear

The logs show that the leader was cut off while plan 2 was under way to it; no member answered 200, and the next leader started with plan 2 (`leadership_started`, plan 2). The check is as strict as before; the stand-in for the operator now sends the plan again until it is acknowledged or refused, as operators do, so that the check knows which plan is the newest.

--- a/bench/routes/cluster.py
+++ b/bench/routes/cluster.py
@@ -23,6 +23,9 @@
 ANNOUNCE_TIMEOUT_S = 0.3
 START_TIMEOUT_S = 20.0
 
+CLEAR_ANSWER_TIMEOUT_S = 30.0
+"""Longer than faults of control members last."""
+
 
 def port_of(address: str) -> str:
     """Return the port of an address."""
@@ -236,12 +239,29 @@
     async def put_plan(self, plan: dict, base: int) -> bool:
         """Send a plan to each member in turn until one acknowledges it; returns whether one did."""
         for member in self.members:
-            path = f"/v1/plan?base={base}"
-            answer = await self.call(member.http, "PUT", path, json.dumps(plan).encode())
-            if answer is not None and answer.status == 200:
+            if await self._put_plan_at(member, plan, base) == 200:
                 return True
         return False
 
+    async def put_next_plan(self, plan: dict, base: int) -> bool:
+        """Send a plan until its outcome is clear; returns whether it is in force.
+
+        A plan without a clear answer may be in force, so it is sent again, as an operator does.
+        """
+        end = asyncio.get_running_loop().time() + CLEAR_ANSWER_TIMEOUT_S
+        while asyncio.get_running_loop().time() < end:
+            for member in self.members:
+                status = await self._put_plan_at(member, plan, base)
+                if status is not None and status < 500:
+                    return status == 200
+            await asyncio.sleep(0.1)
+        raise TimeoutError(f"plan {plan['number']} got no clear answer in {CLEAR_ANSWER_TIMEOUT_S} s")
+
+    async def _put_plan_at(self, member: Member, plan: dict, base: int) -> int | None:
+        path = f"/v1/plan?base={base}"
+        answer = await self.call(member.http, "PUT", path, json.dumps(plan).encode())
+        return answer.status if answer is not None else None
+
     async def change_domain(self, domain: str, action: str) -> bool:
         """Send ``withdraw`` or ``restore`` of a failure domain to each member until one acknowledges it."""
         for member in self.members:
--- a/bench/routes/faults.py
+++ b/bench/routes/faults.py
@@ -259,7 +259,7 @@
         """Submit the next plan; two changes never run at once, so it is known whether each was accepted."""
         number = self.cluster.plan_number + 1
         plan = self.cluster.plan(number, 2.0 + number / 1000)
-        if await self.cluster.put_plan(plan, self.cluster.plan_number):
+        if await self.cluster.put_next_plan(plan, self.cluster.plan_number):
             self.cluster.plan_number = max(self.cluster.plan_number, number)
 
     async def withdraw_domain(self) -> None:
