--- a/tests/consensus/group.py
+++ b/tests/consensus/group.py
@@ -1,5 +1,7 @@
 """Raft group whose members join by address, without checks across members."""
 
+import asyncio
+
 from cranberrylever.consensus import (
     ConsensusConfig,
     MemoryDisk,
@@ -71,10 +73,14 @@
             return False
         return all(driver.node.may_vote() for name, driver in self.drivers.items() if name in names)
 
-    async def lose_disk(self, name):
-        """Stop a member and remove its disk."""
-        await self.stop(name)
-        del self.disks[name]
+    async def lose_disks(self, names, down=0.0):
+        """Stop members at once, remove their disks and start them again after ``down`` seconds."""
+        for name in names:
+            await self.stop(name)
+            del self.disks[name]
+        await asyncio.sleep(down)
+        for name in names:
+            await self.start(name)
 
     def follower(self):
         leader = self.leader()
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -146,16 +146,21 @@
 
 
 class SnapshotTest(GroupCase):
+    async def leave_behind(self, cluster):
+        """Kill a follower and compact the log; return its name and the leader."""
+        self.patch(leadership, "SNAPSHOT_CHUNK_BYTES", 700)
+        name = self.follower_names(cluster)[0]
+        await cluster.kill(name)
+        await self.propose_many(cluster, 0, 800)
+        leader = cluster.leader()
+        await wait_for(lambda: leader.node.log.base_index > 500)
+        return name, leader
+
     def test_member_far_behind_installs_snapshot(self):
         """Guards against a member that cannot catch up because the entries it lacks were compacted."""
 
         async def scenario(cluster):
-            self.patch(leadership, "SNAPSHOT_CHUNK_BYTES", 700)
-            name = self.follower_names(cluster)[0]
-            await cluster.kill(name)
-            await self.propose_many(cluster, 0, 800)
-            leader = cluster.leader()
-            await wait_for(lambda: leader.node.log.base_index > 500)
+            name, leader = await self.leave_behind(cluster)
             cluster.network.loss = 0.05
             await cluster.start(name)
             await wait_for(lambda: cluster.drivers[name].applied_index >= leader.commit_index)
@@ -172,12 +177,7 @@
         """Guards against a slow member for which the leader queues the same chunks again and again."""
 
         async def scenario(cluster):
-            self.patch(leadership, "SNAPSHOT_CHUNK_BYTES", 700)
-            name = self.follower_names(cluster)[0]
-            await cluster.kill(name)
-            await self.propose_many(cluster, 0, 800)
-            leader = cluster.leader()
-            await wait_for(lambda: leader.node.log.base_index > 500)
+            name, leader = await self.leave_behind(cluster)
             sent = collections.Counter()
             deliver = cluster.network.deliver
 
--- a/tests/consensus/test_voters.py
+++ b/tests/consensus/test_voters.py
@@ -27,11 +27,7 @@
                 group = Group(voters=5)
                 await group.grow(*OTHERS)
                 await group.leader().propose(b"acknowledged")
-                for name in lost:
-                    await group.lose_disk(name)
-                await asyncio.sleep(1.2)
-                for name in lost:
-                    await group.start(name)
+                await group.lose_disks(lost, down=1.2)
                 await wait_for(group.leader)
                 await group.leader().propose(b"later")
                 assert group.leader().state_machine.payloads == {b"acknowledged", b"later"}
@@ -48,10 +44,7 @@
             await group.grow(*OTHERS)
             await group.leader().propose(b"one")
             for lost in (("a:1", "b:1"), ("a:1", "c:1"), ("d:1", "e:1")):
-                for name in lost:
-                    await group.lose_disk(name)
-                for name in lost:
-                    await group.start(name)
+                await group.lose_disks(lost)
                 await wait_for(lambda: group.is_voting(*MEMBERS))
             assert b"one" in group.leader().state_machine.payloads
             await group.stop_all()
