Halve the queue of frames for one control member

Large sites have ten control members since control runs on two fifths of the core machines. Nine queues of 16 MiB are half of the 296 MB of such an instance, which the users' record shows exceeded (CONFIG at scale); what the leader has under way to one member is 8 MiB at most (32 requests of 256 kB). Ruled out: a bound over all queues, as one slow member would then cost the others frames. Derived from the limits, no measurement.

--- a/cranberrylever/control_member/_peers.py
+++ b/cranberrylever/control_member/_peers.py
@@ -15,8 +15,8 @@
 from cranberrylever.wire import MsgpackCodec, PeerBase, PeerFrame, PeerStub
 
 MAX_QUEUED_FRAMES = 1024
-MAX_QUEUED_BYTES = 16 * 1024 * 1024
-"""Limits of the frames queued for one peer; beyond either the oldest is dropped."""
+MAX_QUEUED_BYTES = 8 * 1024 * 1024
+"""Limits of the frames queued for one peer, of a dozen at most; beyond either the oldest is dropped."""
 
 MIN_RECONNECT_DELAY_S = 0.05
 MAX_RECONNECT_DELAY_S = 0.3
