Take the answer to a HEAD request without a body

Seen by the review by reading: the answer to HEAD with a length was awaited to the caller's deadline, as the parser of answers does not know the method and waits for the body. The answer now ends with its headers, and the connection with it; HEAD is rare, so a connection each is no cost that matters.

Before: test_answer_to_head_with_a_length_is_whole_without_a_body fails (TimeoutError); after: it passes.

--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -27,6 +27,9 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time for which sent bytes may stay unacknowledged before the kernel closes the connection."""
 
+_FINAL_STATUS = 200
+"""Lowest status of an answer that is not an interim one."""
+
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: enabled, 0 s
 
 
@@ -216,6 +219,11 @@
         self._has_headers = True
         if not self._parser.should_keep_alive():
             self.is_closed = True
+        if self._method == b"HEAD" and self._parser.get_status_code() >= _FINAL_STATUS:
+            # The parser does not know the request and waits for the body that the length names. The
+            # connection ends with this answer.
+            self.is_closed = True
+            self.on_message_complete()
 
     def on_body(self, body: bytes) -> None:
         """Record a part of the body."""
@@ -233,7 +241,7 @@
         status = self._parser.get_status_code()
         answer = TargetAnswer(status, self._headers, b"".join(self._body))
         self._reset_message()
-        if status < 200 or self._is_for_other_request(answer):
+        if status < _FINAL_STATUS or self._is_for_other_request(answer):
             self._skip_answer()
             return
         self.keep_alive_s = _parse_keep_alive(answer.header(b"keep-alive"))
--- a/tests/target_http/test_connection.py
+++ b/tests/target_http/test_connection.py
@@ -100,7 +100,7 @@
     return False
 
 
-def exchange_with(*script, ids=(b"1",)):
+def exchange_with(*script, ids=(b"1",), method=b"GET"):
     """Return the body or error type of each request in a sequence, and the number of connections."""
 
     async def main():
@@ -110,7 +110,7 @@
             for request_id in ids:
                 try:
                     async with asyncio.timeout(2.0):
-                        result = await pool.exchange(server.address, b"GET", REQUEST, request_id)
+                        result = await pool.exchange(server.address, method, REQUEST, request_id)
                     results.append(result.body)
                 except (AnswerLostError, NotSentError) as error:
                     results.append(type(error))
@@ -161,6 +161,15 @@
         _, connections = asyncio.run(exchange_with_repeater(names))
         assert connections == 2
 
+    def test_answer_to_head_with_a_length_is_whole_without_a_body(self):
+        """Guards against a caller that waits until its deadline for a body that does not come."""
+        head = b"HTTP/1.1 200 OK\r\nx-id: %s\r\ncontent-length: 7\r\n\r\n"
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+        results, connections = exchange_with(
+            sends(head % b"1"), sends(interim + head % b"2"), ids=(b"1", b"2"), method=b"HEAD"
+        )
+        assert (results, connections) == ([b"", b""], 2)
+
     def test_bytes_after_a_whole_answer_end_the_connection(self):
         """Guards against surplus bytes that become the answer to the next request."""
         results, connections = exchange_with(
