Log the requests that an entry cuts off at its stop

The listener now returns how many it cut off.

Before: test_requests_that_are_cut_off_are_logged fails; after: it passes.

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -171,14 +171,20 @@
         for connection in list(self.state.connections):
             connection.shutdown()
 
-    async def wait_finished(self, timeout: float) -> None:
-        """Wait up to ``timeout`` seconds for the requests to finish, then close the remaining connections."""
+    async def wait_finished(self, timeout: float) -> int:
+        """Wait up to ``timeout`` seconds for the requests to finish, then close the remaining connections.
+
+        Returns:
+            The number of requests that were cut off.
+        """
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout
         while self.state.tasks and loop.time() < end:
             await asyncio.sleep(_FINISH_POLL_INTERVAL_S)
-        for task in list(self.state.tasks):
+        cut_off = list(self.state.tasks)
+        for task in cut_off:
             task.cancel()
         for connection in list(self.state.connections):
             connection.transport.close()
         await asyncio.sleep(0)
+        return len(cut_off)
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -121,9 +121,11 @@
         await asyncio.sleep(settings.drain_delay)
         for server in self.servers:
             server.stop_accepting()
-        await asyncio.gather(*(server.wait_finished(settings.finish_timeout) for server in self.servers))
-        if self.app.requests:
-            self.log.warning("requests_cut_off", requests=self.app.requests)
+        cut_off = await asyncio.gather(
+            *(server.wait_finished(settings.finish_timeout) for server in self.servers)
+        )
+        if any(cut_off):
+            self.log.warning("requests_cut_off", requests=sum(cut_off))
         await self.feed.close()
         if self.link_probe is not None:
             self.link_probe.cancel()
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -10,6 +10,18 @@
 FINISH_TIMEOUT_S = 1.0
 
 
+class RecordedLog:
+    """Log that keeps the lines of a program."""
+
+    def __init__(self):
+        self.lines = []
+
+    def info(self, name, **fields):
+        self.lines.append((name, fields))
+
+    warning = info
+
+
 class PlannedStopTest(testtools.TestCase):
     def test_request_that_cannot_finish_before_the_stop_is_refused_at_once(self):
         """Guards against a request that is accepted during a stop and cut off without an answer."""
@@ -34,6 +46,25 @@
         assert status == 503
         assert elapsed < 0.3, elapsed
 
+    def test_requests_that_are_cut_off_are_logged(self):
+        """Guards against a lost answer that the logs of the entry do not show."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                for target in system.targets:
+                    target.work = 3.0
+                running = asyncio.ensure_future(system.request("POST", "/desk/x"))
+                await asyncio.sleep(0.05)
+                entry = system.route_entries[0]
+                entry.log = RecordedLog()
+                await entry.close()
+                system.route_entries.clear()
+                await asyncio.gather(running, return_exceptions=True)
+                return entry.log.lines
+
+        assert ("requests_cut_off", {"requests": 1}) in asyncio.run(main())
+
     def test_request_is_answered_until_just_before_the_stop(self):
         """Guards against an entry that cuts off a request before the time that it has to finish."""
 
