--- a/tests/consensus/group.py
+++ b/tests/consensus/group.py
@@ -85,3 +85,11 @@
     def follower(self):
         leader = self.leader()
         return next(name for name, driver in self.drivers.items() if driver is not leader)
+
+    async def replace_follower(self, added):
+        """Stop a follower and start ``added``; return the follower once the other one has its place."""
+        lost = self.follower()
+        await self.stop(lost)
+        await self.start(added)
+        await wait_for(lambda: added in self.leader().group() and lost not in self.leader().group())
+        return lost
--- a/tests/consensus/test_join.py
+++ b/tests/consensus/test_join.py
@@ -39,10 +39,7 @@
         async def scenario():
             group = Group()
             await group.form()
-            lost = group.follower()
-            await group.stop(lost)
-            await group.start("d:1")
-            await wait_for(lambda: "d:1" in group.leader().group() and lost not in group.leader().group())
+            lost = await group.replace_follower("d:1")
             await wait_for(lambda: group.drivers["d:1"].node.may_vote())
             await group.leader().propose(b"two")
             second = next(name for name in group.drivers if name not in ("d:1", lost))
@@ -60,10 +57,7 @@
         async def scenario():
             group = Group()
             await group.form()
-            lost = group.follower()
-            await group.stop(lost)
-            await group.start("d:1")
-            await wait_for(lambda: "d:1" in group.leader().group() and lost not in group.leader().group())
+            lost = await group.replace_follower("d:1")
             await asyncio.sleep(Timings().learner_timeout + 1.0)
             group.disks.pop(lost)
             await group.start(lost, members=FOUNDERS)
--- a/tests/platform/test_grant_client.py
+++ b/tests/platform/test_grant_client.py
@@ -18,6 +18,14 @@
 RELEASE_ANSWER = b"HTTP/1.1 200 X\r\ncranberrylever-handover: t\r\ncontent-length: 0\r\n\r\n"
 
 
+async def read_call(reader):
+    """Read a call with its body; return its head in lower case."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+    length = int(head.partition("content-length: ")[2].partition("\r\n")[0])
+    await reader.readexactly(length)
+    return head
+
+
 class RepeatingTarget:
     """A target that sends the answer to a grant once more when the next call arrives on the connection."""
 
@@ -33,9 +41,7 @@
         has_granted = False
         try:
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-                length = int(head.partition("content-length: ")[2].partition("\r\n")[0])
-                await reader.readexactly(length)
+                head = await read_call(reader)
                 if has_granted:
                     writer.write(REPEATED_ANSWER)
                 if "/release" in head:
@@ -59,9 +65,7 @@
         late = b""
         try:
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-                length = int(head.partition("content-length: ")[2].partition("\r\n")[0])
-                await reader.readexactly(length)
+                await read_call(reader)
                 answer = REPEATED_ANSWER if self.has_rejected else self.rejection
                 writer.write(late + answer)
                 late = answer if not self.has_rejected else b""
