Say in the log what cut a request off and when

Change: such requests have the outcome `cut off` (counter requests_cut_off), a reason that names who cancelled them, and `stopping_ms`, the time since the stop began, which all `request` lines of a stopping entry have. `requests_cut_off` names the ids, at most 100; `entry_stopped` has the time that the stop took, and is missing when the process was killed. `trace` shows both. The stop waits up to 0.1 s for cancelled requests, so that their lines are written; before it left them one iteration of the loop.

No decision changes. test_requests_that_are_cut_off_are_logged now asks for ids, outcome, reason and time as well; it fails without the change.

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -30,6 +30,12 @@
 )
 _FINISH_POLL_INTERVAL_S = 0.02
 
+CUT_OFF_MESSAGE = "the time that an entry has to stop is over"
+"""Message of the cancellation of requests that still run then."""
+
+_CANCELLATION_TIMEOUT_S = 0.1
+"""Time for cancelled requests to end, so that the log has their lines."""
+
 
 class CoalescingTransport:
     """Transport that joins all writes of one loop iteration into one system call.
@@ -183,8 +189,9 @@
             await asyncio.sleep(_FINISH_POLL_INTERVAL_S)
         cut_off = list(self.state.tasks)
         for task in cut_off:
-            task.cancel()
+            task.cancel(CUT_OFF_MESSAGE)
         for connection in list(self.state.connections):
             connection.transport.close()
-        await asyncio.sleep(0)
+        if cut_off:
+            await asyncio.wait(cut_off, timeout=_CANCELLATION_TIMEOUT_S)
         return len(cut_off)
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -50,6 +50,9 @@
 CALLER_RETRY_SHARE = 0.93
 """A request with less than this share of its route's timeout left counts as a retry of the caller."""
 
+MAX_CUT_OFF_IDS = 100
+"""Limit on the ids of requests that the log names together when an entry cuts them off."""
+
 DEADLINE_MARGIN_S = 0.02
 """Time before the caller's deadline at which a request is ended, so that the answer arrives in time."""
 
@@ -108,7 +111,9 @@
         self.log = log
         self.knows_leader = knows_leader
         self.draining = False
+        self.draining_since = math.inf
         self.stops_at = math.inf
+        self.cut_off_ids: list[str] = []
         self.requests = 0
         self.started_at = asyncio.get_running_loop().time()
 
@@ -126,6 +131,7 @@
         its caller can send it to another entry.
         """
         self.draining = True
+        self.draining_since = asyncio.get_running_loop().time()
         self.stops_at = stops_at
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -137,6 +143,13 @@
         record = _RequestRecord(scope, started_at)
         try:
             await self._serve(scope, receive, send, record)
+        except asyncio.CancelledError as error:
+            # A deadline that passes and a caller that leaves have outcomes of their own.
+            record.outcome = "cut off"
+            record.reason = str(error) or "cancelled at the end of the program"
+            if len(self.cut_off_ids) < MAX_CUT_OFF_IDS:
+                self.cut_off_ids.append(record.request_id(self.format))
+            raise
         finally:
             self.requests -= 1
             self._log_request(record)
@@ -344,9 +357,14 @@
             fleet=self.view.fleet_version,
             ranges=self.view.ranges_version,
             view_age_ms=round((record.started_at + elapsed - self.view.confirmed_at) * 1000),
+            **self._stop_fields(record.started_at + elapsed),
             **_estimate_fields(request.estimate if request else None),
         )
 
+    def _stop_fields(self, now: float) -> dict[str, int]:
+        """Return the log field of the time since the stop began, in ms; nothing before."""
+        return {"stopping_ms": round((now - self.draining_since) * 1000)} if self.draining else {}
+
 
 class PeerRequestApp:
     """ASGI application for requests that other entries pass on.
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -125,7 +125,7 @@
             *(server.wait_finished(settings.finish_timeout) for server in self.servers)
         )
         if any(cut_off):
-            self.log.warning("requests_cut_off", requests=sum(cut_off))
+            self.log.warning("requests_cut_off", requests=sum(cut_off), ids=self.app.cut_off_ids)
         await self.feed.close()
         if self.link_probe is not None:
             self.link_probe.cancel()
@@ -134,7 +134,8 @@
         if self.metrics_server is not None:
             await self.metrics_server.close()
         await self.ready.close()
-        self.log.info("entry_stopped", requests=self.app.requests)
+        stop_time = asyncio.get_running_loop().time() - self.app.draining_since
+        self.log.info("entry_stopped", requests=self.app.requests, stopping_ms=round(stop_time * 1000))
         self.installed_log.close()
 
     def reload(self, contacts: tuple[str, ...]) -> None:
--- a/cranberrylever/tracing.py
+++ b/cranberrylever/tracing.py
@@ -32,6 +32,8 @@
         "control_lost",
         "control_attached",
         "entry_draining",
+        "requests_cut_off",
+        "entry_stopped",
         "answer_lost",
         "targets_unreachable",
         "targets_reachable",
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -47,23 +47,32 @@
         assert elapsed < 0.3, elapsed
 
     def test_requests_that_are_cut_off_are_logged(self):
-        """Guards against a lost answer that the logs of the entry do not show."""
+        """Guards against a lost answer whose cause the logs of the entry do not show."""
 
         async def main():
             async with RunningSystem() as system:
                 await system.prepare()
                 for target in system.targets:
                     target.work = 3.0
+                entry = system.route_entries[0]
+                entry.log = entry.app.log = RecordedLog()
                 running = asyncio.ensure_future(system.request("POST", "/desk/x"))
                 await asyncio.sleep(0.05)
-                entry = system.route_entries[0]
-                entry.log = RecordedLog()
+                request_id = f"q{system.requests}"
                 await entry.close()
                 system.route_entries.clear()
                 await asyncio.gather(running, return_exceptions=True)
-                return entry.log.lines
-
-        assert ("requests_cut_off", {"requests": 1}) in asyncio.run(main())
+                return request_id, entry.log.lines
+
+        request_id, lines = asyncio.run(main())
+        assert ("requests_cut_off", {"requests": 1, "ids": [request_id]}) in lines
+        (line,) = [
+            fields for name, fields in lines if name == "request" and fields["request_id"] == request_id
+        ]
+        assert line["outcome"] == "cut off"
+        assert line["reason"] == "the time that an entry has to stop is over"
+        stop_ms = (DRAIN_DELAY_S + FINISH_TIMEOUT_S) * 1000
+        assert stop_ms <= line["stopping_ms"] < stop_ms + 300, line
 
     def test_request_is_answered_until_just_before_the_stop(self):
         """Guards against an entry that cuts off a request before the time that it has to finish."""
