--- a/tests/platform/running_system.py
+++ b/tests/platform/running_system.py
@@ -24,15 +24,17 @@
     ``entry`` is the address of the first of ``entries``.
     """
 
-    def __init__(self, entry_count=1, grants="rpc"):
+    def __init__(self, entry_count=1, grants="rpc", cluster_id="test"):
         self.entry_count = entry_count
         self.grants = grants
+        self.cluster_id = cluster_id
 
     async def __aenter__(self):
         self.folder = tempfile.TemporaryDirectory()
         rpc, self.control = free_address(), free_address()
+        self.rpc = rpc
         settings = RouteControlSettings(
-            "test",
+            self.cluster_id,
             rpc,
             self.control,
             f"{self.folder.name}/data",
@@ -72,10 +74,9 @@
             await target.close()
         self.folder.cleanup()
 
-    @staticmethod
-    def create_entry(number, rpc):
+    def create_entry(self, number, rpc):
         settings = RouteEntrySettings(
-            "test",
+            self.cluster_id,
             f"e{number}",
             free_address(),
             free_address(),
@@ -126,10 +127,10 @@
         )
         return answer.status
 
-    async def request(self, method, path, key=None, body=b"", host="h.example", entry=None):
+    async def request(self, method, path, key=None, body=b"", host="h.example", entry=None, deadline_ms=1500):
         self.requests += 1
         headers = {"Host": host, "Cranberrylever_Request_Id": f"q{self.requests}"}
-        headers["Cranberrylever_Deadline_Ms"] = "1500"
+        headers["Cranberrylever_Deadline_Ms"] = str(deadline_ms)
         if key is not None:
             headers["Cranberrylever_Shard_Key"] = str(key)
         return await self.caller.call(entry or self.entry, method, path, body, **headers)
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -1,13 +1,56 @@
 """Requests at an entry that is asked to stop, over loopback."""
 
 import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+from pathlib import Path
 
 import testtools
 
+from tests.platform import ROOT
 from tests.platform.running_system import RunningSystem
 
 DRAIN_DELAY_S = 0.1
 FINISH_TIMEOUT_S = 1.0
+GRACE_S = 1.8
+START_TIMEOUT_S = 15.0
+SILENT_S = 30.0
+
+
+class EntryProcess:
+    """An entry of the deploy file as a process, in the cluster of a running system."""
+
+    def __init__(self, system, folder):
+        self.ip = f"127.3.{random.randint(1, 250)}.{random.randint(1, 250)}"
+        self.address = f"{self.ip}:8161"
+        control_ip, rpc_port = system.rpc.split(":")
+        self.settings = Path(folder) / "settings"
+        self.settings.write_text(
+            f"node=e9\nip={self.ip}\nzone=z\nlisten.front={self.address}\nlisten.ready={self.ip}:8167\n"
+            f"port_range={rpc_port},{rpc_port}\nseeds={control_ip}:1\nbounds=grace_s={GRACE_S}\n"
+        )
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            f"{ROOT}/platform/start.py",
+            "entry",
+            env={**os.environ, "CRANBERRYLEVER_CONFIG": str(self.settings)},
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+
+    async def stop(self):
+        """Send SIGTERM and, as the platform does, SIGKILL after the grace period; return the exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(self.process.wait(), GRACE_S)
+        except TimeoutError:
+            self.process.kill()
+            return await self.process.wait()
 
 
 class RecordedLog:
@@ -89,3 +132,103 @@
                 return (await running).status
 
         assert asyncio.run(main()) == 200
+
+    def test_request_at_a_silent_target_is_answered_before_the_stop(self):
+        """Guards against a connection that an entry closes at its stop without an answer to its request."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                for target in system.targets:
+                    target.work = SILENT_S
+                running = asyncio.ensure_future(system.request("POST", "/desk/x"))
+                await asyncio.sleep(0.05)
+                await system.route_entries[0].close()
+                system.route_entries.clear()
+                return await running
+
+        answer = asyncio.run(main())
+        assert answer.status == 504, answer
+        assert answer.header(b"connection") == b"close"
+
+    def test_request_whose_body_is_still_coming_is_refused_before_the_stop(self):
+        """Guards against a caller that sends a long body and never learns that it has not run."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                host, port = system.entry.split(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"POST /desk/x HTTP/1.1\r\nhost: h.example\r\ncontent-length: 9\r\n\r\nbody")
+                await asyncio.sleep(0.05)
+                await system.route_entries[0].close()
+                system.route_entries.clear()
+                return await reader.read()
+
+        assert asyncio.run(main()).startswith(b"HTTP/1.1 503 ")
+
+    def test_process_with_running_requests_ends_before_it_is_killed(self):
+        """Guards against a stop that takes longer than the grace period, with its log and answers lost."""
+
+        async def main():
+            async with RunningSystem(cluster_id="cranberrylever") as system:
+                await system.prepare()
+                with tempfile.TemporaryDirectory() as folder:
+                    entry = EntryProcess(system, folder)
+                    await entry.start()
+
+                    async def is_served():
+                        try:
+                            answer = await system.request("POST", "/desk/x", entry=entry.address)
+                        except Exception:
+                            return False
+                        return answer.status
+
+                    await system.until(is_served, seconds=START_TIMEOUT_S)
+                    for target in system.targets:
+                        target.work = SILENT_S
+                    request = system.request("POST", "/desk/x", entry=entry.address, deadline_ms=10_000)
+                    running = asyncio.ensure_future(request)
+                    await asyncio.sleep(0.05)
+                    status = await entry.stop()
+                    (answer,) = await asyncio.gather(running, return_exceptions=True)
+                    return status, answer
+
+        status, answer = asyncio.run(main())
+        assert status == 0, (status, answer)
+        assert getattr(answer, "status", None) == 504, answer
+
+    def test_request_after_the_listener_has_closed_is_refused_at_once(self):
+        """Guards against a request on a connection that the stop did not see, which is then cut off."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                for target in system.targets:
+                    target.work = SILENT_S
+                entry = system.route_entries[0]
+                server = entry.servers[0]
+                stop_accepting = server.stop_accepting
+
+                def stop_while_a_connection_is_accepted():
+                    accepted = set(server.state.connections)
+                    server.state.connections.clear()
+                    stop_accepting()
+                    server.state.connections |= accepted
+
+                server.stop_accepting = stop_while_a_connection_is_accepted
+                host, port = system.entry.split(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                stop = asyncio.ensure_future(entry.close())
+                await asyncio.sleep(DRAIN_DELAY_S + 0.2)
+                writer.write(b"POST /desk/x HTTP/1.1\r\nhost: h.example\r\ncontent-length: 0\r\n\r\n")
+                started_at = asyncio.get_running_loop().time()
+                answer = await reader.read()
+                elapsed = asyncio.get_running_loop().time() - started_at
+                await stop
+                system.route_entries.clear()
+                return answer, elapsed
+
+        answer, elapsed = asyncio.run(main())
+        assert answer.startswith(b"HTTP/1.1 503 "), answer
+        assert elapsed < 0.3, elapsed
