Answer the requests that still run when an entry ends

What callers saw: an entry that was stopped closed the connections of requests that still ran at its limit, without an answer. They could not tell a request that was never sent from one that may have run.

Cause: at the limit the task of the request was cancelled and its connection closed; a cancelled request had no way to an answer. Any request that may wait longer than the stop lasts ends so: long work, or a target that stays silent after it has run the request, which gets no further by waiting.

Change: 0.1 s before the limit the entry ends what still runs with an answer of its own: 504 if it may have run, else 503, not run, Retry-After 0, also while the body is still coming. The limit is one loop time, counted from the start of the stop, so that a busy loop does not move it. The same at the entry of the ticket path. Log line `requests_ended` with the ids. Closed connections remain for what does not end even then.

Ruled out: an earlier end, as callers lose answers that are still due; no limit, as SIGKILL closes the connections all the same.

--- a/cranberrylever/caller_http/__init__.py
+++ b/cranberrylever/caller_http/__init__.py
@@ -7,7 +7,9 @@
     named_in_connection,
 )
 from cranberrylever.caller_http._guard import CALLER_GONE, DEADLINE, RequestGuard, wait_with_timeout
+from cranberrylever.caller_http._running import RunningRequests
 from cranberrylever.caller_http._server import CallerServer, ServerTuning
+from cranberrylever.caller_http._stop import StopOutcome, finish_requests
 
 __all__ = [
     "CALLER_GONE",
@@ -16,8 +18,11 @@
     "HOP_BY_HOP",
     "CallerServer",
     "RequestGuard",
+    "RunningRequests",
     "ServerTuning",
+    "StopOutcome",
     "end_to_end_headers",
+    "finish_requests",
     "named_in_connection",
     "wait_with_timeout",
 ]
--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -177,16 +177,19 @@
         for connection in list(self.state.connections):
             connection.shutdown()
 
-    async def wait_finished(self, timeout: float) -> int:
-        """Wait up to ``timeout`` seconds for the requests to finish, then close the remaining connections.
+    async def wait_finished(self, until: float) -> bool:
+        """Wait for the running requests to finish, at most until a loop time; return whether they have."""
+        loop = asyncio.get_running_loop()
+        while self.state.tasks and loop.time() < until:
+            await asyncio.sleep(_FINISH_POLL_INTERVAL_S)
+        return not self.state.tasks
+
+    async def close(self) -> int:
+        """Close the connections and cancel the requests that still run.
 
         Returns:
             The number of requests that were cut off.
         """
-        loop = asyncio.get_running_loop()
-        end = loop.time() + timeout
-        while self.state.tasks and loop.time() < end:
-            await asyncio.sleep(_FINISH_POLL_INTERVAL_S)
         cut_off = list(self.state.tasks)
         for task in cut_off:
             task.cancel(CUT_OFF_MESSAGE)
--- a/cranberrylever/entry/_app.py
+++ b/cranberrylever/entry/_app.py
@@ -7,7 +7,7 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
-from cranberrylever.caller_http import CALLER_GONE, RequestGuard
+from cranberrylever.caller_http import CALLER_GONE, RequestGuard, RunningRequests
 from cranberrylever.entry import _headers
 from cranberrylever.entry._claimed import ClaimedRunner
 from cranberrylever.entry._dispatcher import Dispatcher
@@ -58,6 +58,7 @@
         self.tuning = tuning
         self.draining = False
         self.active_requests = 0
+        self.running = RunningRequests()
         self.health = Starlette(
             routes=[Route("/healthz", self._healthz), Route("/readyz", self._readyz)],
         )
@@ -73,9 +74,15 @@
         writer = ResponseWriter(send, self.draining)
         clock = asyncio.get_running_loop().time
         started = clock()
+        self.running.add_current()
         try:
             await self._serve(scope, receive, writer)
+        except asyncio.CancelledError:
+            if not self.running.suppress_cancellation():
+                raise
+            await writer.send_error(503, _headers.NOT_RUN, _end_of_stop_error())
         finally:
+            self.running.remove_current()
             self.active_requests -= 1
             self.stats.record(writer.outcome, clock() - started)
 
@@ -115,11 +122,13 @@
         try:
             await self._run(exchange, key, writer)
         except asyncio.CancelledError:
-            if not guard.suppress_cancellation():
+            is_end_of_stop = self.running.suppress_cancellation()
+            if not (is_end_of_stop or guard.suppress_cancellation()):
                 raise
             # A response that has started is left incomplete, so the server closes the caller's connection.
             if guard.reason != CALLER_GONE and not exchange.response_started:
-                error = NotRunError("the deadline passed", "use a later deadline")
+                deadline_error = NotRunError("the deadline passed", "use a later deadline")
+                error = _end_of_stop_error() if is_end_of_stop else deadline_error
                 outcome = exchange.outcome
                 await writer.send_error(503 if outcome == _headers.NOT_RUN else 504, outcome, error)
         finally:
@@ -158,3 +167,7 @@
         finally:
             response.close()
             self.dispatcher.finish(attempt)
+
+
+def _end_of_stop_error() -> NotRunError:
+    return NotRunError("the entry stops and has no answer yet", "use another entry")
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -4,7 +4,7 @@
 import contextlib
 import uuid
 
-from cranberrylever.caller_http import CallerServer
+from cranberrylever.caller_http import CallerServer, finish_requests
 from cranberrylever.entry._admission import Admission
 from cranberrylever.entry._app import EntryApp
 from cranberrylever.entry._claimed import ClaimedRunner
@@ -89,7 +89,7 @@
         self.log.info("entry_draining", delay=self.settings.drain_delay)
         await asyncio.sleep(self.settings.drain_delay)
         self.server.stop_accepting()
-        await self.server.wait_finished(self.tuning.finish_timeout)
+        await finish_requests([self.server], self.app.running, self.loop.time() + self.tuning.finish_timeout)
         await self.claims.close(self.tuning.claim_close_timeout)
         await self.link.close()
         if self.lease_timer is not None:
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Awaitable, Callable
 
-from cranberrylever.caller_http import CALLER_GONE, RequestGuard, end_to_end_headers
+from cranberrylever.caller_http import CALLER_GONE, RequestGuard, RunningRequests, end_to_end_headers
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
 from cranberrylever.route_entry._dispatcher import Dispatcher
@@ -50,8 +50,8 @@
 CALLER_RETRY_SHARE = 0.93
 """A request with less than this share of its route's timeout left counts as a retry of the caller."""
 
-MAX_CUT_OFF_IDS = 100
-"""Limit on the ids of requests that the log names together when an entry cuts them off."""
+MAX_LOGGED_IDS = 100
+"""Limit on the ids of requests that the log names together when an entry ends them at its stop."""
 
 DEADLINE_MARGIN_S = 0.02
 """Time before the caller's deadline at which a request is ended, so that the answer arrives in time."""
@@ -113,6 +113,8 @@
         self.draining = False
         self.draining_since = math.inf
         self.stops_at = math.inf
+        self.running = RunningRequests()
+        self.ended_ids: list[str] = []
         self.cut_off_ids: list[str] = []
         self.requests = 0
         self.started_at = asyncio.get_running_loop().time()
@@ -125,7 +127,7 @@
         return now - self.view.confirmed_at > MAX_VIEW_AGE_S and self.knows_leader(now)
 
     def start_draining(self, stops_at: float) -> None:
-        """Prepare for the stop: ``stops_at`` is the loop time at which requests that still run are cut off.
+        """Prepare for the stop: ``stops_at`` is the loop time at which requests that still run are ended.
 
         A request that arrives from now on is refused at once if its answer is not expected by then, so that
         its caller can send it to another entry.
@@ -147,8 +149,7 @@
             # A deadline that passes and a caller that leaves have outcomes of their own.
             record.outcome = "cut off"
             record.reason = str(error) or "cancelled at the end of the program"
-            if len(self.cut_off_ids) < MAX_CUT_OFF_IDS:
-                self.cut_off_ids.append(record.request_id(self.format))
+            self._add_id(self.cut_off_ids, record)
             raise
         finally:
             self.requests -= 1
@@ -156,31 +157,46 @@
 
     async def _serve(self, scope: dict, receive: Receive, send: Send, record: "_RequestRecord") -> None:
         try:
-            request = await self._read_request(scope, receive, record)
-            if request is None:
-                record.outcome = "caller gone"
-                return
-            record.request = request
-            result = await self._run_request(request, receive)
+            result = await self._run_until_end(scope, receive, record)
         except _AnsweredError as error:
             record.outcome = error.outcome
             record.status = error.status
             record.reason = error.message
             await self._send_error(send, error)
             return
-        except Exception as error:
-            # The request may or may not have been sent to a target, so its outcome is unknown.
-            self.log.failure("request_failed", error, request_id=record.request_id(self.format))
-            record.status = 502
-            await self._send_error(send, _AnsweredError(502, "unknown", "internal error of the entry"))
-            return
         if result is None:
             record.outcome = "caller gone"
             return
         record.outcome = "done"
         record.status = result.answer.status
         record.target = result.target_id
-        await self._send_answer(send, request, result)
+        await self._send_answer(send, record.request, result)
+
+    async def _run_until_end(
+        self, scope: dict, receive: Receive, record: "_RequestRecord"
+    ) -> AttemptResult | None:
+        """Return the answer of a target, ``None`` when the caller disconnects.
+
+        Raises:
+            _AnsweredError: The entry answers itself.
+        """
+        self.running.add_current()
+        try:
+            record.request = await self._read_request(scope, receive, record)
+            return None if record.request is None else await self._run_request(record.request, receive)
+        except asyncio.CancelledError:
+            if not self.running.suppress_cancellation():
+                raise
+            self._add_id(self.ended_ids, record)
+            raise _end_of_stop_error(record.request) from None
+        except _AnsweredError:
+            raise
+        except Exception as error:
+            # The request may or may not have been sent to a target, so its outcome is unknown.
+            self.log.failure("request_failed", error, request_id=record.request_id(self.format))
+            raise _AnsweredError(502, "failed", "internal error of the entry") from error
+        finally:
+            self.running.remove_current()
 
     # Reading ---------------------------------------------------------------------------------------
 
@@ -361,6 +377,10 @@
             **_estimate_fields(request.estimate if request else None),
         )
 
+    def _add_id(self, request_ids: list[str], record: "_RequestRecord") -> None:
+        if len(request_ids) < MAX_LOGGED_IDS:
+            request_ids.append(record.request_id(self.format))
+
     def _stop_fields(self, now: float) -> dict[str, int]:
         """Return the log field of the time since the stop began, in ms; nothing before."""
         return {"stopping_ms": round((now - self.draining_since) * 1000)} if self.draining else {}
@@ -382,6 +402,14 @@
         await self.app(scope, receive, send)
 
 
+def _end_of_stop_error(request: RoutedRequest | None) -> _AnsweredError:
+    """Return the error for a request that still runs when its entry ends."""
+    if request is not None and request.may_have_run:
+        tried = ", ".join(request.tried_targets)
+        return _AnsweredError(504, "unknown", f"the entry stops; no answer yet from {tried}")
+    return _AnsweredError(503, "refused", "the entry stops; the request was not sent to a target", 0.0)
+
+
 def _estimate_fields(estimate: DispatchEstimate | None) -> dict[str, int | None]:
     """Return the log fields of the estimates that decided on a target, in ms; ``None`` if unknown."""
     if estimate is None:
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -8,7 +8,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from cranberrylever.caller_http import CallerServer
+from cranberrylever.caller_http import CallerServer, finish_requests
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
@@ -116,16 +116,17 @@
         """Stop gracefully: fail readiness checks, wait for the load balancer, finish the requests, close."""
         settings = self.settings
         stops_in = settings.drain_delay + settings.finish_timeout
-        self.app.start_draining(asyncio.get_running_loop().time() + stops_in)
+        stops_at = asyncio.get_running_loop().time() + stops_in
+        self.app.start_draining(stops_at)
         self.log.info("entry_draining", requests=self.app.requests, stops_in=stops_in)
         await asyncio.sleep(settings.drain_delay)
         for server in self.servers:
             server.stop_accepting()
-        cut_off = await asyncio.gather(
-            *(server.wait_finished(settings.finish_timeout) for server in self.servers)
-        )
-        if any(cut_off):
-            self.log.warning("requests_cut_off", requests=sum(cut_off), ids=self.app.cut_off_ids)
+        outcome = await finish_requests(self.servers, self.app.running, stops_at)
+        if outcome.ended:
+            self.log.warning("requests_ended", requests=outcome.ended, ids=self.app.ended_ids)
+        if outcome.cut_off:
+            self.log.warning("requests_cut_off", requests=outcome.cut_off, ids=self.app.cut_off_ids)
         await self.feed.close()
         if self.link_probe is not None:
             self.link_probe.cancel()
--- a/cranberrylever/tracing.py
+++ b/cranberrylever/tracing.py
@@ -32,6 +32,7 @@
         "control_lost",
         "control_attached",
         "entry_draining",
+        "requests_ended",
         "requests_cut_off",
         "entry_stopped",
         "answer_lost",
