Refuse a request that comes after an entry has closed its listener

What callers saw: a request on a connection that was accepted in the moment in which the listener closed was sent to a target seconds later, and cut off at the end of the stop.

Cause: the stop closes idle connections and marks busy ones, but a connection that the event loop has accepted and not yet set up is in neither set. It stays open and serves whatever comes until the end.

Change: from the close of the listener on each new request is refused at once, 503, not run, Retry-After 0. An application rule and not one of connections, as it also holds for any other way by which a connection may stay.

Evidence: test_request_after_the_listener_has_closed_is_refused_at_once gets 504 from the entry without the change, after the request was sent to a silent target, and 503 within 0.3 s with it.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -112,6 +112,7 @@
         self.knows_leader = knows_leader
         self.draining = False
         self.draining_since = math.inf
+        self.accepts_until = math.inf
         self.stops_at = math.inf
         self.running = RunningRequests()
         self.ended_ids: list[str] = []
@@ -126,14 +127,20 @@
         """
         return now - self.view.confirmed_at > MAX_VIEW_AGE_S and self.knows_leader(now)
 
-    def start_draining(self, stops_at: float) -> None:
-        """Prepare for the stop: ``stops_at`` is the loop time at which requests that still run are ended.
+    def start_draining(self, accepts_until: float, stops_at: float) -> None:
+        """Prepare for the stop.
 
-        A request that arrives from now on is refused at once if its answer is not expected by then, so that
-        its caller can send it to another entry.
+        A request that arrives from now on is refused at once if its answer is not expected by ``stops_at``,
+        and each one from ``accepts_until`` on, so that its caller can send it to another entry.
+
+        Args:
+            accepts_until: Loop time at which the listener closes. A connection that is accepted in this
+                moment may stay open.
+            stops_at: Loop time at which requests that still run are ended.
         """
         self.draining = True
         self.draining_since = asyncio.get_running_loop().time()
+        self.accepts_until = accepts_until
         self.stops_at = stops_at
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -206,6 +213,8 @@
         now = record.started_at
         headers: Headers = scope["headers"]
         is_relayed = scope.get(_RELAYED, False)
+        if now >= self.accepts_until:
+            raise _AnsweredError(503, "refused", "this entry accepts no more requests", 0.0)
         if is_relayed and self.reachability.is_lost:
             raise _AnsweredError(CANNOT_SERVE_STATUS, "refused", "this entry reaches no target either")
         host = next((value for name, value in headers if name == b"host"), b"")
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -116,8 +116,9 @@
         """Stop gracefully: fail readiness checks, wait for the load balancer, finish the requests, close."""
         settings = self.settings
         stops_in = settings.drain_delay + settings.finish_timeout
-        stops_at = asyncio.get_running_loop().time() + stops_in
-        self.app.start_draining(stops_at)
+        started_at = asyncio.get_running_loop().time()
+        stops_at = started_at + stops_in
+        self.app.start_draining(started_at + settings.drain_delay, stops_at)
         self.log.info("entry_draining", requests=self.app.requests, stops_in=stops_in)
         await asyncio.sleep(settings.drain_delay)
         for server in self.servers:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -248,8 +248,11 @@
                     server.state.connections |= accepted
 
                 server.stop_accepting = stop_while_a_connection_is_accepted
+                # The stop lasts as long as this request runs.
+                running = asyncio.ensure_future(system.request("POST", "/desk/x"))
                 host, port = system.entry.split(":")
                 reader, writer = await asyncio.open_connection(host, int(port))
+                await asyncio.sleep(0.05)
                 stop = asyncio.ensure_future(entry.close())
                 await asyncio.sleep(DRAIN_DELAY_S + 0.2)
                 writer.write(b"POST /desk/x HTTP/1.1\r\nhost: h.example\r\ncontent-length: 0\r\n\r\n")
@@ -257,6 +260,7 @@
                 answer = await reader.read()
                 elapsed = asyncio.get_running_loop().time() - started_at
                 await stop
+                await asyncio.gather(running, return_exceptions=True)
                 system.route_entries.clear()
                 writer.close()
                 await writer.wait_closed()
