End a stopped entry before it is killed

What callers and operators saw: an entry with requests at its limit was killed at the end of the grace period (status -9) instead of ending by itself.

Cause: after the limit for requests, 0.03 of the grace period before its end, it closed the stream to control, the metrics server and the readiness server one after the other; each server takes 0.1 s and more. The share has no relation to what the end of a process takes.

--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -26,6 +26,9 @@
 from cranberrylever.task_errors import log_task_errors
 from cranberrylever.wire import FeedReply, FeedReport
 
+CLOSE_TIMEOUT_S = 0.15
+"""Time to close the stream to control and the servers for readiness checks and metrics."""
+
 
 @attrs.frozen
 class RouteEntryTuning:
@@ -128,18 +131,25 @@
             self.log.warning("requests_ended", requests=outcome.ended, ids=self.app.ended_ids)
         if outcome.cut_off:
             self.log.warning("requests_cut_off", requests=outcome.cut_off, ids=self.app.cut_off_ids)
-        await self.feed.close()
         if self.link_probe is not None:
             self.link_probe.cancel()
         self.pool.close()
         self.relay.close()
-        if self.metrics_server is not None:
-            await self.metrics_server.close()
-        await self.ready.close()
+        await self._close_rest()
         stop_time = asyncio.get_running_loop().time() - self.app.draining_since
         self.log.info("entry_stopped", requests=self.app.requests, stopping_ms=round(stop_time * 1000))
         self.installed_log.close()
 
+    async def _close_rest(self) -> None:
+        """Close what no caller waits for, all at once, as the process may be killed soon."""
+        servers = [self.ready] if self.metrics_server is None else [self.ready, self.metrics_server]
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await asyncio.gather(self.feed.close(), *(server.close() for server in servers))
+        except TimeoutError:
+            for server in servers:
+                server.abort()
+
     def reload(self, contacts: tuple[str, ...]) -> None:
         """Apply changed settings: the control members to ask when the known ones do not answer."""
         self.feed.contacts = contacts
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -189,7 +189,7 @@
         self.pool.close()
 
 
-def configuration(version, ledger, desk, host="h.example", grants="rpc"):
+def configuration(version, ledger, desk, host="h.example", grants="rpc", timeout=2.0):
     """Return a configuration with a keyed and a pooled service."""
 
     def service(name, **changes):
@@ -210,7 +210,7 @@
             "hostname": host,
             "path_prefix": prefix,
             "type": kind,
-            "timeout_s": 2.0,
+            "timeout_s": timeout,
             "slo_s": 0.5,
             "priority": 1,
             "service": target,
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -11,6 +11,7 @@
 import testtools
 
 from tests.platform import ROOT
+from tests.platform.fakes import configuration
 from tests.platform.running_system import RunningSystem
 
 DRAIN_DELAY_S = 0.1
@@ -204,6 +205,7 @@
         async def main():
             async with RunningSystem(cluster_id="cranberrylever") as system:
                 await system.prepare()
+                assert await system.put(configuration(4, "ledger", "desk", timeout=SILENT_S), 3) == 200
                 with tempfile.TemporaryDirectory() as folder:
                     entry = EntryProcess(system, folder)
                     await entry.start()
