Take the log of requests out of the application of an entry

The line of a request, its counters, the ids of requests that a stop ended and the times of the stop are now in _request_log.py. Fields, names and counters are unchanged.

Tests of the package, of stops, paths, rate limits and departures pass.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import json
-import math
 from collections.abc import Awaitable, Callable
 
 from cranberrylever.caller_http import CALLER_GONE, RequestGuard, RunningRequests, end_to_end_headers
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
 from cranberrylever.route_entry._dispatcher import Dispatcher
-from cranberrylever.route_entry._estimates import DispatchEstimate
 from cranberrylever.route_entry._format import HeaderFormat, Headers
 from cranberrylever.route_entry._peer_relay import CANNOT_SERVE_STATUS
 from cranberrylever.route_entry._reachability import TargetReachability
@@ -19,6 +17,7 @@
     RefusedError,
     RoutedRequest,
 )
+from cranberrylever.route_entry._request_log import RequestLog, RequestRecord, StopTimes
 from cranberrylever.route_entry._view import EntryView
 
 Receive = Callable[[], Awaitable[dict]]
@@ -50,9 +49,6 @@
 CALLER_RETRY_SHARE = 0.93
 """A request with less than this share of its route's timeout left counts as a retry of the caller."""
 
-MAX_LOGGED_IDS = 100
-"""Limit on the ids of requests that the log names together when an entry ends them at its stop."""
-
 DEADLINE_MARGIN_S = 0.02
 """Time before the caller's deadline at which a request is ended, so that the answer arrives in time."""
 
@@ -107,16 +103,12 @@
         self.reachability = reachability
         self.dispatcher = dispatcher
         self.format = header_format
-        self.metrics = metrics
         self.log = log
+        self.request_log = RequestLog(log, metrics, view, header_format)
         self.knows_leader = knows_leader
         self.draining = False
-        self.draining_since = math.inf
-        self.accepts_until = math.inf
-        self.stops_at = math.inf
+        self.stop = StopTimes()
         self.running = RunningRequests()
-        self.ended_ids: list[str] = []
-        self.cut_off_ids: list[str] = []
         self.requests = 0
         self.started_at = asyncio.get_running_loop().time()
 
@@ -139,9 +131,8 @@
             stops_at: Loop time at which requests that still run are ended.
         """
         self.draining = True
-        self.draining_since = asyncio.get_running_loop().time()
-        self.accepts_until = accepts_until
-        self.stops_at = stops_at
+        self.stop = StopTimes(asyncio.get_running_loop().time(), accepts_until, stops_at)
+        self.request_log.stop = self.stop
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -149,20 +140,18 @@
             return
         self.requests += 1
         started_at = asyncio.get_running_loop().time()
-        record = _RequestRecord(scope, started_at)
+        record = RequestRecord(scope, started_at)
         try:
             await self._serve(scope, receive, send, record)
         except asyncio.CancelledError as error:
             # A deadline that passes and a caller that leaves have outcomes of their own.
-            record.outcome = "cut off"
-            record.reason = str(error) or "cancelled at the end of the program"
-            self._add_id(self.cut_off_ids, record)
+            self.request_log.record_cut_off(record, str(error) or "cancelled at the end of the program")
             raise
         finally:
             self.requests -= 1
-            self._log_request(record)
+            self.request_log.write(record)
 
-    async def _serve(self, scope: dict, receive: Receive, send: Send, record: "_RequestRecord") -> None:
+    async def _serve(self, scope: dict, receive: Receive, send: Send, record: RequestRecord) -> None:
         try:
             result = await self._run_until_end(scope, receive, record)
         except _AnsweredError as error:
@@ -180,7 +169,7 @@
         await self._send_answer(send, record.request, result)
 
     async def _run_until_end(
-        self, scope: dict, receive: Receive, record: "_RequestRecord"
+        self, scope: dict, receive: Receive, record: RequestRecord
     ) -> AttemptResult | None:
         """Return the answer of a target, ``None`` when the caller disconnects.
 
@@ -194,7 +183,7 @@
         except asyncio.CancelledError:
             if not self.running.suppress_cancellation():
                 raise
-            self._add_id(self.ended_ids, record)
+            self.request_log.record_ended(record)
             raise _end_of_stop_error(record.request) from None
         except _AnsweredError:
             raise
@@ -208,12 +197,12 @@
     # Reading ---------------------------------------------------------------------------------------
 
     async def _read_request(
-        self, scope: dict, receive: Receive, record: "_RequestRecord"
+        self, scope: dict, receive: Receive, record: RequestRecord
     ) -> RoutedRequest | None:
         now = record.started_at
         headers: Headers = scope["headers"]
         is_relayed = scope.get(_RELAYED, False)
-        if now >= self.accepts_until:
+        if now >= self.stop.accepts_until:
             raise _AnsweredError(503, "refused", "this entry accepts no more requests", 0.0)
         if is_relayed and self.reachability.is_lost:
             raise _AnsweredError(CANNOT_SERVE_STATUS, "refused", "this entry reaches no target either")
@@ -232,12 +221,12 @@
         if route is None:
             raise _AnsweredError(404, "invalid", "no route matches the host and path")
         record.route = route.name
-        if now + self.dispatcher.service_times.expected(route.name) > self.stops_at:
+        if now + self.dispatcher.service_times.expected(route.name) > self.stop.stops_at:
             raise _AnsweredError(503, "refused", "this entry stops before an answer is expected", 0.0)
         time_limit = min(
             route.timeout, caller_headers.deadline if caller_headers.deadline is not None else route.timeout
         )
-        deadline = min(now + time_limit, self.stops_at)
+        deadline = min(now + time_limit, self.stop.stops_at)
         body = await self._read_body(headers, receive, deadline)
         if body is None:
             return None
@@ -357,43 +346,6 @@
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body, "more_body": False})
 
-    def _log_request(self, record: "_RequestRecord") -> None:
-        elapsed = asyncio.get_running_loop().time() - record.started_at
-        self.metrics.count(f"requests_{record.outcome.replace(' ', '_')}")
-        self.metrics.timing("request_ms", elapsed * 1000)
-        request = record.request
-        if request is not None and request.is_relayed:
-            self.metrics.count("requests_relayed")
-        self.log.info(
-            "request",
-            request_id=record.request_id(self.format),
-            route=record.route,
-            service=request.service.name if request else "",
-            key=request.key if request else None,
-            tried=request.tried_targets if request else [],
-            target=record.target,
-            status=record.status,
-            outcome=record.outcome,
-            reason=record.reason or (request.reason if request else ""),
-            rate_limit=request.rate_limit if request else None,
-            relayed=request.is_relayed if request else False,
-            ms=round(elapsed * 1000, 1),
-            plan=self.view.plan_version,
-            fleet=self.view.fleet_version,
-            ranges=self.view.ranges_version,
-            view_age_ms=round((record.started_at + elapsed - self.view.confirmed_at) * 1000),
-            **self._stop_fields(record.started_at + elapsed),
-            **_estimate_fields(request.estimate if request else None),
-        )
-
-    def _add_id(self, request_ids: list[str], record: "_RequestRecord") -> None:
-        if len(request_ids) < MAX_LOGGED_IDS:
-            request_ids.append(record.request_id(self.format))
-
-    def _stop_fields(self, now: float) -> dict[str, int]:
-        """Return the log field of the time since the stop began, in ms; nothing before."""
-        return {"stopping_ms": round((now - self.draining_since) * 1000)} if self.draining else {}
-
 
 class PeerRequestApp:
     """ASGI application for requests that other entries pass on.
@@ -417,36 +369,3 @@
         tried = ", ".join(request.tried_targets)
         return _AnsweredError(504, "unknown", f"the entry stops; no answer yet from {tried}")
     return _AnsweredError(503, "refused", "the entry stops; the request was not sent to a target", 0.0)
-
-
-def _estimate_fields(estimate: DispatchEstimate | None) -> dict[str, int | None]:
-    """Return the log fields of the estimates that decided on a target, in ms; ``None`` if unknown."""
-    if estimate is None:
-        return {}
-    load_age = estimate.load_age
-    return {
-        "expected_ms": round(estimate.service_time * 1000),
-        "queue_ms": round(estimate.queue_time * 1000),
-        "completion_ms": round(estimate.completion_time * 1000),
-        "load_age_ms": round(load_age * 1000) if math.isfinite(load_age) else None,
-    }
-
-
-class _RequestRecord:
-    """Data for the log line of a request."""
-
-    def __init__(self, scope: dict, started_at: float) -> None:
-        self.headers: Headers = scope["headers"]
-        self.started_at = started_at
-        self.request: RoutedRequest | None = None
-        self.route = ""
-        self.outcome = "failed"
-        self.status = 0
-        self.reason = ""
-        self.target = ""
-
-    def request_id(self, header_format: HeaderFormat) -> str:
-        """Return the request id that the caller set."""
-        request = self.request
-        request_id = request.request_id if request else header_format.read_call(self.headers).request_id
-        return request_id.decode("latin-1")
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -128,15 +128,17 @@
             server.stop_accepting()
         outcome = await finish_requests(self.servers, self.app.running, stops_at)
         if outcome.ended:
-            self.log.warning("requests_ended", requests=outcome.ended, ids=self.app.ended_ids)
+            self.log.warning("requests_ended", requests=outcome.ended, ids=self.app.request_log.ended_ids)
         if outcome.cut_off:
-            self.log.warning("requests_cut_off", requests=outcome.cut_off, ids=self.app.cut_off_ids)
+            self.log.warning(
+                "requests_cut_off", requests=outcome.cut_off, ids=self.app.request_log.cut_off_ids
+            )
         if self.link_probe is not None:
             self.link_probe.cancel()
         self.pool.close()
         self.relay.close()
         await self._close_rest()
-        stop_time = asyncio.get_running_loop().time() - self.app.draining_since
+        stop_time = asyncio.get_running_loop().time() - self.app.stop.began_at
         self.log.info("entry_stopped", requests=self.app.requests, stopping_ms=round(stop_time * 1000))
         self.installed_log.close()
 
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -99,7 +99,7 @@
                 for target in system.targets:
                     target.work = 3.0
                 entry = system.route_entries[0]
-                entry.log = entry.app.log = RecordedLog()
+                entry.log = entry.app.request_log.log = RecordedLog()
                 entry.app.running.end_all = lambda: 0
                 running = asyncio.ensure_future(system.request("POST", "/desk/x", deadline_ms=2000))
                 await asyncio.sleep(0.05)
@@ -128,7 +128,7 @@
                 for target in system.targets:
                     target.work = 3.0
                 entry = system.route_entries[0]
-                entry.log = entry.app.log = RecordedLog()
+                entry.log = entry.app.request_log.log = RecordedLog()
                 running = asyncio.ensure_future(system.request("POST", "/desk/x", deadline_ms=2000))
                 await asyncio.sleep(0.05)
                 request_id = f"q{system.requests}"
--- a/tests/route_entry/test_dispatcher.py
+++ b/tests/route_entry/test_dispatcher.py
@@ -4,12 +4,12 @@
 
 from cranberrylever.logs import Log
 from cranberrylever.route_control._sections import Section
-from cranberrylever.route_entry._app import _estimate_fields
 from cranberrylever.route_entry._default_format import NOT_RUN, OUTCOME, DefaultHeaderFormat
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._permit_gate import create_permit_gate
 from cranberrylever.route_entry._reports import ReportCollector
 from cranberrylever.route_entry._request import RefusedError, RoutedRequest
+from cranberrylever.route_entry._request_log import estimate_fields
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.route_plan import Route, RoutedService, RouteShare
 from cranberrylever.settings import LimitSettings
@@ -91,7 +91,7 @@
         """Guards against a failure whose choice of target cannot be explained from the log."""
         request = keyed_request()
         self.run_request(change_owner=True, request=request)
-        fields = _estimate_fields(request.estimate)
+        fields = estimate_fields(request.estimate)
         assert fields["expected_ms"] > 0, fields
         assert fields["completion_ms"] >= fields["queue_ms"] == 0, fields
         assert fields["load_age_ms"] is None, fields
