Let the first leader of a group free keys without a wait

Cause: a new leader takes all keys for held by its predecessor's grants until 4.5 s after its term starts (3.4 s where targets are called), on the first start as well, where nobody has granted anything. Keys that had to move waited for that. Change: no such wait while no fence was ever given (RouteControlState.has_assigned_keys). The first moves for balance stay 3.5 s after the start of a term, now by a constant of their own. Argument: a grant names a range that is held in the applied state of the leader that sends it, so the edit that gave its fence was committed in that leader's term or before. A committed entry is in the log of each later leader, below the first entry of its own term, and a leader counts as ready (leader_since) only once it has applied up to that entry; the first step of a term runs only then. So a leader that finds it at its first value knows that no earlier leader has sent a grant. A group that lost a majority of its disks, which is beyond what is to be borne, and forms anew: keys without a fence have always been assigned there without the wait (may_still_hold), so it never guarded that case. Ruled out: a look at the present ranges or their fences: a trial with the fences of the tables fails when a table is gone, one with the phases when the keys are free.

--- a/cranberrylever/keyspace/__init__.py
+++ b/cranberrylever/keyspace/__init__.py
@@ -12,6 +12,7 @@
 )
 from cranberrylever.keyspace._planner import KeyPlan, plan_keys, plan_merges
 from cranberrylever.keyspace._ranges import (
+    FIRST_FENCE,
     FREE,
     HELD,
     KEY_SPACE_SIZE,
@@ -23,6 +24,7 @@
 )
 
 __all__ = [
+    "FIRST_FENCE",
     "FREE",
     "HELD",
     "KEYS_PER_PART",
--- a/cranberrylever/keyspace/_leases.py
+++ b/cranberrylever/keyspace/_leases.py
@@ -49,17 +49,20 @@
 
     Whether keys may be freed or assigned is asked here at the time of the decision, never concluded from the
     phase of a range: a call may have been sent between a proposal and its commit. A new leader does not know
-    the calls of its predecessor, so it treats all keys as held for one lease.
+    the calls of its predecessors, so it treats all keys as held for one lease, unless there were no calls.
 
     Args:
         now: Loop time in seconds at which this member became the leader.
         call_s: Longest time of a grant call; the leader before may have begun one until ``now``.
-        predecessor_lease: Longest lifetime in seconds of a grant of the leader before.
+        predecessor_lease: Longest lifetime in seconds of a grant of the leader before, ``None`` if no leader
+            has granted anything.
     """
 
-    def __init__(self, now: float, call_s: float, predecessor_lease: float) -> None:
-        latest_arrival = now + call_s + DELIVERY_MARGIN_S
-        self.predecessor_grants_until = latest_arrival + predecessor_lease * CLOCK_DRIFT_FACTOR
+    def __init__(self, now: float, call_s: float, predecessor_lease: float | None) -> None:
+        self.predecessor_grants_until = float("-inf")
+        if predecessor_lease is not None:
+            latest_arrival = now + call_s + DELIVERY_MARGIN_S
+            self.predecessor_grants_until = latest_arrival + predecessor_lease * CLOCK_DRIFT_FACTOR
         self.calls: dict[tuple[str, int], list[GrantCall]] = {}
 
     def begin(self, incarnation: tuple[str, int], first: int, last: int, lease: float) -> GrantCall:
--- a/cranberrylever/keyspace/_ranges.py
+++ b/cranberrylever/keyspace/_ranges.py
@@ -9,6 +9,9 @@
 KEY_SPACE_SIZE = 65_536
 """Number of keys in a key space; keys are 0 to ``KEY_SPACE_SIZE - 1``."""
 
+FIRST_FENCE = 1
+"""Fence of the first assignment; 0 stands for keys that were never assigned."""
+
 HELD = "held"
 RELEASING = "releasing"
 FREE = "free"
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -54,6 +54,9 @@
 INITIAL_ASSIGNMENT_DELAY_S = 1.0
 """Seconds for which the first assignment waits for more targets, so that the first does not get every key."""
 
+BALANCE_DELAY_S = 3.5
+"""Seconds of a term before keys move for balance: targets still join, and little work has been measured."""
+
 TARGET_REMOVAL_DELAY_S = 12.0
 """Seconds since its last announcement after which a target without keys is removed.
 
@@ -112,6 +115,7 @@
         self.departure_proposed_at: dict[tuple[str, int], float] = {}
         self.first_fence_of_term = self.state.next_fence
         self.lease_manager.start_term(now, predecessor_lease(self.state))
+        self.balance_from = max(now + BALANCE_DELAY_S, self.lease_manager.ledger.predecessor_grants_until)
         self.granter.start_term(item for table in self.state.tables.values() for item in table.ranges)
 
     def on_applied(self, index: int, command: object, result: object) -> None:
@@ -319,7 +323,7 @@
             or (item.fence >= self.first_fence_of_term and not self.lease_manager.is_granted(item))
             for item in table.ranges
         )
-        may_balance = may_balance and now >= self.lease_manager.ledger.predecessor_grants_until
+        may_balance = may_balance and now >= self.balance_from
         plan = plan_keys(ranges, owners, load.work, pending_moves, may_balance)
         return [*plan.assignments, *plan.releases]
 
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -90,14 +90,15 @@
         self.change_count = 0
         self.start_term(0.0)
 
-    def start_term(self, now: float, predecessor_lease: float = LEASE_S) -> None:
+    def start_term(self, now: float, predecessor_lease: float | None = LEASE_S) -> None:
         """Reset all state for a new term.
 
         The calls of the leader before are unknown, so all keys count as held for one lease.
 
         Args:
             now: Loop time.
-            predecessor_lease: Longest lifetime in seconds of a grant of the leader before.
+            predecessor_lease: Longest lifetime in seconds of a grant of the leader before, ``None`` if no
+                leader has granted anything.
         """
         self.ledger = LeaseLedger(now, GRANT_TIMEOUT_S, predecessor_lease)
         self.renewals: dict[RangeKey, _RenewalState] = {}
--- a/cranberrylever/route_control/_state.py
+++ b/cranberrylever/route_control/_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cranberrylever.keyspace import FREE, KeyRange, RangeEdit, RangeTable, RangeTableRecord
+from cranberrylever.keyspace import FIRST_FENCE, FREE, KeyRange, RangeEdit, RangeTable, RangeTableRecord
 from cranberrylever.route_control._commands import (
     EditRanges,
     EndTarget,
@@ -57,7 +57,7 @@
         self.withdrawn: set[str] = set()
         self.fleet = TargetRegistry()
         self.tables: dict[str, RangeTable] = {}
-        self.next_fence = 1
+        self.next_fence = FIRST_FENCE
         self.entries: dict[str, None] = {}
         self.plan_version = 0
         self.fleet_version = 0
@@ -111,6 +111,13 @@
         self.recent_plans.clear()
         self._keep_recent_plan()
 
+    def has_assigned_keys(self) -> bool:
+        """Return whether any key was ever assigned to a target, whatever tables there are by now.
+
+        Fences are counted over all tables and never start anew.
+        """
+        return self.next_fence > FIRST_FENCE
+
     def may_receive_work(self, target: RegisteredTarget) -> bool:
         """Return whether new work may go to a target, which neither leaves nor is in a withdrawn domain."""
         return not target.leaving and target.failure_domain not in self.withdrawn
--- a/cranberrylever/route_control/_takeover.py
+++ b/cranberrylever/route_control/_takeover.py
@@ -11,8 +11,17 @@
 Incarnation = tuple[str, int]
 
 
-def predecessor_lease(state: RouteControlState) -> float:
-    """Return the longest lifetime in seconds of a grant of the leader before."""
+def predecessor_lease(state: RouteControlState) -> float | None:
+    """Return the longest lifetime in seconds of a grant of the leader before, ``None`` without any.
+
+    A leader grants only what it has applied, so it is in the log of each later one, which has applied all
+    entries before its term when that begins.
+
+    Args:
+        state: The replicated state at the start of a term.
+    """
+    if not state.has_assigned_keys():
+        return None
     plan = state.plans.current
     leases = [LEASE_S]
     # The leader before may have had some more targets.
--- a/tests/consensus/group.py
+++ b/tests/consensus/group.py
@@ -25,6 +25,7 @@
         self.disks = {}
         self.drivers = {}
         self.machines = {}
+        self.create_machine = ListMachine
 
     async def start(self, name, bootstrap=False, members=(), failure_domain=""):
         disk = self.disks.setdefault(name, MemoryDisk())
@@ -36,7 +37,7 @@
             CLUSTER, name, members, contacts=contacts, voters=self.voters, failure_domain=failure_domain
         )
         storage = MemoryStorage(disk, CLUSTER, bootstrap)
-        self.machines[name] = ListMachine()
+        self.machines[name] = self.create_machine()
         transport = MemoryTransport(self.network, name)
         self.drivers[name] = create_driver(config, storage, transport, self.machines[name])
         await self.drivers[name].start()
--- a/tests/keyspace/test_ranges.py
+++ b/tests/keyspace/test_ranges.py
@@ -144,6 +144,13 @@
         ledger = LeaseLedger(now=100.0, call_s=0.5, predecessor_lease=2.0)
         assert ledger.held_until(("b", 1), 0, 99) > 102.0
 
+    def test_first_leader_does_not_wait(self):
+        """Guards against keys that cannot move after the first start, when nobody can hold any."""
+        ledger = LeaseLedger(now=100.0, call_s=0.5, predecessor_lease=None)
+        assert ledger.held_until(("b", 1), 0, 99) < 100.0
+        ledger.begin(("b", 1), 0, 99, 2.0)
+        assert ledger.held_until(("b", 1), 0, 99) == float("inf")
+
     def test_new_leader_waits_for_a_call_that_its_predecessor_began_last(self):
         """Guards against keys that the leader before granted by a call which it began while it led.
 
--- a/tests/route_control/test_ownership.py
+++ b/tests/route_control/test_ownership.py
@@ -154,6 +154,23 @@
 
         run_in_simulated_time(scenario)
 
+    def test_no_key_moves_for_balance_in_the_first_seconds(self):
+        """Guards against keys that change hands again and again while targets still join."""
+
+        async def scenario():
+            control = SimulatedControl(1)
+            await control.start(2)
+            await asyncio.sleep(1.5)
+            await control.start_target(2)
+            loop = asyncio.get_running_loop()
+            while loop.time() < 3.0:
+                await asyncio.sleep(0.01)
+                table = control.state.tables[SERVICE]
+                assert all(item.phase != "releasing" for item in table.ranges), loop.time()
+            await control.close()
+
+        run_in_simulated_time(scenario)
+
     def test_lost_target_is_replaced_within_its_lease(self):
         """Guards against keys of a lost target that have no owner for longer than its lease."""
 
