Decode a heartbeat once

Cause: the body of each heartbeat was decoded for the announcement and again for the keys, on the leader's busiest path. Change: read_heartbeat returns both; read_announcement and read_key_report, which took the body, are gone. Tests read both by it, with the same assertions. Ruled out: a decoded document passed to two public functions, as every caller needs both.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -155,7 +155,7 @@
 class HeartbeatTest(testtools.TestCase):
     def test_heartbeat(self):
         """Guards against reading the remaining cold time as the duration of a finished warm-up."""
-        announcement = config_document.read_announcement(
+        announcement, _ = config_document.read_heartbeat(
             "i-1", json.dumps(HEARTBEAT).encode(), FAILURE_DOMAINS
         )
         assert (announcement.target_id, announcement.started_ms, announcement.cold_for) == (
@@ -184,7 +184,7 @@
         for body in [*bodies, b"", b"{", b"[1]", b"\xff\xfe"]:
             self.assertRaises(
                 config_document.UnreadableError,
-                config_document.read_announcement,
+                config_document.read_heartbeat,
                 "i-1",
                 body,
                 FAILURE_DOMAINS,
@@ -271,7 +271,8 @@
 
 class KeyReportTest(testtools.TestCase):
     def read(self, **fields):
-        return config_document.read_key_report(json.dumps({**HEARTBEAT, **fields}).encode())
+        body = json.dumps({**HEARTBEAT, **fields}).encode()
+        return config_document.read_heartbeat("i-1", body, FAILURE_DOMAINS)[1]
 
     def test_keys_of_a_heartbeat(self):
         """Guards against a target whose held and released keys are not known."""
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -49,8 +49,7 @@
 class FuzzTest(testtools.TestCase):
     def decode_all(self, body):
         for decode in (
-            lambda: config_document.read_announcement("i-1", body, FAILURE_DOMAINS),
-            lambda: config_document.read_key_report(body),
+            lambda: config_document.read_heartbeat("i-1", body, FAILURE_DOMAINS),
             lambda: config_document.read_plan(body),
             lambda: config_document.read_start(body),
         ):
