Filter the ranges of a target once for an answer

Cause: AnnouncedGranter.awaits_edits filtered the ranges of the target, and _has_news filtered all ranges again; both run after each commit while an answer waits. Change: _has_news gets the filtered list. Ruled out: an index of ranges by target, as one pass takes tens of microseconds. Conclusion: behaviour is unchanged.

--- a/cranberrylever/route_control/_announced_grants.py
+++ b/cranberrylever/route_control/_announced_grants.py
@@ -121,10 +121,11 @@
             is_moving = any(item.phase == HELD for item in own)
         else:
             is_moving = any(item.phase != HELD for item in ranges)
-        return is_moving and not self._has_news(ranges, target, report)
+        return is_moving and not self._has_news(own, report)
 
-    def _has_news(self, ranges: Iterable[KeyRange], target: RegisteredTarget, report: KeyReport) -> bool:
-        for item in _ranges_of(ranges, target):
+    def _has_news(self, own: Iterable[KeyRange], report: KeyReport) -> bool:
+        """Return whether the answer to a target would change something about its ``own`` ranges."""
+        for item in own:
             if item.phase == HELD and not report.holds(item):
                 return True
             if item.phase == RELEASING and not self.is_ended(item):
