Keep background tasks in one way

Cause: AnnouncementRelay and FeedClient started and ended their task alike, and LeaseManager, GrantSender, ControlLink and FeedService each kept, cancelled and awaited a set of tasks by the same lines. Change: BackgroundTasks starts tasks, drops those that have ended, and cancels and awaits the rest at the close of their object. A test of FeedClient that looked at the task now looks at the number of tasks that run, which must be 0. Ruled out: LeaderBase, Batcher, the claims of entries and the consensus driver, which wait for their tasks or look at each one in ways of their own.

--- a/cranberrylever/control/_grants.py
+++ b/cranberrylever/control/_grants.py
@@ -7,6 +7,7 @@
 import aiohttp
 import cattrs.preconf.orjson
 
+from cranberrylever.background_tasks import BackgroundTasks
 from cranberrylever.ownership import Coordinator, GrantAck, GrantRenewal
 
 GRANT_TIMEOUT_S = 0.4
@@ -32,7 +33,7 @@
         self.coordinator = coordinator
         self.is_serving = is_serving
         self.headers = {"Authorization": f"Bearer {token}"} if token else {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
         self.session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -43,9 +44,7 @@
 
     async def close(self) -> None:
         """Cancel the renewals in flight and close the HTTP session."""
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.tasks.close()
         if self.session is not None:
             await self.session.close()
 
@@ -57,9 +56,7 @@
         for target_id in list(self.coordinator.state.targets.records):
             renewal = self.coordinator.next_renewal(target_id, now)
             if renewal is not None:
-                task = asyncio.create_task(self._send(target_id, renewal))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
+                self.tasks.start(self._send(target_id, renewal))
 
     async def _send(self, target_id: str, renewal: GrantRenewal) -> None:
         loop = asyncio.get_running_loop()
--- a/cranberrylever/entry/_link.py
+++ b/cranberrylever/entry/_link.py
@@ -7,6 +7,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from cranberrylever.background_tasks import BackgroundTasks
 from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.errors import CodecError
 from cranberrylever.logs import Log
@@ -139,7 +140,7 @@
         self.poll_requested = asyncio.Event()
         self.sequence = 0
         self.poll_times: dict[int, float] = {}
-        self.tasks: list[asyncio.Task[None]] = []
+        self.tasks = BackgroundTasks()
 
     def frame(self, **fields: object) -> EntryFrame:
         """Return a frame with the id of this cluster."""
@@ -147,14 +148,13 @@
 
     def start(self) -> None:
         """Open all streams and start polling."""
-        self.tasks = [asyncio.create_task(member.run()) for member in self.members]
-        self.tasks.append(asyncio.create_task(self._poll()))
+        for member in self.members:
+            self.tasks.start(member.run())
+        self.tasks.start(self._poll())
 
     async def close(self) -> None:
         """Stop polling and close all streams."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.tasks.close()
 
     def send(self, **fields: object) -> bool:
         """Send a frame to the leader, or to all members while the leader is unknown or silent.
--- a/cranberrylever/route_control/_announcement_relay.py
+++ b/cranberrylever/route_control/_announcement_relay.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from cranberrylever.background_tasks import BackgroundTasks
 from cranberrylever.consensus import RaftDriver
 from cranberrylever.control_member import LeaderForwarder
 from cranberrylever.logs import Log
@@ -64,17 +65,15 @@
         self.log = log
         self.pending: dict[Incarnation, tuple[TargetAnnouncement, float]] = {}
         self.is_connected = False
-        self.task: asyncio.Task[None] | None = None
+        self.tasks = BackgroundTasks()
 
     def start(self) -> None:
         """Start to send batches."""
-        self.task = asyncio.get_running_loop().create_task(self._run())
+        self.tasks.start(self._run())
 
     async def close(self) -> None:
         """Stop; what has not been sent is dropped."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await self.tasks.close()
 
     def accept(self, announcement: TargetAnnouncement) -> bool:
         """Take an announcement if it changes nothing and the leader gets batches; return whether it did."""
--- a/cranberrylever/route_control/_attached_entry.py
+++ b/cranberrylever/route_control/_attached_entry.py
@@ -5,6 +5,7 @@
 import attrs
 import grpclib.server
 
+from cranberrylever.background_tasks import BackgroundTasks
 from cranberrylever.route_control._peers import Peer
 from cranberrylever.wire import FeedReply, FeedReport, split_parts
 
@@ -31,7 +32,7 @@
     peer: Peer = Peer("", 0.0)
     waiting_bytes: int = 0
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
-    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    tasks: BackgroundTasks = attrs.field(factory=BackgroundTasks)
 
     def record_first_report(self, report: FeedReport) -> None:
         """Record what the entry holds at the start of its stream.
--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
 
 import attrs
 import grpclib.server
@@ -73,8 +72,7 @@
                 await self._handle_report(entry, report)
         finally:
             self.attached_entries.discard(entry)
-            for task in entry.tasks:
-                task.cancel()
+            entry.tasks.cancel()
             self.log.info("entry_detached", entry=entry.entry_id)
 
     def push(self) -> None:
@@ -90,19 +88,14 @@
         self.view.refresh(now)
         for entry in self.attached_entries:
             if entry.entry_id and not entry.lock.locked() and self._is_behind(entry):
-                self._start_task(entry, self._push_to(entry))
+                entry.tasks.start(self._push_to(entry))
             self._start_plan(entry)
 
     def _start_plan(self, entry: AttachedEntry) -> None:
         """Begin to send the plan to an entry that joins parts, unless it holds it or it is under way."""
         if entry.entry_id and self._needs_plan(entry) and not entry.is_plan_under_way:
             entry.is_plan_under_way = True
-            self._start_task(entry, self._push_plan_to(entry))
-
-    def _start_task(self, entry: AttachedEntry, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        entry.tasks.add(task)
-        task.add_done_callback(entry.tasks.discard)
+            entry.tasks.start(self._push_plan_to(entry))
 
     async def _handle_report(self, entry: AttachedEntry, report: FeedReport) -> None:
         if not await self.leader.wait_until_serving():
--- a/cranberrylever/route_control/_lease_manager.py
+++ b/cranberrylever/route_control/_lease_manager.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cranberrylever.background_tasks import BackgroundTasks
 from cranberrylever.keyspace import HELD, RELEASING, GrantCall, KeyRange, LeaseLedger
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
@@ -86,7 +87,7 @@
         self.wake = wake
         self.metrics = metrics
         self.log = log
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
         self.change_count = 0
         self.start_term(0.0)
 
@@ -112,9 +113,7 @@
 
     async def close(self) -> None:
         """Cancel pending calls, which resets their connections, and close the client."""
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.tasks.close()
         await self.grant_client.close()
 
     def is_unreachable(self, incarnation: Incarnation) -> bool:
@@ -318,9 +317,7 @@
         self.wake()
 
     def _start_task(self, coroutine) -> None:  # noqa: ANN001 - a coroutine
-        task = asyncio.get_running_loop().create_task(self._run_logged(coroutine))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.start(self._run_logged(coroutine))
 
     async def _run_logged(self, coroutine) -> None:  # noqa: ANN001
         try:
--- a/cranberrylever/route_entry/_feed.py
+++ b/cranberrylever/route_entry/_feed.py
@@ -9,6 +9,7 @@
 from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from cranberrylever.background_tasks import BackgroundTasks
 from cranberrylever.errors import CodecError
 from cranberrylever.logs import Log
 from cranberrylever.settings import split_address
@@ -123,17 +124,15 @@
         self.attached_address = ""
         self.failed_streams = 0
         self.rng = random.Random()
-        self.task: asyncio.Task[None] | None = None
+        self.tasks = BackgroundTasks()
 
     def start(self) -> None:
         """Start the task that keeps the stream open."""
-        self.task = asyncio.get_running_loop().create_task(self._run())
+        self.tasks.start(self._run())
 
     async def close(self) -> None:
         """Close the stream."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await self.tasks.close()
 
     async def _run(self) -> None:
         while True:
--- a/tests/route_entry/test_feed.py
+++ b/tests/route_entry/test_feed.py
@@ -56,7 +56,7 @@
             await is_ending.wait()
             async with asyncio.timeout(5.0):
                 await feed.close()
-            assert feed.task.done()
+            assert len(feed.tasks) == 0
             server.close()
             await server.wait_closed()
 
