--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -279,3 +279,21 @@
 def run(main: Callable[[], Awaitable[None]]) -> None:
     """Run a coroutine function on a real event loop."""
     asyncio.run(main())
+
+
+def run_entry(
+    scenario: Callable[[EntryCluster, EntryProgram], Awaitable[None]],
+    targets: int = 1,
+    view: Callable[..., View] = keyed_view,
+    version: int = 1,
+    tuning: EntryTuning = TEST_TUNING,
+    **fields,
+) -> None:
+    """Run a scenario with one entry that has a view of all targets; ``fields`` are passed to ``view``."""
+
+    async def main() -> None:
+        async with EntryCluster(targets) as cluster:
+            cluster.control.view = view(version, cluster.targets, **fields)
+            await scenario(cluster, await cluster.start_entry(tuning))
+
+    run(main)
--- a/tests/entry/test_views.py
+++ b/tests/entry/test_views.py
@@ -11,7 +11,16 @@
 from cranberrylever.errors import NotRunError
 from cranberrylever.routing import EntryAddress, View
 from cranberrylever.wire import EntryReply, ViewAnswer
-from tests.entry.fakes import TEST_TUNING, EntryCluster, FakeControl, answer, keyed_view, run, wait_until
+from tests.entry.fakes import (
+    TEST_TUNING,
+    EntryCluster,
+    FakeControl,
+    answer,
+    keyed_view,
+    run,
+    run_entry,
+    wait_until,
+)
 
 OUTCOME_HEADER = "Cranberrylever-Outcome"
 
@@ -60,24 +69,21 @@
     def test_expired_view_answers_not_run_and_fails_readiness(self):
         """Guards against an entry that keeps routing by an expired view after a partition from control."""
 
-        async def main():
-            async with EntryCluster() as cluster:
-                cluster.control.view = keyed_view(1, cluster.targets)
-                entry = await cluster.start_entry(evolve(TEST_TUNING, view_lifetime=0.3))
-                status, _, _ = await cluster.call("/readyz")
-                self.assertEqual(200, status)
-                cluster.control.answers_polls = False
-                await wait_until(lambda: not entry.views.is_valid(asyncio.get_running_loop().time()))
-                status, headers, _ = await cluster.call("/ledger/k")
-                self.assertEqual((503, "not-run"), (status, headers[OUTCOME_HEADER]))
-                status, _, _ = await cluster.call("/readyz")
-                self.assertEqual(503, status)
-                cluster.control.answers_polls = True
-                await wait_until(lambda: entry.views.is_valid(asyncio.get_running_loop().time()))
-                status, _, _ = await cluster.call("/ledger/k")
-                self.assertEqual(200, status)
-
-        run(main)
+        async def scenario(cluster, entry):
+            status, _, _ = await cluster.call("/readyz")
+            self.assertEqual(200, status)
+            cluster.control.answers_polls = False
+            await wait_until(lambda: not entry.views.is_valid(asyncio.get_running_loop().time()))
+            status, headers, _ = await cluster.call("/ledger/k")
+            self.assertEqual((503, "not-run"), (status, headers[OUTCOME_HEADER]))
+            status, _, _ = await cluster.call("/readyz")
+            self.assertEqual(503, status)
+            cluster.control.answers_polls = True
+            await wait_until(lambda: entry.views.is_valid(asyncio.get_running_loop().time()))
+            status, _, _ = await cluster.call("/ledger/k")
+            self.assertEqual(200, status)
+
+        run_entry(scenario, tuning=evolve(TEST_TUNING, view_lifetime=0.3))
 
     def test_entry_follows_a_new_leader(self):
         """Guards against an entry whose lease expires when the control leader changes."""
@@ -124,15 +130,12 @@
     def test_silent_stream_is_reopened(self):
         """Guards against a connection that stays unusable for minutes after a partition."""
 
-        async def main():
-            async with EntryCluster() as cluster:
-                cluster.control.view = keyed_view(1, cluster.targets)
-                await cluster.start_entry(evolve(TEST_TUNING, stream_timeout=0.2))
-                self.assertEqual(1, cluster.control.streams)
-                cluster.control.answers_polls = False
-                await wait_until(lambda: cluster.control.streams > 1)
+        async def scenario(cluster, entry):
+            self.assertEqual(1, cluster.control.streams)
+            cluster.control.answers_polls = False
+            await wait_until(lambda: cluster.control.streams > 1)
 
-        run(main)
+        run_entry(scenario, tuning=evolve(TEST_TUNING, stream_timeout=0.2))
 
     def test_unsent_part_of_a_request_is_not_sent_after_the_lease(self):
         """Guards against a request whose last part reaches its old owner after the shard may have moved."""
@@ -161,44 +164,38 @@
     def test_reply_of_another_cluster_is_ignored(self):
         """Guards against applying a view of another cluster because of a wrong address in the settings."""
 
-        async def main():
-            async with EntryCluster() as cluster:
-                cluster.control.view = keyed_view(1, cluster.targets)
-                entry = await cluster.start_entry()
-                foreign = EntryReply("other", view_answer=ViewAnswer(entry.link.sequence, 9, View(9, 0)))
-                entry.link.receive(entry.link.members[0], foreign)
-                self.assertEqual(1, entry.views.version)
+        async def scenario(cluster, entry):
+            foreign = EntryReply("other", view_answer=ViewAnswer(entry.link.sequence, 9, View(9, 0)))
+            entry.link.receive(entry.link.members[0], foreign)
+            self.assertEqual(1, entry.views.version)
 
-        run(main)
+        run_entry(scenario)
 
 
 class SettledVersionTest(testtools.TestCase):
     def test_settled_version_waits_for_requests_to_released_shards(self):
         """Guards against moving a shard while a request to its old owner is in flight."""
 
-        async def main():
-            async with EntryCluster(2) as cluster:
-                cluster.control.view = keyed_view(3, cluster.targets)
-                entry = await cluster.start_entry()
-                release = asyncio.Event()
+        async def scenario(cluster, entry):
+            release = asyncio.Event()
 
-                async def slow(request, writer):
-                    await release.wait()
-                    return answer(b"ok")
+            async def slow(request, writer):
+                await release.wait()
+                return answer(b"ok")
 
-                cluster.targets[0].handler = slow
-                call = asyncio.create_task(cluster.call("/ledger/k", "POST"))
-                await wait_until(lambda: len(cluster.targets[0].requests) == 1)
-                for version in (7, 9):
-                    await cluster.apply(keyed_view(version, cluster.targets, owner=-1, fence=version))
-                await wait_until(lambda: cluster.control.reports[-1].applied_version == 9)
-                self.assertEqual(3, cluster.control.reports[-1].settled_version)
-                release.set()
-                self.assertEqual(200, (await call)[0])
-                await wait_until(lambda: cluster.control.reports[-1].settled_version == 9)
-                self.assertEqual(set(), entry.in_flight.blocking_attempts)
+            cluster.targets[0].handler = slow
+            call = asyncio.create_task(cluster.call("/ledger/k", "POST"))
+            await wait_until(lambda: len(cluster.targets[0].requests) == 1)
+            for version in (7, 9):
+                await cluster.apply(keyed_view(version, cluster.targets, owner=-1, fence=version))
+            await wait_until(lambda: cluster.control.reports[-1].applied_version == 9)
+            self.assertEqual(3, cluster.control.reports[-1].settled_version)
+            release.set()
+            self.assertEqual(200, (await call)[0])
+            await wait_until(lambda: cluster.control.reports[-1].settled_version == 9)
+            self.assertEqual(set(), entry.in_flight.blocking_attempts)
 
-        run(main)
+        run_entry(scenario, targets=2, version=3)
 
     def test_new_pin_holds_the_settled_version_back(self):
         """Guards against moving a pinned key while a request under its old shard is in flight."""
@@ -239,18 +236,15 @@
     def test_requests_to_lost_targets_are_closed(self):
         """Guards against a frozen target that holds back the settled version until a deadline."""
 
-        async def main():
-            async with EntryCluster(2) as cluster:
-                cluster.control.view = keyed_view(3, cluster.targets)
-                await cluster.start_entry()
-                cluster.targets[0].handler = lambda request, writer: asyncio.sleep(5)
-                call = asyncio.create_task(cluster.call("/ledger/k", "POST"))
-                await wait_until(lambda: len(cluster.targets[0].requests) == 1)
-                view = keyed_view(4, cluster.targets, owner=1, fence=2)
-                lost = evolve(view.targets[0], phase="lost", routable=False)
-                await cluster.apply(evolve(view, targets=(lost, view.targets[1])))
-                status, headers, _ = await call
-                self.assertEqual((502, "unknown"), (status, headers[OUTCOME_HEADER]))
-                await wait_until(lambda: cluster.control.reports[-1].settled_version == 4)
-
-        run(main)
+        async def scenario(cluster, entry):
+            cluster.targets[0].handler = lambda request, writer: asyncio.sleep(5)
+            call = asyncio.create_task(cluster.call("/ledger/k", "POST"))
+            await wait_until(lambda: len(cluster.targets[0].requests) == 1)
+            view = keyed_view(4, cluster.targets, owner=1, fence=2)
+            lost = evolve(view.targets[0], phase="lost", routable=False)
+            await cluster.apply(evolve(view, targets=(lost, view.targets[1])))
+            status, headers, _ = await call
+            self.assertEqual((502, "unknown"), (status, headers[OUTCOME_HEADER]))
+            await wait_until(lambda: cluster.control.reports[-1].settled_version == 4)
+
+        run_entry(scenario, targets=2, version=3)
