Close the RPC server of both control programs in one way

Change: RpcServer in control_member listens, and closes within a time limit. A server that has not started closes without effect, as route control had it; control would have raised RuntimeError after a start that failed. Ruled out: one time limit for both (1.0 and 0.5 s are kept). Conclusion: behaviour is unchanged otherwise.

--- a/cranberrylever/control/_program.py
+++ b/cranberrylever/control/_program.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import grpclib.server
-
 from cranberrylever.consensus import ConsensusConfig, RaftDriver, create_driver, open_disk_storage
 from cranberrylever.control._entries import EntryService
 from cranberrylever.control._grants import GrantSender
@@ -12,14 +10,13 @@
 from cranberrylever.control._operator import create_operator_app
 from cranberrylever.control._placement import PlacementLog
 from cranberrylever.control._service import ControlService
-from cranberrylever.control_member import LeaderForwarder, PeerTransport, StateMachineAdapter
+from cranberrylever.control_member import LeaderForwarder, PeerTransport, RpcServer, StateMachineAdapter
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_metrics
 from cranberrylever.ownership import Coordinator
-from cranberrylever.settings import ControlSettings, split_address
+from cranberrylever.settings import ControlSettings
 from cranberrylever.state import ClusterState, decode_command
-from cranberrylever.wire import MsgpackCodec
 
 RPC_CLOSE_TIMEOUT_S = 1.0
 
@@ -75,7 +72,7 @@
         # renews grants; so the driver closes before the listeners.
         await self.driver.close()
         await self.http.close()
-        await self._close_rpc_server()
+        await self.rpc.close()
         await self.transport.close()
         await self.forwarder.close()
         self.metrics.close()
@@ -101,20 +98,12 @@
         self.http = HttpServer(
             create_operator_app(service, settings.token, self.forwarder), self.address.http
         )
-        self.rpc = grpclib.server.Server([self.transport, self.entries], codec=MsgpackCodec())
+        self.rpc = RpcServer([self.transport, self.entries], RPC_CLOSE_TIMEOUT_S, self.log)
 
     async def _listen(self) -> None:
-        await self.rpc.start(*split_address(self.address.rpc))
+        await self.rpc.start(self.address.rpc)
         await self.http.start()
 
-    async def _close_rpc_server(self) -> None:
-        self.rpc.close()
-        try:
-            async with asyncio.timeout(RPC_CLOSE_TIMEOUT_S):
-                await self.rpc.wait_closed()
-        except TimeoutError:
-            self.log.warning("rpc_close_timeout", seconds=RPC_CLOSE_TIMEOUT_S)
-
     def _after_step(self) -> None:
         self.grants.send_due()
         self.control_metrics.send_due(asyncio.get_running_loop().time())
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import grpclib.server
 from starlette.applications import Starlette
 
 from cranberrylever.consensus import (
@@ -14,7 +13,7 @@
     reset_disk_folder,
     voters_needed,
 )
-from cranberrylever.control_member import LeaderForwarder, PeerTransport, StateMachineAdapter
+from cranberrylever.control_member import LeaderForwarder, PeerTransport, RpcServer, StateMachineAdapter
 from cranberrylever.errors import CranberryleverError, StorageError
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
@@ -30,7 +29,6 @@
 from cranberrylever.route_control._state import RouteControlState
 from cranberrylever.settings import RouteControlSettings, split_address
 from cranberrylever.task_errors import log_task_errors
-from cranberrylever.wire import MsgpackCodec
 
 RPC_CLOSE_TIMEOUT_S = 0.5
 STORAGE_RETRY_INTERVAL_S = 0.5
@@ -157,12 +155,10 @@
             self.driver, self.leader, self.state, self.relay, self.metrics, self.log
         )
         self.http = HttpServer(self.create_app(service, self.forwarder), settings.http)
-        self.rpc = grpclib.server.Server([self.transport, self.feed], codec=MsgpackCodec())
-        self.is_rpc_started = False
+        self.rpc = RpcServer([self.transport, self.feed], RPC_CLOSE_TIMEOUT_S, self.log)
         # The data directory is read first, so that nothing else is open when that fails.
         await self.driver.start()
-        await self.rpc.start(*split_address(settings.rpc_listen or settings.rpc))
-        self.is_rpc_started = True
+        await self.rpc.start(settings.rpc_listen or settings.rpc)
         await self.transport.start()
         self.leader.start()
         self.relay.start()
@@ -189,18 +185,9 @@
         await self.lease_manager.close()
         await self.driver.close()
         await self.http.close()
-        if self.is_rpc_started:
-            await self._close_rpc()
+        await self.rpc.close()
         await self.transport.close()
 
-    async def _close_rpc(self) -> None:
-        self.rpc.close()
-        try:
-            async with asyncio.timeout(RPC_CLOSE_TIMEOUT_S):
-                await self.rpc.wait_closed()
-        except TimeoutError:
-            self.log.warning("rpc_close_timeout", seconds=RPC_CLOSE_TIMEOUT_S)
-
     async def _watch_driver(self) -> None:
         """Restart the member after a disk failure; any other error stops the program.
 
