Keep the freeing of shards and their grouping apart from the planner of moves

Cause: ownership/_mover.py had 400 lines and three concepts: which shards have which phase, when a releasing shard may be freed, and what moves where. Change: _shard_groups.py groups shards by phase, _freeing.py decides about releasing ones; the mover proposes. The code of the methods is the same. Ruled out: a split of placements from releases: both plan with the same moves under way and predicted fences. A split of consensus/_driver.py (389 lines) and _node.py (370): what could leave them, status lines and log loading, is not a concept of its own, and their sections share most of their state. Conclusion: behaviour is unchanged.

--- a/cranberrylever/ownership/_coordinator.py
+++ b/cranberrylever/ownership/_coordinator.py
@@ -197,7 +197,7 @@
         if record.phase == PHASE_LOST and not self.health.is_answering(record, now):
             return self.timings.lost_probe_interval
         mover = self.movers.get(record.announcement.service)
-        is_awaited = mover is not None and record.target_id in mover.awaited_targets
+        is_awaited = mover is not None and record.target_id in mover.releasing.awaited_targets
         holder = self.grants.holder(record.target_id, record.incarnation, now)
         if is_awaited and holder.failures == 0:
             return self.timings.awaited_interval
--- a/cranberrylever/ownership/_mover.py
+++ b/cranberrylever/ownership/_mover.py
@@ -7,6 +7,7 @@
 
 from cranberrylever.membership import PHASE_COLD, PHASE_LOST, TargetRecord
 from cranberrylever.ownership._evacuation import Evacuations
+from cranberrylever.ownership._freeing import ReleasingShards
 from cranberrylever.ownership._grants import GrantLedger
 from cranberrylever.ownership._loads import ServiceLoad
 from cranberrylever.ownership._phases import TargetHealth
@@ -21,7 +22,8 @@
     shard_shares,
 )
 from cranberrylever.ownership._proposals import PendingProposals
-from cranberrylever.ownership._shards import OWNED, RELEASING, ShardRecord, ShardTable
+from cranberrylever.ownership._shard_groups import ShardGrouper, ShardGroups
+from cranberrylever.ownership._shards import OWNED, ShardTable
 from cranberrylever.ownership._status import ServiceStatus
 from cranberrylever.ownership._timings import Timings
 from cranberrylever.state._commands import (
@@ -62,15 +64,6 @@
     proposed_at: float
 
 
-@attrs.define
-class _ShardGroups:
-    """Shards of a service by phase: owned shards by target, free shards with their fence."""
-
-    owned: dict[str, list[int]] = attrs.field(factory=dict)
-    releasing: set[int] = attrs.field(factory=set)
-    free: dict[int, int] = attrs.field(factory=dict)
-
-
 class ShardMover:
     """Proposes to free, assign and release the shards of one service.
 
@@ -85,7 +78,7 @@
         now: Loop time in seconds.
 
     Attributes:
-        awaited_targets: Targets with a releasing shard that waits only for their acknowledgement.
+        releasing: Finds the releasing shards that may be freed.
     """
 
     def __init__(
@@ -102,7 +95,6 @@
         self.service = service
         self.state = state
         self.timings = timings
-        self.grants = grants
         self.health = health
         self.load = load
         self.pending = pending
@@ -110,11 +102,9 @@
         self.pins = PinSelector(service, load, pending)
         self.pending_assignments: dict[int, _PendingAssignment] = {}
         self.balance_moves: set[int] = set()
-        self.settled_at: dict[int, float] = {}
-        self.awaited_targets: set[str] = set()
+        self.releasing = ReleasingShards(service, state, grants, pending)
         self.is_rebalancing = False
-        self.cached_groups: _ShardGroups | None = None
-        self.cached_view_version = -1
+        self.grouper = ShardGrouper()
         self.eligible_ids: tuple[str, ...] = ()
         self.eligible_since = now
         self.placement_starts_at = now + timings.placement_delay
@@ -136,9 +126,9 @@
             fences: Predictor of the fences of this step's commands.
         """
         targets = self._targets()
-        groups = self._shard_groups()
+        groups = self.grouper.group(self.table, self.state.view_version)
         commands: list[Command] = []
-        freed = self._shards_to_free(groups, settled_version, now)
+        freed = self.releasing.propose_freed(self.table, groups.releasing, settled_version, now)
         if freed:
             commands.append(FreeShards(self.service, freed))
             for ref in freed:
@@ -152,7 +142,7 @@
 
     def status(self) -> ServiceStatus:
         """Return the status of this service for operators."""
-        groups = self._shard_groups()
+        groups = self.grouper.group(self.table, self.state.view_version)
         targets = [record for record in self._targets() if self.state.may_receive_work(record)]
         shares = shard_shares(self.load.shards, [shard for shard, _ in self.table.items()])
         capacity = sum(self._capacity(record) for record in targets)
@@ -176,25 +166,6 @@
         records = self.state.targets.records.values()
         return [record for record in records if record.announcement.service == self.service]
 
-    def _shard_groups(self) -> _ShardGroups:
-        """Return the shards by phase; the caller may modify the sets of releasing and free shards."""
-        if self.cached_groups is None or self.cached_view_version != self.state.view_version:
-            self.cached_groups = self._group_shards()
-            self.cached_view_version = self.state.view_version
-        groups = self.cached_groups
-        return _ShardGroups(groups.owned, set(groups.releasing), dict(groups.free))
-
-    def _group_shards(self) -> _ShardGroups:
-        groups = _ShardGroups()
-        for shard, record in self.table.items():
-            if record.phase == OWNED:
-                groups.owned.setdefault(record.target_id, []).append(shard)
-            elif record.phase == RELEASING:
-                groups.releasing.add(shard)
-            else:
-                groups.free[shard] = record.fence
-        return groups
-
     def _eligible_targets(self, targets: list[TargetRecord], now: float) -> list[TargetRecord]:
         eligible = [record for record in targets if self.health.may_own(record, now)]
         ids = tuple(sorted(record.target_id for record in eligible))
@@ -211,43 +182,8 @@
     def _is_never_assigned(self) -> bool:
         return all(record.target_id == "" for _, record in self.table.items())
 
-    def _shards_to_free(
-        self, groups: _ShardGroups, settled_version: float, now: float
-    ) -> tuple[ShardRef, ...]:
-        refs = []
-        self.awaited_targets.clear()
-        for shard in sorted(groups.releasing):
-            record = self.table.records[shard]
-            if record.since_version > settled_version:
-                continue
-            settled_at = self.settled_at.setdefault(record.since_version, now)
-            if not self._has_owner_finished(shard, record, settled_at, now):
-                self.awaited_targets.add(record.target_id)
-                continue
-            if self.pending.add(("free", self.service, shard, record.fence), now):
-                refs.append(ShardRef(shard, record.fence))
-        if not groups.releasing:
-            self.settled_at.clear()
-        return tuple(refs)
-
-    def _has_owner_finished(self, shard: int, record: ShardRecord, settled_at: float, now: float) -> bool:
-        """Return whether the last owner of a releasing shard holds no grant and runs no work for it."""
-        if not record.incarnation or self.grants.is_expired(record.target_id, record.incarnation, now):
-            return True
-        holder = self.grants.holder(record.target_id, record.incarnation, now)
-        ack = holder.ack
-        if ack is None or ack.version < record.since_version or shard in ack.busy_shards:
-            return False
-        target = self.state.targets.current(record.target_id, record.incarnation)
-        if target is not None and target.announcement.checks_fence:
-            return True
-        # A target without fence checks accepts delayed renewals and requests as well. Its acknowledgement
-        # counts only if it answers a renewal sent after all entries settled, and once the unanswered renewals
-        # have expired.
-        return now >= holder.unanswered_until and holder.ack_sent_at >= settled_at
-
     def _propose_assignments(
-        self, groups: _ShardGroups, eligible: list[TargetRecord], fences: FencePredictor, now: float
+        self, groups: ShardGroups, eligible: list[TargetRecord], fences: FencePredictor, now: float
     ) -> list[Command]:
         self.pending_assignments = {
             shard: item
@@ -271,7 +207,7 @@
         return [AssignShards(self.service, tuple(items))] if items else []
 
     def _is_assignment_pending(
-        self, shard: int, item: _PendingAssignment, groups: _ShardGroups, now: float
+        self, shard: int, item: _PendingAssignment, groups: ShardGroups, now: float
     ) -> bool:
         if now - item.proposed_at >= self.timings.proposal_timeout:
             return False
@@ -287,7 +223,7 @@
         return len(eligible) == len(expected)
 
     def _plan(
-        self, groups: _ShardGroups, eligible: list[TargetRecord], assignable: set[int], max_releases: int
+        self, groups: ShardGroups, eligible: list[TargetRecord], assignable: set[int], max_releases: int
     ) -> Plan:
         shares = shard_shares(self.load.shards, [shard for shard, _ in self.table.items()])
         eligible_keys = {(record.target_id, record.incarnation) for record in eligible}
@@ -311,7 +247,7 @@
 
     def _propose_releases(
         self,
-        groups: _ShardGroups,
+        groups: ShardGroups,
         targets: list[TargetRecord],
         eligible: list[TargetRecord],
         fences: FencePredictor,
@@ -327,7 +263,7 @@
         return commands
 
     def _release_suspects(
-        self, groups: _ShardGroups, targets: list[TargetRecord], fences: FencePredictor, now: float
+        self, groups: ShardGroups, targets: list[TargetRecord], fences: FencePredictor, now: float
     ) -> list[Command]:
         """Release the shards of suspected targets early, so that entries settle before the grant expires."""
         present = [record for record in targets if record.phase != PHASE_LOST]
@@ -342,7 +278,7 @@
         return commands
 
     def _release_leaving(
-        self, groups: _ShardGroups, targets: list[TargetRecord], fences: FencePredictor, now: float
+        self, groups: ShardGroups, targets: list[TargetRecord], fences: FencePredictor, now: float
     ) -> list[Command]:
         commands: list[Command] = []
         for record in targets:
@@ -358,7 +294,7 @@
         return commands
 
     def _release_for_balance(
-        self, groups: _ShardGroups, eligible: list[TargetRecord], fences: FencePredictor, now: float
+        self, groups: ShardGroups, eligible: list[TargetRecord], fences: FencePredictor, now: float
     ) -> list[Command]:
         in_flight = len(groups.releasing | set(groups.free) | self.balance_moves)
         if len(eligible) < 2 or in_flight >= MAX_MOVES_IN_FLIGHT or now < self.balancing_starts_at:
@@ -374,7 +310,7 @@
         self.balance_moves.update(ref.shard for command in commands for ref in command.shards)
         return commands
 
-    def _drop_finished_moves(self, groups: _ShardGroups, now: float) -> None:
+    def _drop_finished_moves(self, groups: ShardGroups, now: float) -> None:
         """Drop moves whose shard was assigned or removed, or whose release was lost."""
         self.balance_moves = {
             shard
