Hold a call in one way in tests of the settled version

Change: SettledVersionTest.start_call; the second test runs by run_entry as well. Conclusion: only the frame of the tests has changed.

--- a/tests/entry/test_views.py
+++ b/tests/entry/test_views.py
@@ -173,19 +173,24 @@
 
 
 class SettledVersionTest(testtools.TestCase):
+    async def start_call(self, cluster):
+        """Start a call that the first target holds; return its task and the event that ends it."""
+        release = asyncio.Event()
+
+        async def slow(request, writer):
+            await release.wait()
+            return answer(b"ok")
+
+        cluster.targets[0].handler = slow
+        call = asyncio.create_task(cluster.call("/ledger/k", "POST"))
+        await wait_until(lambda: len(cluster.targets[0].requests) == 1)
+        return call, release
+
     def test_settled_version_waits_for_requests_to_released_shards(self):
         """Guards against moving a shard while a request to its old owner is in flight."""
 
         async def scenario(cluster, entry):
-            release = asyncio.Event()
-
-            async def slow(request, writer):
-                await release.wait()
-                return answer(b"ok")
-
-            cluster.targets[0].handler = slow
-            call = asyncio.create_task(cluster.call("/ledger/k", "POST"))
-            await wait_until(lambda: len(cluster.targets[0].requests) == 1)
+            call, release = await self.start_call(cluster)
             for version in (7, 9):
                 await cluster.apply(keyed_view(version, cluster.targets, owner=-1, fence=version))
             await wait_until(lambda: cluster.control.reports[-1].applied_version == 9)
@@ -200,38 +205,27 @@
     def test_new_pin_holds_the_settled_version_back(self):
         """Guards against moving a pinned key while a request under its old shard is in flight."""
 
-        async def main():
-            async with EntryCluster(1) as cluster:
-                view = keyed_view(3, cluster.targets)
-                cluster.control.view = view
-                entry = await cluster.start_entry()
-                release = asyncio.Event()
-
-                async def slow(request, writer):
-                    await release.wait()
-                    return answer(b"ok")
-
-                cluster.targets[0].handler = slow
-                call = asyncio.create_task(cluster.call("/ledger/k", "POST"))
-                await wait_until(lambda: len(cluster.targets[0].requests) == 1)
-                (attempt,) = entry.in_flight.attempts
-                service = view.services[0]
-                pinned = evolve(
-                    service,
-                    owners=(*service.owners, 0),
-                    fences=(*service.fences, 2),
-                    pins={attempt.exchange.key_hash: 2},
-                )
-                await cluster.apply(evolve(view, version=4, services=(pinned,)))
-                await wait_until(lambda: cluster.control.reports[-1].applied_version == 4)
-                self.assertEqual(3, cluster.control.reports[-1].settled_version)
-                release.set()
-                await call
-                await wait_until(lambda: cluster.control.reports[-1].settled_version == 4)
-                await cluster.call("/ledger/k")
-                self.assertEqual("2", cluster.targets[0].requests[-1].headers["cranberrylever-shard"])
+        async def scenario(cluster, entry):
+            view = cluster.control.view
+            call, release = await self.start_call(cluster)
+            (attempt,) = entry.in_flight.attempts
+            service = view.services[0]
+            pinned = evolve(
+                service,
+                owners=(*service.owners, 0),
+                fences=(*service.fences, 2),
+                pins={attempt.exchange.key_hash: 2},
+            )
+            await cluster.apply(evolve(view, version=4, services=(pinned,)))
+            await wait_until(lambda: cluster.control.reports[-1].applied_version == 4)
+            self.assertEqual(3, cluster.control.reports[-1].settled_version)
+            release.set()
+            await call
+            await wait_until(lambda: cluster.control.reports[-1].settled_version == 4)
+            await cluster.call("/ledger/k")
+            self.assertEqual("2", cluster.targets[0].requests[-1].headers["cranberrylever-shard"])
 
-        run(main)
+        run_entry(scenario, version=3)
 
     def test_requests_to_lost_targets_are_closed(self):
         """Guards against a frozen target that holds back the settled version until a deadline."""
