--- a/cranberrylever/route_control/_announcement_relay.py
+++ b/cranberrylever/route_control/_announcement_relay.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from cranberrylever.background_tasks import BackgroundTasks
 from cranberrylever.consensus import RaftDriver
 from cranberrylever.control_member import LeaderForwarder
 from cranberrylever.logs import Log
@@ -64,30 +65,24 @@
         self.log = log
         self.pending: dict[Incarnation, tuple[TargetAnnouncement, float]] = {}
         self.is_connected = False
-        self.task: asyncio.Task[None] | None = None
+        self.tasks = BackgroundTasks()
 
     def start(self) -> None:
         """Start to send batches."""
-        self.task = asyncio.get_running_loop().create_task(self._run())
+        self.tasks.start(self._run())
 
     async def close(self) -> None:
         """Stop; what has not been sent is dropped."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await self.tasks.close()
 
     def accept(self, announcement: TargetAnnouncement) -> bool:
         """Take an announcement if it changes nothing and the leader gets batches; return whether it did."""
-        target = self.state.fleet.targets.get(announcement.target_id)
-        if len(self.state.fleet.targets) < MIN_RELAYED_TARGETS or not self.is_connected:
+        fleet = self.state.fleet
+        if len(fleet.targets) < MIN_RELAYED_TARGETS or not self.is_connected:
             return False
-        if target is None or target.started_ms != announcement.started_ms:
+        if announcement.cold_for > 0 or fleet.is_leaving(announcement) or not fleet.repeats(announcement):
             return False
-        if target.leaving or announcement.draining or announcement.cold_for > 0:
-            return False
-        if self.state.fleet.is_outdated(announcement) or self.state.fleet.would_change(announcement):
-            return False
-        incarnation = target.incarnation
+        incarnation = announcement.target_id, announcement.started_ms
         last = self.pending.get(incarnation)
         if last is None or last[0].sequence <= announcement.sequence:
             self.pending[incarnation] = (announcement, asyncio.get_running_loop().time())
