--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -106,6 +106,26 @@
         error = self.assertRaises(SettingError, settings_file.control_settings, {"ip": "10.0.0.1"})
         assert "port_range" in str(error) or "listen.control" in str(error)
 
+    def test_invalid_field_is_named(self):
+        """Guards against an entry without control members, and a traceback that does not name the field."""
+        for bad, field in (
+            ("seeds=,", "seeds"),
+            ("seeds=10.1.0.13", "seeds"),
+            ("seeds=core-1:8166", "seeds"),
+            ("port_range=x", "port_range"),
+        ):
+            fields = self.read(f"{ENTRY_FILE}{bad}\n")
+            error = self.assertRaises(SettingError, settings_file.entry_settings, fields)
+            assert field in error.message, (bad, error.message)
+
+    def test_file_that_is_no_text_is_refused(self):
+        """Guards against a traceback that does not name the file."""
+        path = f"{self.useTempDir()}/settings"
+        with open(path, "wb") as file:
+            file.write(b"node=\xff\n")
+        error = self.assertRaises(SettingError, settings_file.read_fields, path)
+        assert path in error.message, error.message
+
     def test_standard_module_is_not_shadowed(self):
         """Guards against platform/ shadowing the standard module ``platform``."""
         assert not (ROOT / "platform" / "__init__.py").exists()
