--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -18,6 +18,9 @@
     def failure(self, message_type, error, **fields):
         self.lines.append((message_type, repr(error), fields))
 
+    def warning(self, message_type, **fields):
+        self.write("warning", message_type, **fields)
+
     def write(self, level, message_type, **fields):
         self.lines.append((message_type, "", fields))
 
