End at SIGTERM while the first settings block

What callers saw: a process that waited at its start for a settings file that blocks (a pipe, a file system that hangs) did not end by SIGTERM, as the handler was set before the file was read on the event loop.

Ruled out: reading the first settings in a thread. It would do the same with more code, as nothing else can run before they are known.

--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -149,6 +149,22 @@
 
         assert asyncio.run(main()) == 0
 
+    def test_file_that_blocks_at_the_start_does_not_hold_up_the_stop(self):
+        """Guards against a process that cannot be stopped while it waits for its first settings."""
+
+        async def main():
+            async with EntryProcess() as entry, asyncio.timeout(SECONDS):
+                os.mkfifo(entry.path)
+                await entry.start()
+                descriptor = await open_when_read(entry.path)
+                try:
+                    return await entry.stop()
+                finally:
+                    os.close(descriptor)
+
+        # Nothing has been started that would have to be closed.
+        assert asyncio.run(main()) == -signal.SIGTERM
+
 
 class ReloadTest(testtools.TestCase):
     def test_file_that_blocks_does_not_hold_up_the_stop(self):
