Keep a repeated SIGTERM from cutting a stop short

What callers saw: the second SIGTERM to a program of the command line had its default effect and ended the process at once, with all requests that still ran. Service managers and platforms repeat SIGTERM.

With platform/start.py the stop was complete, but a SIGTERM between the close of the event loop and the end of the process made the status -15 instead of 0 (the test sends one every 1 ms).

Change: `set_at_stop_signal` for both. After the first SIGTERM or SIGINT, SIGTERM is ignored until the process has ended; a SIGINT then ends the process at once, also with platform/start.py, which ignored it before. SIGTERM is not handled by the loop, as the loop restores the default at its close; its handler of SIGINT keeps the wake-up for a signal that another thread gets.

The second setting of the handlers after the start is dropped: nothing replaces them, uvicorn's own are off in EmbeddedServer.

Ruled out: removing the loop's handler and then ignoring the signal. Between the two calls the default effect is in force.

--- a/cranberrylever/_cli/_docs.py
+++ b/cranberrylever/_cli/_docs.py
@@ -34,7 +34,8 @@
 (`CRANBERRYLEVER_CHECK`) validates the settings and exits. Commands that read state print JSON with `--json`
 (`CRANBERRYLEVER_JSON`).
 
-SIGTERM or SIGINT shuts a program down gracefully; a second signal ends it at once.
+SIGTERM or SIGINT shuts a program down gracefully. A repeated SIGTERM does not cut this short; SIGINT (Ctrl-C)
+during the shutdown ends the program at once.
 """
 _EXIT_CODE_MEANINGS = {
     ExitCode.OK: "success",
--- a/cranberrylever/_cli/_run.py
+++ b/cranberrylever/_cli/_run.py
@@ -2,18 +2,16 @@
 
 import asyncio
 import errno
-import signal
 from typing import Any
 
 from cranberrylever.errors import StartError
-
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+from cranberrylever.stop_signals import set_at_stop_signal
 
 
 def run_program(program: Any, name: str) -> None:
     """Run a program until SIGTERM or SIGINT, then shut it down gracefully.
 
-    A second signal has its default effect and ends the process at once.
+    A repeated SIGTERM has no effect; SIGINT during the shutdown ends the process at once.
 
     Args:
         program: An object with ``async start()`` and ``async close()``. If it also has
@@ -29,32 +27,15 @@
 
 async def _run(program: Any, name: str) -> None:
     stop = asyncio.Event()
-    _install_signal_handlers(stop)
-    try:
-        await program.start()
-    except OSError as error:
-        raise _start_error(name, error) from error
-    # A server library may replace the signal handlers during start.
-    _install_signal_handlers(stop)
-    try:
-        await _wait_for_stop(program, stop)
-    finally:
-        await program.close()
-
-
-def _install_signal_handlers(stop: asyncio.Event) -> None:
-    loop = asyncio.get_running_loop()
-
-    def request_stop() -> None:
-        stop.set()
-        for signal_number in STOP_SIGNALS:
-            loop.remove_signal_handler(signal_number)
-            signal.signal(signal_number, signal.SIG_DFL)
-
-    if stop.is_set():
-        return
-    for signal_number in STOP_SIGNALS:
-        loop.add_signal_handler(signal_number, request_stop)
+    with set_at_stop_signal(stop):
+        try:
+            await program.start()
+        except OSError as error:
+            raise _start_error(name, error) from error
+        try:
+            await _wait_for_stop(program, stop)
+        finally:
+            await program.close()
 
 
 async def _wait_for_stop(program: Any, stop: asyncio.Event) -> None:
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,6 +1,7 @@
 """The start, reload and stop of an entry as a process on the platform."""
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -165,6 +166,28 @@
         # Nothing has been started that would have to be closed.
         assert asyncio.run(main()) == -signal.SIGTERM
 
+    def test_repeated_sigterm_does_not_cut_the_stop_short(self):
+        """Guards against requests that are cut off because a platform repeats its signal."""
+
+        async def main():
+            async with EntryProcess() as entry, asyncio.timeout(SECONDS):
+                replace_by_file(entry.path, entry_settings())
+                await entry.start()
+                await entry.next_line({"entry_started"})
+                ended = asyncio.ensure_future(entry.process.wait())
+                descriptor = os.pidfd_open(entry.process.pid)
+                try:
+                    while not ended.done():
+                        with contextlib.suppress(ProcessLookupError):
+                            signal.pidfd_send_signal(descriptor, signal.SIGTERM)
+                        await asyncio.sleep(0.001)
+                finally:
+                    os.close(descriptor)
+                await entry.next_line({"entry_stopped"})
+                return await ended
+
+        assert asyncio.run(main()) == 0
+
 
 class ReloadTest(testtools.TestCase):
     def test_file_that_blocks_does_not_hold_up_the_stop(self):
