Close the demonstration in full when SIGTERM is repeated

What callers saw: `cranberrylever dev` removed its signal handlers before it closed its programs, so that a second SIGTERM ended it at once and its data stayed in the temporary folder.

Change: it uses set_at_stop_signal, as the other programs do.

--- a/cranberrylever/dev/_program.py
+++ b/cranberrylever/dev/_program.py
@@ -1,13 +1,13 @@
 """Run of the demonstration until it is interrupted."""
 
 import asyncio
-import signal
 import tempfile
 
 import aiohttp
 
 from cranberrylever.dev._cluster import EXAMPLE_TICKET, KEYED_SERVICE, POOLED_SERVICE, DevCluster
 from cranberrylever.errors import CranberryleverError
+from cranberrylever.stop_signals import set_at_stop_signal
 
 START_TIMEOUT_S = 20.0
 RETRY_DELAY_S = 0.1
@@ -35,21 +35,17 @@
         stop: Event that ends the run; SIGINT and SIGTERM set it as well.
     """
     stop = stop or asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(signal_number, stop.set)
-    try:
-        await cluster.start()
-        async with aiohttp.ClientSession() as session:
-            await submit_example_ticket(cluster, session)
-            await send_example_requests(cluster, session)
-        print_examples(cluster)
-        await stop.wait()
-    finally:
-        for signal_number in (signal.SIGINT, signal.SIGTERM):
-            loop.remove_signal_handler(signal_number)
-        print("stopping", flush=True)
-        await cluster.close()
+    with set_at_stop_signal(stop):
+        try:
+            await cluster.start()
+            async with aiohttp.ClientSession() as session:
+                await submit_example_ticket(cluster, session)
+                await send_example_requests(cluster, session)
+            print_examples(cluster)
+            await stop.wait()
+        finally:
+            print("stopping", flush=True)
+            await cluster.close()
 
 
 async def submit_example_ticket(cluster: DevCluster, session: aiohttp.ClientSession) -> None:
