--- a/cranberrylever/_cli/_run.py
+++ b/cranberrylever/_cli/_run.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from cranberrylever.errors import StartError
-from cranberrylever.stop_signals import set_at_stop_signal
+from cranberrylever.stop_signals import set_at_stop_signal, wait_for_stop
 
 
 def run_program(program: Any, name: str) -> None:
@@ -33,28 +33,11 @@
         except OSError as error:
             raise _start_error(name, error) from error
         try:
-            await _wait_for_stop(program, stop)
+            await wait_for_stop(program, stop)
         finally:
             await program.close()
 
 
-async def _wait_for_stop(program: Any, stop: asyncio.Event) -> None:
-    """Wait for a stop signal, or raise the error that the program failed with."""
-    wait_failure = getattr(program, "wait_failure", None)
-    if wait_failure is None:
-        await stop.wait()
-        return
-    stopped = asyncio.ensure_future(stop.wait())
-    failed = asyncio.ensure_future(wait_failure())
-    try:
-        await asyncio.wait({stopped, failed}, return_when=asyncio.FIRST_COMPLETED)
-        if failed.done():
-            failed.result()
-    finally:
-        stopped.cancel()
-        failed.cancel()
-
-
 def _start_error(name: str, error: OSError) -> StartError:
     if error.errno == errno.EADDRINUSE:
         return StartError(
--- a/cranberrylever/stop_signals.py
+++ b/cranberrylever/stop_signals.py
@@ -1,9 +1,10 @@
-"""Signals that stop a program."""
+"""Waits for the end of a program: signals that stop it, and its failure."""
 
 import asyncio
 import contextlib
 import signal
 from collections.abc import Iterator
+from typing import Any
 
 
 @contextlib.contextmanager
@@ -34,3 +35,25 @@
         if signal.getsignal(signal.SIGTERM) is on_sigterm:
             signal.signal(signal.SIGTERM, signal.SIG_DFL)
             loop.remove_signal_handler(signal.SIGINT)
+
+
+async def wait_for_stop(program: Any, stop: asyncio.Event) -> None:
+    """Wait until ``stop`` is set, or raise the error that the program failed with.
+
+    Args:
+        program: A program; it may have ``async wait_failure()``, which raises its error.
+        stop: Event that ends the wait.
+    """
+    wait_failure = getattr(program, "wait_failure", None)
+    if wait_failure is None:
+        await stop.wait()
+        return
+    stopped = asyncio.ensure_future(stop.wait())
+    failed = asyncio.ensure_future(wait_failure())
+    try:
+        await asyncio.wait({stopped, failed}, return_when=asyncio.FIRST_COMPLETED)
+        if failed.done():
+            failed.result()
+    finally:
+        stopped.cancel()
+        failed.cancel()
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -7,6 +7,7 @@
 import random
 import re
 import signal
+import subprocess
 import sys
 import tempfile
 from pathlib import Path
@@ -15,6 +16,23 @@
 
 from tests.platform import ROOT
 
+# A program that fails at run time, in place of the one that the role names.
+FAILING_PROGRAM = """
+import asyncio, sys
+sys.path.insert(0, sys.argv[1])
+import start
+
+class Program:
+    async def start(self):
+        print("started", flush=True)
+    async def wait_failure(self):
+        raise ValueError("the failure")
+    async def close(self):
+        print("closed", flush=True)
+
+start.create_program = lambda role: Program()
+asyncio.run(start.run("control"))
+"""
 SECONDS = 20.0
 STOP_SECONDS = 5.0
 RELOAD_LINES = {"settings_reloaded", "settings_reload_failed"}
@@ -188,6 +206,17 @@
 
         assert asyncio.run(main()) == 0
 
+    def test_program_that_fails_is_closed_and_its_error_reported(self):
+        """Guards against a process whose last log lines, which tell why it failed, are lost."""
+        done = subprocess.run(
+            [sys.executable, "-c", FAILING_PROGRAM, f"{ROOT}/platform"],
+            capture_output=True,
+            text=True,
+            timeout=SECONDS,
+        )
+        self.assertEqual((1, "started\nclosed\n"), (done.returncode, done.stdout))
+        self.assertIn("the failure", done.stderr)
+
 
 class ReloadTest(testtools.TestCase):
     def test_file_that_blocks_does_not_hold_up_the_stop(self):
