--- a/cranberrylever/stop_signals.py
+++ b/cranberrylever/stop_signals.py
@@ -3,9 +3,27 @@
 import asyncio
 import contextlib
 import signal
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from types import FrameType
 from typing import Any
 
+SignalHandler = Callable[[int, FrameType | None], None]
+
+
+def call_at_signal(number: signal.Signals, function: Callable[[], None]) -> SignalHandler:
+    """Call a function on the running loop at each of these signals, and return the handler.
+
+    A handler of the loop would be replaced at the close of the loop by the default effect, which ends the
+    process. This one is to be replaced before, by one that ignores the signal until the end of the process.
+    """
+    loop = asyncio.get_running_loop()
+
+    def handle(received: int, frame: FrameType | None) -> None:
+        loop.call_soon_threadsafe(function)
+
+    signal.signal(number, handle)
+    return handle
+
 
 @contextlib.contextmanager
 def set_at_stop_signal(stop: asyncio.Event) -> Iterator[None]:
@@ -22,13 +40,9 @@
         signal.signal(signal.SIGINT, signal.SIG_DFL)
         stop.set()
 
-    def on_sigterm(*_: object) -> None:
-        loop.call_soon_threadsafe(request_stop)
-
     # This also makes the loop wake up for signals that it has no handler for.
     loop.add_signal_handler(signal.SIGINT, request_stop)
-    # Not a handler of the loop: that would be replaced by the default, which ends the process, with its loop.
-    signal.signal(signal.SIGTERM, on_sigterm)
+    on_sigterm = call_at_signal(signal.SIGTERM, request_stop)
     try:
         yield
     finally:
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -123,6 +123,19 @@
                 return line
         raise AssertionError(f"no line {message_types} before the end, status {await self.process.wait()}")
 
+    async def send_until_ended(self, signal_number):
+        """Send a signal every few milliseconds until the process has ended, and return its exit status."""
+        ended = asyncio.ensure_future(self.process.wait())
+        descriptor = os.pidfd_open(self.process.pid)
+        try:
+            while not ended.done():
+                with contextlib.suppress(ProcessLookupError):
+                    signal.pidfd_send_signal(descriptor, signal_number)
+                await asyncio.sleep(0.003)
+        finally:
+            os.close(descriptor)
+        return await ended
+
     async def stop(self):
         """Stop the process as a service manager does, and return its exit status."""
         self.process.send_signal(signal.SIGTERM)
@@ -184,27 +197,21 @@
         # Nothing has been started that would have to be closed.
         assert asyncio.run(main()) == -signal.SIGTERM
 
-    def test_repeated_sigterm_does_not_cut_the_stop_short(self):
-        """Guards against requests that are cut off because a platform repeats its signal."""
-
-        async def main():
-            async with EntryProcess() as entry, asyncio.timeout(SECONDS):
-                replace_by_file(entry.path, entry_settings())
-                await entry.start()
-                await entry.next_line({"entry_started"})
-                ended = asyncio.ensure_future(entry.process.wait())
-                descriptor = os.pidfd_open(entry.process.pid)
-                try:
-                    while not ended.done():
-                        with contextlib.suppress(ProcessLookupError):
-                            signal.pidfd_send_signal(descriptor, signal.SIGTERM)
-                        await asyncio.sleep(0.001)
-                finally:
-                    os.close(descriptor)
-                await entry.next_line({"entry_stopped"})
-                return await ended
-
-        assert asyncio.run(main()) == 0
+    def test_signals_until_the_end_do_not_cut_the_stop_short(self):
+        """Guards against requests that are cut off, or a failed stop, by signals that a platform repeats."""
+        for repeated in (signal.SIGTERM, signal.SIGHUP):
+
+            async def main(repeated=repeated):
+                async with EntryProcess() as entry, asyncio.timeout(SECONDS):
+                    replace_by_file(entry.path, entry_settings())
+                    await entry.start()
+                    await entry.next_line({"entry_started"})
+                    entry.process.send_signal(signal.SIGTERM)
+                    status = await entry.send_until_ended(repeated)
+                    await entry.next_line({"entry_stopped"})
+                    return status
+
+            self.assertEqual(0, asyncio.run(main()), repeated)
 
     def test_program_that_fails_is_closed_and_its_error_reported(self):
         """Guards against a process whose last log lines, which tell why it failed, are lost."""
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -7,13 +7,13 @@
 
 import testtools
 
-from cranberrylever.stop_signals import set_at_stop_signal
+from cranberrylever.stop_signals import call_at_signal, set_at_stop_signal
 
 
 class StopSignalTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             self.addCleanup(signal.signal, number, signal.getsignal(number))
 
     def test_handlers_end_with_a_program_that_failed(self):
@@ -43,6 +43,22 @@
             assert signal.getsignal(signal.SIGTERM) is signal.SIG_IGN
             assert signal.getsignal(signal.SIGINT) is signal.SIG_DFL
 
+    def test_each_signal_calls_the_function_on_the_loop(self):
+        """Guards against a reload that is lost, or that runs in the middle of other code."""
+
+        async def main():
+            calls = []
+            call_at_signal(signal.SIGHUP, lambda: calls.append(asyncio.get_running_loop()))
+            for number in range(1, 4):
+                os.kill(os.getpid(), signal.SIGHUP)
+                assert len(calls) < number
+                async with asyncio.timeout(20):
+                    while len(calls) < number:
+                        await asyncio.sleep(0.001)
+            return calls
+
+        assert len(asyncio.run(main())) == 3
+
     def test_signal_that_another_thread_gets_wakes_the_loop(self):
         """Guards against a stop that begins with the next timer, as the loop sleeps in the main thread."""
 
