Let the route soak have any number of entries, targets and callers

The soak had two entries, six targets and 60 requests a second in constants, so that it could not be run at a size at which stops overlap.

RouteFaults.take_members is public.

Ruled out: targets as processes; they are the witnesses of the checks and share the clock of the callers.

--- a/bench/routes/__main__.py
+++ b/bench/routes/__main__.py
@@ -4,26 +4,41 @@
 import asyncio
 import sys
 
+import attrs
+
+from bench.routes.cluster import SoakOptions
 from bench.routes.soak import run_soak
 
 
 def main() -> int:
     """Run the seeds and print the problems; the exit status is 1 when a seed fails."""
-    parser = argparse.ArgumentParser(prog="python -m bench.routes", description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20.0)
-    options = parser.parse_args()
+    options = _parse_arguments()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
-        problems = asyncio.run(run_soak(seed, options.seconds))
+        problems = asyncio.run(_run(seed, options))
         for problem in problems:
-            print(f"  {problem}")
+            print(f"  {problem}", flush=True)
         if problems:
             failed.append(seed)
     print(f"{options.seeds} seeds from {options.seed}: failed {failed or 'none'}")
     return 1 if failed else 0
 
 
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="python -m bench.routes", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    for name in ("entries", "targets", "callers"):
+        parser.add_argument(f"--{name}", type=int)
+    return parser.parse_args()
+
+
+async def _run(seed: int, options: argparse.Namespace) -> list[str]:
+    sizes = {name: getattr(options, name) for name in ("entries", "targets", "callers")}
+    sizes = {name: size for name, size in sizes.items() if size}
+    return await run_soak(seed, options.seconds, attrs.evolve(SoakOptions(), **sizes))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/bench/routes/callers.py
+++ b/bench/routes/callers.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from bench.routes.cluster import HOST, SoakCluster
+from bench.routes.cluster import SoakCluster
+from bench.routes.plans import HOST
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetPool
 
-RATE_PER_S = 60.0
 DEADLINE_S = 2.0
 KEY_COUNT = 65_536
 REFUSAL_STATUS_CODES = (408, 421, 429, 503)
@@ -38,7 +38,7 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            await asyncio.sleep(self.random.expovariate(RATE_PER_S))
+            await asyncio.sleep(self.random.expovariate(self.cluster.options.callers))
             task = asyncio.get_running_loop().create_task(self._call())
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/bench/routes/cluster.py
+++ b/bench/routes/cluster.py
@@ -10,15 +10,15 @@
 
 from bench.processes import ManagedProcess, free_address
 from bench.relay import Relay
-from bench.routes.target import ANNOUNCE_INTERVAL_S, SoakTarget, TargetObservations
+from bench.routes.plans import route_plan
+from bench.routes.target import ANNOUNCE_INTERVAL_S, SLOTS, SoakTarget, TargetObservations
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetAnswer, TargetPool
 
 MEMBER_COUNT = 5
 FOUNDER_COUNT = 3
 TOLERATED_MEMBERS = 2
-ENTRY_COUNT = 2
+KEYED_SHARE = 2 / 3
 FAILURE_DOMAINS = ("north", "south")
-HOST = "soak.example"
 CALL_TIMEOUT_S = 1.0
 ANNOUNCE_TIMEOUT_S = 0.3
 START_TIMEOUT_S = 20.0
@@ -32,63 +32,6 @@
     return address.rpartition(":")[2]
 
 
-ROUTE_COUNTS = (0, 500, 1_500)
-"""Routes that plans have besides those that callers use, by turns."""
-
-
-def newest_route(number: int) -> str:
-    """Return the name of the route that only plan ``number`` has."""
-    return f"plan-{number}"
-
-
-def route_plan(number: int, timeout: float = 2.0, granted_in_answers: bool = False) -> dict:
-    """Return a plan with a keyed and a pooled service; ``timeout`` in seconds distinguishes plans."""
-    ledger = {"name": "ledger", "keyed": True, "granted_in_answers": granted_in_answers}
-    shared = {"host": HOST, "timeout": timeout, "objective": 0.5, "attempts": 2}
-    cold = {"max_connections": 60, "cold_time": 1.0, "cold_rate": 20.0, "takeover_time": 1.0}
-    other_names = [newest_route(number)]
-    other_names += [f"other-{index}" for index in range(ROUTE_COUNTS[number % len(ROUTE_COUNTS)])]
-    desk = [{"service": "desk", "weight": 1.0}]
-    others = [
-        {"name": name, "prefix": f"/{name}/", "shares": desk, "idempotent": True, "priority": 1, **shared}
-        for name in other_names
-    ]
-    return {
-        "number": number,
-        "routes": [
-            *others,
-            {
-                "name": "read",
-                "prefix": "/read/",
-                "shares": [{"service": "ledger", "weight": 1.0}],
-                "idempotent": True,
-                "priority": 1,
-                **shared,
-            },
-            {
-                "name": "book",
-                "prefix": "/book/",
-                "shares": [{"service": "ledger", "weight": 1.0}],
-                "idempotent": False,
-                "priority": 0,
-                **shared,
-            },
-            {
-                "name": "order",
-                "prefix": "/order/",
-                "shares": [{"service": "desk", "weight": 1.0}],
-                "idempotent": False,
-                "priority": 0,
-                **shared,
-            },
-        ],
-        "services": [
-            {**ledger, "health_path": "/healthz", **cold},
-            {"name": "desk", "keyed": False, "health_path": "/healthz", **cold},
-        ],
-    }
-
-
 @attrs.define(eq=False)
 class Member:
     """One control member: its process, its data directory and the relay before its RPC address."""
@@ -110,6 +53,27 @@
         shutil.rmtree(self.data_dir, ignore_errors=True)
 
 
+@attrs.frozen
+class SoakOptions:
+    """Size of a cluster and times of its entries' stops in seconds.
+
+    Attributes:
+        entries: Number of entries.
+        targets: Number of targets; two thirds have keys.
+        callers: Number of callers, each of which sends about one request a second.
+        drain_delay: Time from SIGTERM to an entry to the close of its listener.
+        finish_timeout: Time from then on for its requests to finish.
+        slots: Requests that a target serves at a time.
+    """
+
+    entries: int = 2
+    targets: int = 6
+    callers: int = 60
+    drain_delay: float = 0.3
+    finish_timeout: float = 3.0
+    slots: int = SLOTS
+
+
 @attrs.define(eq=False)
 class SoakCluster:
     """Processes, relays and fake targets of one soak test; ``root`` holds data directories and logs.
@@ -119,6 +83,7 @@
 
     root: Path
     granted_in_answers: bool = False
+    options: SoakOptions = attrs.field(factory=SoakOptions)
     members: list[Member] = attrs.field(factory=list)
     entries: list[tuple[ManagedProcess, str]] = attrs.field(factory=list)
     targets: list[SoakTarget] = attrs.field(factory=list)
@@ -179,11 +144,13 @@
             await member.start(bootstrap=number <= FOUNDER_COUNT)
 
     async def _start_entries(self) -> None:
-        for number in range(1, ENTRY_COUNT + 1):
+        for number in range(1, self.options.entries + 1):
             listen, ready = free_address(), free_address()
             arguments = ["route-entry", "--cluster-id", "soak", "--entry-id", f"entry-{number}"]
             arguments += ["--listen", listen, "--ready-listen", ready, "--log", "stdout"]
-            arguments += ["--drain-delay", "0.3", "--finish-timeout", "3", "--peer-listen", free_address()]
+            arguments += ["--drain-delay", str(self.options.drain_delay)]
+            arguments += ["--finish-timeout", str(self.options.finish_timeout)]
+            arguments += ["--peer-listen", free_address()]
             for member in self.members:
                 arguments += ["--contacts", member.relay.address]
             process = ManagedProcess(f"entry-{number}", tuple(arguments), self.root / f"entry-{number}.log")
@@ -191,8 +158,8 @@
             self.entries.append((process, listen))
 
     async def _start_targets(self) -> None:
-        for number in range(6):
-            service = "ledger" if number < 4 else "desk"
+        for number in range(self.options.targets):
+            service = "ledger" if number < self.options.targets * KEYED_SHARE else "desk"
             relay = Relay(free_address(), free_address())
             await relay.start()
             target = SoakTarget(
@@ -204,6 +171,7 @@
                 self.observations,
                 self.targets,
             )
+            target.slots = self.options.slots
             self.targets.append(target)
             await target.start()
 
@@ -271,6 +239,7 @@
         return False
 
 
-def create_soak_cluster(granted_in_answers: bool = False) -> SoakCluster:
+def create_soak_cluster(granted_in_answers: bool = False, options: SoakOptions | None = None) -> SoakCluster:
     """Return a cluster in a new temporary directory; it is not started yet."""
-    return SoakCluster(Path(tempfile.mkdtemp(prefix="route-soak-")), granted_in_answers)
+    root = Path(tempfile.mkdtemp(prefix="route-soak-"))
+    return SoakCluster(root, granted_in_answers, options or SoakOptions())
--- a/bench/routes/faults.py
+++ b/bench/routes/faults.py
@@ -81,7 +81,7 @@
         self.history.append(f"{now:.2f} {text} for {duration:.2f} s")
         self.disrupted_until = max(self.disrupted_until, now + duration)
 
-    def _take_members(self, count: int) -> list[Member]:
+    def take_members(self, count: int) -> list[Member]:
         """Return ``count`` members without a fault and count them as lost, none if that would be too many."""
         sound = [item for item in self.cluster.members if item.process.name not in self.lost_members]
         if len(self.lost_members) + count > TOLERATED_MEMBERS:
@@ -90,13 +90,14 @@
         self.lost_members |= {member.process.name for member in taken}
         return taken
 
-    async def _return_members(self, members: list[Member]) -> None:
+    async def return_members(self, members: list[Member]) -> None:
+        """Count members as sound again after the time that they need to rejoin."""
         await asyncio.sleep(REPAIR_TIME_S)
         self.lost_members -= {member.process.name for member in members}
 
     async def disrupt_member(self) -> None:
         """Kill, stop, pause, cut off or slow a control member, or remove its data directory."""
-        members = self._take_members(1)
+        members = self.take_members(1)
         if not members:
             return
         (member,) = members
@@ -126,11 +127,11 @@
                 member.remove_data_dir()
             await asyncio.sleep(duration)
             await member.start()
-        await self._return_members(members)
+        await self.return_members(members)
 
     async def lose_folders(self) -> None:
         """Kill as many control members as are tolerated and remove their data directories."""
-        members = self._take_members(TOLERATED_MEMBERS)
+        members = self.take_members(TOLERATED_MEMBERS)
         if not members:
             return
         duration = self.random.uniform(*DOWNTIME_S)
@@ -141,7 +142,7 @@
         await asyncio.sleep(duration)
         for member in members:
             await member.start()
-        await self._return_members(members)
+        await self.return_members(members)
 
     async def disrupt_entry(self) -> None:
         """Pause, kill or stop an entry; a stopped or killed entry is restarted."""
--- a/bench/routes/target.py
+++ b/bench/routes/target.py
@@ -74,6 +74,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.resumed = asyncio.Event()
         self.resumed.set()
+        self.slots = SLOTS
         self.draining = False
         self.sequence = 0
         self.holds = HeldRanges()
@@ -140,7 +141,7 @@
                 "service": self.service,
                 "address": self.relay.address,
                 "failure_domain": self.domain,
-                "slots": SLOTS,
+                "slots": self.slots,
                 "draining": self.draining,
                 "cold_for": 0.0,
             }
@@ -267,7 +268,7 @@
             await asyncio.sleep(random.uniform(*SERVICE_TIME_S))
         finally:
             self.running.pop(request_id, None)
-        extra = [f"cranberrylever-load: {len(self.tasks)},0,{SLOTS},100"]
+        extra = [f"cranberrylever-load: {len(self.tasks)},0,{self.slots},100"]
         if self.rate_limit:
             extra.append(f"cranberrylever-rate-limit: {self.rate_limit}")
         return 200, [echo, *extra, "cranberrylever-outcome: done"], f"ran {request_id}".encode()
