Judge a lost request by the stop of its own process

The check took the last SIGTERM of the entry for the one that counts.

Change: a request has the time at which its connection was opened; the stop that counts is that of the first process to end after it.

--- a/bench/routes/lost.py
+++ b/bench/routes/lost.py
@@ -40,6 +40,7 @@
     Attributes:
         request_id: Id of the request.
         entry: Name of the entry.
+        opened_at: Time at which its connection was opened.
         time_limit: Time at which the caller's deadline or the route's timeout is over.
         sent_at: Time at which its last byte was sent.
         ended_at: Time at which its answer was complete or its connection ended.
@@ -50,6 +51,7 @@
 
     request_id: str
     entry: str
+    opened_at: float
     time_limit: float
     sent_at: float = math.inf
     ended_at: float = math.inf
@@ -118,10 +120,12 @@
 
 
 def _stop_around(request: SentRequest, stops: list[Stop], grace: float) -> Stop | None:
-    """Return the last stop before the end of a request, if that lies within its time."""
-    before = [stop for stop in stops if stop.asked_at <= request.ended_at]
-    stop = max(before, key=lambda item: item.asked_at, default=None)
-    return stop if stop and request.ended_at <= stop.asked_at + grace + AFTER_GRACE_S else None
+    """Return the stop of the process that has the connection of a request, if the request ended around it."""
+    own = [stop for stop in stops if stop.gone_at >= request.opened_at]
+    stop = min(own, key=lambda item: item.gone_at, default=None)
+    if stop is None or not stop.asked_at <= request.ended_at <= stop.asked_at + grace + AFTER_GRACE_S:
+        return None
+    return stop
 
 
 def _loss(request: SentRequest, runs: list[Run], stop: Stop | None) -> str:
--- a/tests/bench/test_lost.py
+++ b/tests/bench/test_lost.py
@@ -18,7 +18,7 @@
 
 def cut_request(**changes: object) -> SentRequest:
     """Return a request sent before SIGTERM whose connection ended 4.8 s after it, without an answer."""
-    request = SentRequest("q", "e", time_limit=110.0, sent_at=99.0, ended_at=104.8)
+    request = SentRequest("q", "e", 90.0, time_limit=110.0, sent_at=99.0, ended_at=104.8)
     return attrs.evolve(request, **changes)
 
 
@@ -113,12 +113,18 @@
         """Guards against a check of all errors of an entry, which others cause as well."""
         request = answered_request(status=502, is_from_target=False)
         self.assertEqual([], lost_ids(request, cut_run(), stops=()))
-        self.assertEqual([], lost_ids(request, cut_run(), stops=(Stop("e", 90.0),)))
-
-    def test_last_stop_before_the_end_counts(self):
-        """Guards against work that is excused by an earlier or a later stop of the same entry."""
-        stops = (Stop("e", 94.0, 99.5), STOP, Stop("e", 110.0))
-        self.assertEqual(["q"], lost_ids(cut_request(), cut_run(), stops=stops))
+        self.assertEqual([], lost_ids(request, cut_run(), stops=(Stop("e", 90.0, 96.0),)))
+
+    def test_stop_of_the_process_with_the_connection_counts(self):
+        """Guards against a loss that is judged by the stop of an earlier or later process of the same entry.
+
+        Seed 15 of the soak: a process was stopped while it started, and the one before had bytes to send.
+        """
+        stops = (Stop("e", 80.0, 85.0), STOP, Stop("e", 105.95, 105.96))
+        request = cut_request(ended_at=106.0)
+        run = cut_run(work_ended_at=105.5)
+        self.assertEqual([], lost_ids(request, run, stops=stops))
+        self.assertEqual(["q"], lost_ids(request, cut_run(), stops=stops))
 
     def test_description_names_the_times_after_sigterm(self):
         """Guards against a report from which a loss cannot be traced."""
