Stop entries in overlapping series in the route soak

The soak stopped an entry now and then, among faults, and its callers took a closed connection for an answer like any other.

Entries get SIGTERM in turn and at the same time, again during a stop, with SIGHUP before and during it; SIGKILL comes after the grace time only (drain 0.5 s, finish 2.5 s, 0.2 s more); they start again at once or soon after. Stops of control members, changes of the plan and a withdrawn failure domain overlap with that. Targets work for up to 3.2 s, or run a request and stay silent with the connection open. Callers use connections until an answer or the entry ends them, open some and use them later, send bodies and read answers of 6 MB slowly, and set deadlines of 0.8 s, 6 s or none on routes with timeouts of 1 s and 8 s.

--- a/bench/routes/__main__.py
+++ b/bench/routes/__main__.py
@@ -7,7 +7,8 @@
 import attrs
 
 from bench.routes.cluster import SoakOptions
-from bench.routes.soak import run_soak
+from bench.routes.soak import run_soak, run_stop_soak
+from bench.routes.stops import GRACE_MARGIN_S, STOP_OPTIONS
 
 
 def main() -> int:
@@ -29,6 +30,9 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--stops", action="store_true", help="planned stops instead of faults")
+    parser.add_argument("--single-signals", action="store_true", help="one SIGTERM for each stop")
+    parser.add_argument("--early-end", type=float, default=0.0, help="seconds by which entries end too early")
     for name in ("entries", "targets", "callers"):
         parser.add_argument(f"--{name}", type=int)
     return parser.parse_args()
@@ -37,7 +41,12 @@
 async def _run(seed: int, options: argparse.Namespace) -> list[str]:
     sizes = {name: getattr(options, name) for name in ("entries", "targets", "callers")}
     sizes = {name: size for name, size in sizes.items() if size}
-    return await run_soak(seed, options.seconds, attrs.evolve(SoakOptions(), **sizes))
+    if not options.stops:
+        return await run_soak(seed, options.seconds, attrs.evolve(SoakOptions(), **sizes))
+    grace = STOP_OPTIONS.drain_delay + STOP_OPTIONS.finish_timeout + GRACE_MARGIN_S
+    finish_timeout = STOP_OPTIONS.finish_timeout - options.early_end
+    settings = attrs.evolve(STOP_OPTIONS, finish_timeout=finish_timeout, **sizes)
+    return await run_stop_soak(seed, options.seconds, settings, grace, not options.single_signals)
 
 
 if __name__ == "__main__":
--- a/bench/routes/callers.py
+++ b/bench/routes/callers.py
@@ -7,6 +7,7 @@
 
 from bench.routes.cluster import SoakCluster
 from bench.routes.plans import HOST
+from bench.routes.work import answer_body
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetPool
 
 DEADLINE_S = 2.0
@@ -72,7 +73,7 @@
         except (NotSentError, AnswerLostError, TimeoutError):
             return None
         if answer.status == 200:
-            if answer.body != f"ran {request_id}".encode():
+            if answer.body != answer_body(request_id):
                 self.problems.append(f"{request_id} received the answer {answer.body!r:.60}")
             self.served += 1
             self.served_at.append(asyncio.get_running_loop().time())
--- a/bench/routes/plans.py
+++ b/bench/routes/plans.py
@@ -5,6 +5,10 @@
 ROUTE_COUNTS = (0, 500, 1_500)
 """Routes that plans have besides those that callers use, by turns."""
 
+SHORT_TIMEOUT_S = 1.0
+LONG_TIMEOUT_S = 8.0
+"""Timeouts of the routes for planned stops; the long one outlasts any stop."""
+
 ROUTES = {"read": ("ledger", True), "book": ("ledger", False), "order": ("desk", False)}
 """Service of each route that callers use, and whether its requests may run more than once."""
 
@@ -14,6 +18,12 @@
     return f"plan-{number}"
 
 
+def stop_routes() -> dict[str, tuple[str, float]]:
+    """Return the routes for planned stops: for each name the route that it is like, and its timeout."""
+    timeouts = {"short": SHORT_TIMEOUT_S, "long": LONG_TIMEOUT_S}
+    return {f"{kind}-{name}": (name, timeouts[kind]) for kind in timeouts for name in ROUTES}
+
+
 def route_plan(number: int, timeout: float = 2.0, granted_in_answers: bool = False) -> dict:
     """Return a plan with a keyed and a pooled service; ``timeout`` in seconds distinguishes plans."""
     ledger = {"name": "ledger", "keyed": True, "granted_in_answers": granted_in_answers}
@@ -25,6 +35,7 @@
         "routes": [
             *(_route(name, "desk", True, timeout) for name in other_names),
             *(_route(name, *ROUTES[name], timeout) for name in ROUTES),
+            *(_route(name, *ROUTES[like], limit) for name, (like, limit) in stop_routes().items()),
         ],
         "services": [
             {**ledger, "health_path": "/healthz", **cold},
--- a/bench/routes/target.py
+++ b/bench/routes/target.py
@@ -10,8 +10,14 @@
 
 from bench.relay import Relay
 from bench.routes.held_ranges import HeldRange, HeldRanges
+from bench.routes.lost import Run
+from bench.routes.work import answer_body, parse_work
 
 SLOTS = 4
+SILENT_SHARE = 3
+"""A silent target leaves each request whose number this divides without an answer."""
+
+WORK_POLL_INTERVAL_S = 0.02
 ANNOUNCE_INTERVAL_S = 0.4
 # Range from which the duration of a request is drawn.
 SERVICE_TIME_S = (0.01, 0.06)
@@ -32,11 +38,13 @@
     Attributes:
         runs: Names of the targets that started each request, by request id.
         starts: Loop time, failure domain and request id of each start.
+        history: All runs of requests whose work their caller chose, in order.
         problems: Violations of exclusive ownership.
     """
 
     runs: dict[str, list[str]] = attrs.field(factory=dict)
     starts: list[tuple[float, str, str]] = attrs.field(factory=list)
+    history: list[Run] = attrs.field(factory=list)
     problems: list[str] = attrs.field(factory=list)
 
 
@@ -75,6 +83,7 @@
         self.resumed = asyncio.Event()
         self.resumed.set()
         self.slots = SLOTS
+        self.is_silent = False
         self.draining = False
         self.sequence = 0
         self.holds = HeldRanges()
@@ -194,8 +203,11 @@
                 # A lease counts from the arrival of its grant, also while the target is frozen.
                 arrived = asyncio.get_running_loop().time()
                 await self.resumed.wait()
-                status, extra, content = await self._answer(method, path, headers, body, arrived)
+                answered = await self._answer(method, path, headers, body, arrived, reader)
                 await self.resumed.wait()
+                if answered is None:
+                    continue
+                status, extra, content = answered
                 lines = [f"HTTP/1.1 {status} X", f"content-length: {len(content)}", *extra]
                 answer = "\r\n".join(lines).encode() + b"\r\n\r\n" + content
                 writer.write(repeated + answer)
@@ -209,8 +221,14 @@
                 writer.close()
 
     async def _answer(
-        self, method: str, path: str, headers: dict[str, str], body: bytes, arrived: float
-    ) -> tuple[int, list[str], bytes]:
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        arrived: float,
+        reader: asyncio.StreamReader,
+    ) -> tuple[int, list[str], bytes] | None:
         if path.startswith("/-/keys/") and headers.get("cranberrylever-target", self.name) != self.name:
             return 421, [], b""
         if path == "/-/keys/grant":
@@ -219,7 +237,7 @@
             return self._release(json.loads(body))
         if path == "/healthz":
             return 200, [], self.name.encode()
-        return await self._run_request(headers)
+        return await self._run_request(headers, path, reader)
 
     def _grant(self, grant: dict, arrived: float) -> tuple[int, list[str], bytes]:
         first, last, fence = grant["first"], grant["last"], grant["fence"]
@@ -238,7 +256,9 @@
         self.holds.release(release["first"], release["last"])
         return 200, [], f"token-{self.name}-{release['fence']}".encode()
 
-    async def _run_request(self, headers: dict[str, str]) -> tuple[int, list[str], bytes]:
+    async def _run_request(
+        self, headers: dict[str, str], path: str, reader: asyncio.StreamReader
+    ) -> tuple[int, list[str], bytes] | None:
         now = asyncio.get_running_loop().time()
         request_id = headers.get("cranberrylever-request-id", "")
         if self.rate_limit:
@@ -264,11 +284,32 @@
             self.running[request_id] = key
         self.observations.runs.setdefault(request_id, []).append(self.name)
         self.observations.starts.append((now, self.domain, request_id))
+        work = parse_work(path)
         try:
-            await asyncio.sleep(random.uniform(*SERVICE_TIME_S))
+            if work is None:
+                await asyncio.sleep(random.uniform(*SERVICE_TIME_S))
+            elif not await self._work(request_id, work.seconds, reader):
+                return None
         finally:
             self.running.pop(request_id, None)
         extra = [f"cranberrylever-load: {len(self.tasks)},0,{self.slots},100"]
         if self.rate_limit:
             extra.append(f"cranberrylever-rate-limit: {self.rate_limit}")
-        return 200, [echo, *extra, "cranberrylever-outcome: done"], f"ran {request_id}".encode()
+        body = answer_body(request_id, work.answer_bytes if work else 0)
+        return 200, [echo, *extra, "cranberrylever-outcome: done"], body
+
+    async def _work(self, request_id: str, seconds: float, reader: asyncio.StreamReader) -> bool:
+        """Work until done or until the connection ends; returns whether an answer is due."""
+        loop = asyncio.get_running_loop()
+        run = Run(request_id, self.name, loop.time())
+        self.observations.history.append(run)
+        try:
+            while not run.is_cut_off and (rest := run.started_at + seconds - loop.time()) > 0:
+                await asyncio.sleep(min(rest, WORK_POLL_INTERVAL_S))
+                run.is_cut_off = reader.at_eof() or reader.exception() is not None
+        except asyncio.CancelledError:
+            run.is_broken_off = True
+            raise
+        finally:
+            run.work_ended_at = loop.time()
+        return not run.is_cut_off and not (self.is_silent and int(request_id[1:]) % SILENT_SHARE == 0)
