Report entries that end by themselves in the soak of stops

Found in a trial in which entries could not start: the soak said only that nothing was served. And Popen.send_signal reaps a process that has just ended, so that its exit status read 255.

Change: an entry that has ended before its SIGTERM, or with a status that neither SIGTERM nor SIGKILL explains, is a problem. Signals go by os.kill.

--- a/bench/routes/soak.py
+++ b/bench/routes/soak.py
@@ -56,7 +56,7 @@
 
     problems = await _run_cluster(cluster, callers, faults, run_stops())
     lost = find_lost(stops.stops, callers.requests, cluster.observations.history, grace)
-    problems += explain_lost(lost, cluster.root)
+    problems += [*explain_lost(lost, cluster.root), *stops.problems]
     print(f"{len(stops.stops)} stops of entries, {stops.kills} by SIGKILL, {len(lost)} requests lost")
     return _report(seed, cluster, callers, faults, problems)
 
--- a/bench/routes/stops.py
+++ b/bench/routes/stops.py
@@ -1,6 +1,8 @@
 """Planned stops of entries and control members, in series that overlap."""
 
 import asyncio
+import contextlib
+import os
 import random
 import signal
 
@@ -23,6 +25,9 @@
 RELOAD_TIME_S = (0.0, 0.4)
 DOWNTIME_S = (0.1, 1.0)
 SILENCE_DURATION_S = (1.5, 4.0)
+EXPECTED_STATUS = (0, -signal.SIGKILL, -signal.SIGTERM)
+"""SIGTERM ends a process that has not set its handler yet, shortly after its start."""
+
 SIGNAL_COUNT = 3
 """Signals during a stop after its SIGTERM."""
 
@@ -35,6 +40,7 @@
         grace: Seconds between SIGTERM and SIGKILL of an entry.
         sends_more_signals: Whether entries get further signals before and during a stop.
         stops: Stops of entries that have begun.
+        problems: Ends of processes that no signal explains.
         kills: Stops that ended by SIGKILL, after the grace time.
     """
 
@@ -44,6 +50,7 @@
     grace: float
     sends_more_signals: bool = True
     stops: list[Stop] = attrs.field(factory=list)
+    problems: list[str] = attrs.field(factory=list)
     kills: int = 0
     stopping: set[str] = attrs.field(factory=set)
     repairs: list[asyncio.Task[None]] = attrs.field(factory=list)
@@ -89,32 +96,42 @@
         await self.stop_entry(process)
 
     async def stop_entry(self, process: ManagedProcess) -> None:
-        """Stop an entry as a platform does, and start it again; SIGKILL comes after the grace time only."""
+        """Stop an entry as a platform does, and start it again at once or soon after."""
         if process.name in self.stopping:
             return
         self.stopping.add(process.name)
+        if not process.running():
+            self.problems.append(f"{process.name} has ended by itself with {process.process.returncode}")
         if self.sends_more_signals and self.random.random() < 0.3:
             self._signal(process, signal.SIGHUP)
             await asyncio.sleep(self.random.uniform(*RELOAD_TIME_S))
         asked_at = asyncio.get_running_loop().time()
         self.stops.append(Stop(process.name, asked_at))
         index = len(self.stops) - 1
+        await self._end(process)
+        self.stops[index] = attrs.evolve(self.stops[index], gone_at=asyncio.get_running_loop().time())
+        status = process.process.returncode
+        self._note(f"{process.name} has ended with {status}")
+        if status not in EXPECTED_STATUS:
+            self.problems.append(f"{process.name} ended with {status} around its SIGTERM at {asked_at:.2f}")
+        if self.random.random() < 0.5:
+            await asyncio.sleep(self.random.uniform(*DOWNTIME_S))
+        await process.start()
+        self.stopping.discard(process.name)
+
+    async def _end(self, process: ManagedProcess) -> None:
+        """Send SIGTERM, further signals in some stops, and SIGKILL after the grace time only."""
         self._signal(process, signal.SIGTERM)
-        extra = asyncio.get_running_loop().create_task(self._signal_again(process))
+        further = asyncio.get_running_loop().create_task(self._signal_again(process))
         try:
-            async with asyncio.timeout_at(asked_at + self.grace):
+            async with asyncio.timeout(self.grace):
                 await process.process.wait()
         except TimeoutError:
             self.kills += 1
             self._note(f"SIGKILL to {process.name}")
             await process.kill()
-        extra.cancel()
-        self.stops[index] = attrs.evolve(self.stops[index], gone_at=asyncio.get_running_loop().time())
-        self._note(f"{process.name} has ended with {process.process.returncode}")
-        if self.random.random() < 0.5:
-            await asyncio.sleep(self.random.uniform(*DOWNTIME_S))
-        await process.start()
-        self.stopping.discard(process.name)
+        finally:
+            further.cancel()
 
     async def _signal_again(self, process: ManagedProcess) -> None:
         """Send further signals at random times of some stops."""
@@ -126,7 +143,10 @@
 
     def _signal(self, process: ManagedProcess, number: signal.Signals) -> None:
         self._note(f"{number.name} to {process.name}")
-        process.signal(number)
+        if process.running():
+            # Popen.send_signal would reap a process that has just ended, and lose its exit status.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.process.pid, number)
 
     async def stop_member(self) -> None:
         """Stop a control member and start it again."""
