--- a/bench/routes/__main__.py
+++ b/bench/routes/__main__.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bench.routes.cluster import SoakOptions
+from bench.routes.regressions import REGRESSIONS
 from bench.routes.soak import run_soak, run_stop_soak
 from bench.routes.stops import GRACE_MARGIN_S, STOP_OPTIONS
 
@@ -14,6 +15,8 @@
 def main() -> int:
     """Run the seeds and print the problems; the exit status is 1 when a seed fails."""
     options = _parse_arguments()
+    if options.regressions:
+        return _run_regressions()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
         problems = asyncio.run(_run(seed, options))
@@ -25,6 +28,20 @@
     return 1 if failed else 0
 
 
+def _run_regressions() -> int:
+    failed = []
+    for case in REGRESSIONS:
+        print(f"seed {case.seed}: {case.cause}", flush=True)
+        soak = run_stop_soak(case.seed, case.seconds, sends_more_signals=case.sends_more_signals)
+        problems = asyncio.run(soak)
+        for problem in problems:
+            print(f"  {problem}", flush=True)
+        if problems:
+            failed.append(case.seed)
+    print(f"{len(REGRESSIONS)} seeds of planned stops that have failed: failed {failed or 'none'}")
+    return 1 if failed else 0
+
+
 def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m bench.routes", description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -33,6 +50,7 @@
     parser.add_argument("--stops", action="store_true", help="planned stops instead of faults")
     parser.add_argument("--single-signals", action="store_true", help="one SIGTERM for each stop")
     parser.add_argument("--early-end", type=float, default=0.0, help="seconds by which entries end too early")
+    parser.add_argument("--regressions", action="store_true", help="only the seeds that have failed")
     for name in ("entries", "targets", "callers"):
         parser.add_argument(f"--{name}", type=int)
     return parser.parse_args()
--- a/tests/process/test_route_soak.py
+++ b/tests/process/test_route_soak.py
@@ -1,12 +1,13 @@
-"""Short soak test of the route programs as processes, with a fixed seed."""
+"""Short soak tests of the route programs as processes, with fixed seeds."""
 
 import asyncio
 
 import testtools
 
-from bench.routes.soak import run_soak
+from bench.routes.soak import run_soak, run_stop_soak
 
 SECONDS = 8.0
+STOP_SECONDS = 4.0
 
 
 class RouteSoakTest(testtools.TestCase):
@@ -21,3 +22,10 @@
     def test_late_copies_of_rejections_make_no_request_run_twice(self):
         """Guards against a second send that takes the answer to the first one for its own."""
         self.assertEqual([], asyncio.run(run_soak(seed=37201, seconds=SECONDS)))
+
+    def test_planned_stops_lose_no_request(self):
+        """Guards against entries that end without an answer to a request that they have passed on.
+
+        The causes of seeds that have failed are in bench/routes/regressions.py.
+        """
+        self.assertEqual([], asyncio.run(run_stop_soak(seed=15, seconds=STOP_SECONDS)))
