--- a/bench/routes/lost.py
+++ b/bench/routes/lost.py
@@ -80,11 +80,12 @@
 
 @attrs.frozen
 class LostRequest:
-    """A request that an entry lost, with a description."""
+    """A request that an entry lost, with a description; one that has not run counts if it was read."""
 
     request_id: str
     entry: str
     text: str
+    has_run: bool = True
 
 
 def find_lost(
@@ -110,9 +111,8 @@
         own_runs = runs_by_id.get(request.request_id, [])
         loss = _loss(request, own_runs, stop)
         if loss and not _is_excused(request, own_runs, stop, grace):
-            lost.append(
-                LostRequest(request.request_id, request.entry, _describe(loss, request, own_runs, stop))
-            )
+            text = _describe(loss, request, own_runs, stop)
+            lost.append(LostRequest(request.request_id, request.entry, text, bool(own_runs)))
     return lost
 
 
