Give slow callers of the soak a small receive buffer again

With 4 KiB 3.2 MB are still in the sender's own buffer after 50 ms, with 64 KiB 2.1 MB, and what is there is what an entry loses when it ends.

Change: 4 KiB.

--- a/bench/routes/caller_connection.py
+++ b/bench/routes/caller_connection.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-SLOW_BUFFER_BYTES = 65_536
+SLOW_BUFFER_BYTES = 4_096
 """Receive buffer of a caller that reads slowly, so that the rest stays at the entry."""
 
 READ_STEP_BYTES = 65_536
