Send SIGHUP in the soak of stops to entries that have set their handlers

Change: SIGHUP before a stop goes to entries that take connections; if it ends one, that is a problem. Signals during a stop may end the process, as it has no handlers at its very end; what callers lose by it is checked as before. SIGKILL goes by os.kill as the other signals do.

--- a/bench/routes/stops.py
+++ b/bench/routes/stops.py
@@ -9,6 +9,7 @@
 import attrs
 
 from bench.processes import ManagedProcess
+from bench.routes.caller_connection import open_caller_connection
 from bench.routes.cluster import SoakCluster, SoakOptions
 from bench.routes.faults import RouteFaults
 from bench.routes.lost import Stop
@@ -25,8 +26,8 @@
 RELOAD_TIME_S = (0.0, 0.4)
 DOWNTIME_S = (0.1, 1.0)
 SILENCE_DURATION_S = (1.5, 4.0)
-EXPECTED_STATUS = (0, -signal.SIGKILL, -signal.SIGTERM)
-"""SIGTERM ends a process that has not set its handler yet, shortly after its start."""
+EXPECTED_STATUS = (0, -signal.SIGKILL, -signal.SIGTERM, -signal.SIGHUP)
+"""Signals also end a process that has not set its handlers yet, or that has removed them at its end."""
 
 SIGNAL_COUNT = 3
 """Signals during a stop after its SIGTERM."""
@@ -103,8 +104,7 @@
         if not process.running():
             self.problems.append(f"{process.name} has ended by itself with {process.process.returncode}")
         if self.sends_more_signals and self.random.random() < 0.3:
-            self._signal(process, signal.SIGHUP)
-            await asyncio.sleep(self.random.uniform(*RELOAD_TIME_S))
+            await self._reload(process)
         asked_at = asyncio.get_running_loop().time()
         self.stops.append(Stop(process.name, asked_at))
         index = len(self.stops) - 1
@@ -119,6 +119,20 @@
         await process.start()
         self.stopping.discard(process.name)
 
+    async def _reload(self, process: ManagedProcess) -> None:
+        """Send SIGHUP to an entry that takes connections, so that it has set its handlers."""
+        pause = self.random.uniform(*RELOAD_TIME_S)
+        address = next(listen for entry, listen in self.cluster.entries if entry is process)
+        try:
+            connection = await open_caller_connection(address, is_slow_reader=False)
+        except OSError:
+            return
+        connection.close()
+        self._signal(process, signal.SIGHUP)
+        await asyncio.sleep(pause)
+        if not process.running():
+            self.problems.append(f"SIGHUP has ended {process.name} with {process.process.returncode}")
+
     async def _end(self, process: ManagedProcess) -> None:
         """Send SIGTERM, further signals in some stops, and SIGKILL after the grace time only."""
         self._signal(process, signal.SIGTERM)
@@ -128,8 +142,8 @@
                 await process.process.wait()
         except TimeoutError:
             self.kills += 1
-            self._note(f"SIGKILL to {process.name}")
-            await process.kill()
+            self._signal(process, signal.SIGKILL)
+            await process.process.wait()
         finally:
             further.cancel()
 
