--- a/bench/routes/callers.py
+++ b/bench/routes/callers.py
@@ -5,10 +5,11 @@
 
 import attrs
 
-from bench.routes.cluster import HOST, SoakCluster
+from bench.routes.cluster import SoakCluster
+from bench.routes.plans import HOST
+from bench.routes.work import answer_body
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetPool
 
-RATE_PER_S = 60.0
 DEADLINE_S = 2.0
 KEY_COUNT = 65_536
 REFUSAL_STATUS_CODES = (408, 421, 429, 503)
@@ -38,7 +39,7 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            await asyncio.sleep(self.random.expovariate(RATE_PER_S))
+            await asyncio.sleep(self.random.expovariate(self.cluster.options.callers))
             task = asyncio.get_running_loop().create_task(self._call())
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -72,7 +73,7 @@
         except (NotSentError, AnswerLostError, TimeoutError):
             return None
         if answer.status == 200:
-            if answer.body != f"ran {request_id}".encode():
+            if answer.body != answer_body(request_id):
                 self.problems.append(f"{request_id} received the answer {answer.body!r:.60}")
             self.served += 1
             self.served_at.append(asyncio.get_running_loop().time())
