Keep a program alive that gets SIGHUP

Cause: the programs of the command line had no handler for it, and its default effect ends a process. The entries of platform/ read their settings again then; these programs take theirs from flags and environment, so there is nothing to read.

Change: it has no effect, also during the start and the stop. Ruled out: a graceful stop, as operators send SIGHUP to make a service read its settings and expect it to go on.

test_sighup_does_not_end_the_process fails before (status -1) and passes.

--- a/cranberrylever/_cli/_docs.py
+++ b/cranberrylever/_cli/_docs.py
@@ -35,7 +35,7 @@
 (`CRANBERRYLEVER_JSON`).
 
 SIGTERM or SIGINT shuts a program down gracefully. A repeated SIGTERM does not cut this short; SIGINT (Ctrl-C)
-during the shutdown ends the program at once.
+during the shutdown ends the program at once. SIGHUP has no effect: settings are read at the start only.
 """
 _EXIT_CODE_MEANINGS = {
     ExitCode.OK: "success",
--- a/cranberrylever/_cli/_run.py
+++ b/cranberrylever/_cli/_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import signal
 from typing import Any
 
 from cranberrylever.errors import StartError
@@ -11,7 +12,8 @@
 def run_program(program: Any, name: str) -> None:
     """Run a program until SIGTERM or SIGINT, then shut it down gracefully.
 
-    A repeated SIGTERM has no effect; SIGINT during the shutdown ends the process at once.
+    A repeated SIGTERM has no effect; SIGINT during the shutdown ends the process at once. SIGHUP has no
+    effect, as settings are read at the start only.
 
     Args:
         program: An object with ``async start()`` and ``async close()``. If it also has
@@ -22,6 +24,8 @@
         StartError: An address or directory cannot be used.
         CranberryleverError: The program failed at run time.
     """
+    # Its default effect would end the process with all running requests.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     asyncio.run(_run(program, name))
 
 
--- a/tests/cli/test_run.py
+++ b/tests/cli/test_run.py
@@ -81,6 +81,18 @@
             self.assertEqual("closed\n", process.stdout.read())
             self.assertEqual(0, process.wait())
 
+    def test_sighup_does_not_end_the_process(self):
+        """Guards against requests that are cut off by a reload signal or a closed terminal."""
+        process = self.start(0.2)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.1)
+        self.assertIsNone(process.poll())
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual("closing\n", process.stdout.readline())
+        process.send_signal(signal.SIGHUP)
+        self.assertEqual("closed\n", process.stdout.read())
+        self.assertEqual(0, process.wait())
+
     def test_sigterm_without_pause_does_not_end_the_process(self):
         """Guards against a signal that comes in a moment without a handler, up to the end of the process."""
         process = self.start(0.2)
