Count an answer as given only once its last byte has left the process

What callers saw: status 200 and a part of the body, where the entry got SIGTERM about a second before the request and the caller reads slowly.

A task ends when its answer is in the transport's buffer; the listener then closed and the process ended.

At an entry with fake targets two answers of 6 MB ended at 5.37 MB, at the listener for callers and at the one for requests passed on by other entries. The listener of control does not end so: uvicorn waits for its connections, but 5 s whatever the grace period, and told nobody; a caller at 1.5 MB a second got 11.1 of 12 MB.

Change: a stop waits until all connections have ended, which they do after their last byte, up to the same limit as for requests that run. What is left then is logged as `answers_cut_off`, with its bytes and request ids, at entries of both kinds and at control. Control has `--finish-timeout`, on the platform the grace period without its other steps. A connection ends with FIN, then reads and drops what comes for at most 1 s and 16 MiB, because a close with unread bytes makes the kernel drop what it has not delivered.

Ruled out: to end connections that never had an answer that way as well. They took a place for a second each (test_connections_are_limited_in_number_and_time failed); they have nothing to lose.

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 from uvicorn.server import ServerState
@@ -9,6 +10,7 @@
 from cranberrylever.errors import SettingError
 from cranberrylever.http_protocol import StrictHttpProtocol
 from cranberrylever.http_server import format_address, server_config
+from cranberrylever.http_unsent import CutOffAnswers, find_unsent, method_and_path
 from cranberrylever.settings import split_address
 
 
@@ -37,40 +39,6 @@
 """Time for cancelled requests to end, so that the log has their lines."""
 
 
-class CoalescingTransport:
-    """Transport that joins all writes of one loop iteration into one system call.
-
-    uvicorn writes the head and the body of an answer separately. Other calls go to the wrapped transport.
-    """
-
-    def __init__(self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop) -> None:
-        self.transport = transport
-        self.loop = loop
-        self.pending: list[bytes] = []
-        self.pause_reading = transport.pause_reading
-        self.resume_reading = transport.resume_reading
-        self.is_closing = transport.is_closing
-        self.get_extra_info = transport.get_extra_info
-
-    def write(self, data: bytes) -> None:
-        """Buffer ``data`` until the end of this loop iteration."""
-        if not self.pending:
-            self.loop.call_soon(self.flush)
-        self.pending.append(data)
-
-    def flush(self) -> None:
-        """Write the buffered data."""
-        if self.pending:
-            data = b"".join(self.pending)
-            self.pending = []
-            self.transport.write(data)
-
-    def close(self) -> None:
-        """Write the buffered data and close the transport."""
-        self.flush()
-        self.transport.close()
-
-
 class EntryProtocol(StrictHttpProtocol):
     """Connection of a caller, with limits on the number of connections, header bytes and header time."""
 
@@ -80,7 +48,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection unless the limit on connections is reached."""
-        super().connection_made(CoalescingTransport(transport, self.loop))
+        super().connection_made(transport)
         self.received_bytes = 0
         self.is_reading_headers = True
         if len(self.connections) > self.max_connections:
@@ -91,7 +59,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data; reject headers that are too large before the parser has buffered all of them."""
-        if self.is_rejected:
+        if self.is_rejected or self.transport.is_ending:
+            super().data_received(data)
             return
         if self.is_reading_headers:
             self.received_bytes += len(data)
@@ -130,10 +99,19 @@
         app: ASGI application.
         listen: Address as ``host:port``; port 0 takes a free one.
         tuning: Limits of the listener.
+        name_request: Returns the id of a request, for the log, from its scope.
     """
 
-    def __init__(self, app: object, listen: str, tuning: ServerTuning) -> None:
+    def __init__(
+        self,
+        app: object,
+        listen: str,
+        tuning: ServerTuning,
+        name_request: Callable[[dict], str] = method_and_path,
+    ) -> None:
         self.listen = listen
+        self.name_request = name_request
+        self.cut_off_answers = CutOffAnswers()
         self.state = ServerState()
         self.config = server_config(app, timeout_keep_alive=tuning.keep_alive)
         self.config.load()
@@ -174,24 +152,32 @@
     def stop_accepting(self) -> None:
         """Close the listener and idle connections; busy connections close after their answer."""
         self.server.close()
-        for connection in list(self.state.connections):
-            connection.shutdown()
+        self._close_idle()
 
     async def wait_finished(self, timeout: float) -> int:
-        """Wait up to ``timeout`` seconds for the requests to finish, then close the remaining connections.
+        """Wait up to ``timeout`` seconds until callers have all answers, then close the other connections.
+
+        An answer counts only once its last byte has left the process; ``cut_off_answers`` has the others.
 
         Returns:
-            The number of requests that were cut off.
+            The number of requests that were cut off while they ran.
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout
-        while self.state.tasks and loop.time() < end:
+        while (self.state.tasks or self.state.connections) and loop.time() < end:
             await asyncio.sleep(_FINISH_POLL_INTERVAL_S)
+            self._close_idle()
         cut_off = list(self.state.tasks)
         for task in cut_off:
             task.cancel(CUT_OFF_MESSAGE)
-        for connection in list(self.state.connections):
-            connection.transport.close()
         if cut_off:
             await asyncio.wait(cut_off, timeout=_CANCELLATION_TIMEOUT_S)
+        self.cut_off_answers = find_unsent(self.state.connections, self.name_request)
+        for connection in list(self.state.connections):
+            connection.transport.end()
         return len(cut_off)
+
+    def _close_idle(self) -> None:
+        """Close idle connections; one may have been accepted just before the listener closed."""
+        for connection in list(self.state.connections):
+            connection.shutdown()
--- a/cranberrylever/control/_program.py
+++ b/cranberrylever/control/_program.py
@@ -74,7 +74,8 @@
         # The other members elect a leader only once this one stops its heartbeats, and until then no member
         # renews grants; so the driver closes before the listeners.
         await self.driver.close()
-        await self.http.close()
+        cut_off = await self.http.close()
+        cut_off.write_to(self.log)
         await self._close_rpc_server()
         await self.transport.close()
         await self.forwarder.close()
--- a/cranberrylever/entry/_program.py
+++ b/cranberrylever/entry/_program.py
@@ -13,6 +13,7 @@
 from cranberrylever.entry._crashes import CrashDetector
 from cranberrylever.entry._dispatcher import Dispatcher
 from cranberrylever.entry._exchange import Attempt
+from cranberrylever.entry._headers import REQUEST_ID, find_header
 from cranberrylever.entry._inflight import InFlightAttempts
 from cranberrylever.entry._link import ControlLink
 from cranberrylever.entry._reader import RequestReader
@@ -22,6 +23,7 @@
 from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.entry._views import ViewStore
 from cranberrylever.errors import NotRunError
+from cranberrylever.http_unsent import method_and_path
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_metrics
 from cranberrylever.settings import EntrySettings
@@ -72,7 +74,7 @@
         claimed = ClaimedRunner(self.claims, self.dispatcher, self.tuning)
         reader = RequestReader(self.views, self.tuning)
         self.app = EntryApp(self.views, reader, self.dispatcher, claimed, self.tuning, self.stats, self.log)
-        self.server = CallerServer(self.app, self.settings.listen, self.tuning)
+        self.server = CallerServer(self.app, self.settings.listen, self.tuning, _name_request)
         await self.server.start()
         self.link = self._create_link()
         self.link.start()
@@ -90,6 +92,7 @@
         await asyncio.sleep(self.settings.drain_delay)
         self.server.stop_accepting()
         await self.server.wait_finished(self.tuning.finish_timeout)
+        self.server.cut_off_answers.write_to(self.log)
         await self.claims.close(self.tuning.claim_close_timeout)
         await self.link.close()
         if self.lease_timer is not None:
@@ -206,6 +209,12 @@
             self.admission.wake_all()
 
 
+def _name_request(scope: dict) -> str:
+    """Return the id that the caller gave a request, otherwise its method and path."""
+    request_id = find_header(scope["headers"], REQUEST_ID.lower().encode())
+    return method_and_path(scope) if request_id is None else request_id.decode("latin-1")
+
+
 def create_entry(settings: EntrySettings, tuning: EntryTuning | None = None) -> EntryProgram:
     """Create an entry without starting it.
 
--- a/cranberrylever/http_server.py
+++ b/cranberrylever/http_server.py
@@ -9,6 +9,7 @@
 from starlette.types import ASGIApp
 
 from cranberrylever.http_protocol import StrictHttpProtocol
+from cranberrylever.http_unsent import CutOffAnswers, find_unsent
 from cranberrylever.settings import split_address
 
 START_POLL_INTERVAL_S = 0.005
@@ -53,14 +54,15 @@
     Args:
         app: The ASGI application.
         listen: ``host:port``; port 0 lets the system choose a free port.
+        finish_timeout: Seconds in which ``close`` waits until callers have their answers.
     """
 
-    def __init__(self, app: ASGIApp, listen: str) -> None:
+    def __init__(
+        self, app: ASGIApp, listen: str, finish_timeout: float = GRACEFUL_SHUTDOWN_TIMEOUT_S
+    ) -> None:
         self.listen = listen
         self.bound_address = listen
-        self.server = EmbeddedServer(
-            server_config(app, timeout_graceful_shutdown=GRACEFUL_SHUTDOWN_TIMEOUT_S)
-        )
+        self.server = EmbeddedServer(server_config(app, timeout_graceful_shutdown=finish_timeout))
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -85,8 +87,17 @@
         for connection in list(self.server.server_state.connections):
             connection.transport.abort()
 
-    async def close(self) -> None:
-        """Wait for open requests, at most ``GRACEFUL_SHUTDOWN_TIMEOUT_S``, then stop."""
+    async def close(self) -> CutOffAnswers:
+        """Wait until callers have their answers, at most ``finish_timeout``, then stop.
+
+        Returns:
+            The answers of which a part has not left the process by then.
+        """
         self.server.should_exit = True
         if self.task is not None:
             await self.task
+        connections = self.server.server_state.connections
+        cut_off = find_unsent(connections)
+        for connection in list(connections):
+            connection.transport.end()
+        return cut_off
--- /dev/null
+++ b/cranberrylever/http_transport.py
@@ -0,0 +1,99 @@
+"""Write side of a listener's connection: joined writes, and an end that loses no answer."""
+
+import asyncio
+
+LINGER_S = 1.0
+"""Time for which a connection is read after its last answer has left the process.
+
+A close with unread bytes makes the kernel reset the connection and drop what it has not delivered yet. Most
+callers close at once when they see the end.
+"""
+
+MAX_LINGER_BYTES = 16 * 1_048_576
+"""Limit on the bytes read and dropped in this time, for callers that go on sending a body."""
+
+
+def _closing() -> bool:
+    return True
+
+
+class AnswerTransport:
+    """Transport that joins all writes of one loop iteration into one system call.
+
+    uvicorn writes the head and the body of an answer separately. Other calls go to the wrapped transport. Its
+    protocol is told when the first byte stays in the process (``pause_writing``) and when the last one has
+    left (``resume_writing``).
+    """
+
+    def __init__(self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop) -> None:
+        self.transport = transport
+        self.loop = loop
+        self.pending: list[bytes] = []
+        self.is_ending = False
+        self.dropped_bytes = 0
+        self.linger_timer: asyncio.TimerHandle | None = None
+        self.pause_reading = transport.pause_reading
+        self.resume_reading = transport.resume_reading
+        self.is_closing = transport.is_closing
+        self.abort = transport.abort
+        self.get_extra_info = transport.get_extra_info
+        transport.set_write_buffer_limits(0)
+
+    def write(self, data: bytes) -> None:
+        """Buffer ``data`` until the end of this loop iteration."""
+        if self.is_ending:
+            return
+        if not self.pending:
+            self.loop.call_soon(self.flush)
+        self.pending.append(data)
+
+    def flush(self) -> None:
+        """Write the buffered data."""
+        if self.pending:
+            data = b"".join(self.pending)
+            self.pending = []
+            self.transport.write(data)
+
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that have not left the process."""
+        return sum(map(len, self.pending)) + self.transport.get_write_buffer_size()
+
+    def close(self) -> None:
+        """End the connection after all data: send the rest, then the end, and read what still comes."""
+        if self.is_ending:
+            return
+        self.is_ending = True
+        self.flush()
+        if self.transport.is_closing():
+            return
+        self.is_closing = _closing
+        self.transport.resume_reading()
+        try:
+            self.transport.write_eof()
+        except OSError:
+            self.transport.abort()
+            return
+        if not self.transport.get_write_buffer_size():
+            self.on_empty()
+
+    def end(self) -> None:
+        """Close the connection without reading what still comes."""
+        self.is_ending = True
+        self.flush()
+        self.transport.close()
+
+    def on_empty(self) -> None:
+        """Limit the time of an ending connection, whose last byte has left the process."""
+        if self.is_ending and self.linger_timer is None:
+            self.linger_timer = self.loop.call_later(LINGER_S, self.transport.close)
+
+    def drop(self, data: bytes) -> None:
+        """Drop bytes that came after the end of the last answer."""
+        self.dropped_bytes += len(data)
+        if self.dropped_bytes > MAX_LINGER_BYTES:
+            self.transport.close()
+
+    def on_lost(self) -> None:
+        """Stop the timer of a connection that is closed."""
+        if self.linger_timer is not None:
+            self.linger_timer.cancel()
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -156,7 +156,9 @@
         service = LeaderRouteControlService(
             self.driver, self.leader, self.state, self.relay, self.metrics, self.log
         )
-        self.http = HttpServer(self.create_app(service, self.forwarder), settings.http)
+        self.http = HttpServer(
+            self.create_app(service, self.forwarder), settings.http, settings.finish_timeout
+        )
         self.rpc = grpclib.server.Server([self.transport, self.feed], codec=MsgpackCodec())
         self.is_rpc_started = False
         # The data directory is read first, so that nothing else is open when that fails.
@@ -188,7 +190,8 @@
         await self.leader.close()
         await self.lease_manager.close()
         await self.driver.close()
-        await self.http.close()
+        cut_off = await self.http.close()
+        cut_off.write_to(self.log)
         if self.is_rpc_started:
             await self._close_rpc()
         await self.transport.close()
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -10,6 +10,7 @@
 
 from cranberrylever.caller_http import CallerServer
 from cranberrylever.http_server import HttpServer
+from cranberrylever.http_unsent import CutOffAnswers
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
 from cranberrylever.route_entry._app import PeerRequestApp, RouteEntryApp
@@ -97,9 +98,9 @@
             self.log,
             self.feed.knows_leader,
         )
-        self.servers = [CallerServer(self.app, settings.listen, self.tuning)]
+        self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
-            self.servers.append(CallerServer(PeerRequestApp(self.app), settings.peer_listen, self.tuning))
+            self.servers.append(self._create_server(PeerRequestApp(self.app), settings.peer_listen))
         self.ready = HttpServer(self._ready_app(), settings.ready_listen)
         self.metrics_server = (
             HttpServer(self.metrics.app(), settings.metrics_listen) if settings.metrics_listen else None
@@ -126,6 +127,7 @@
         )
         if any(cut_off):
             self.log.warning("requests_cut_off", requests=sum(cut_off), ids=self.app.cut_off_ids)
+        sum((server.cut_off_answers for server in self.servers), CutOffAnswers()).write_to(self.log)
         await self.feed.close()
         if self.link_probe is not None:
             self.link_probe.cancel()
@@ -143,6 +145,12 @@
         self.feed.contacts = contacts
         self.log.info("settings_reloaded", contacts=contacts)
 
+    def _create_server(self, app: object, listen: str) -> CallerServer:
+        return CallerServer(app, listen, self.tuning, self._read_request_id)
+
+    def _read_request_id(self, scope: dict) -> str:
+        return self.format.read_call(scope["headers"]).request_id.decode("latin-1")
+
     def _usable_target_count(self) -> int:
         return sum(target.info.usable for target in self.view.targets.values())
 
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -138,4 +138,10 @@
         "",
     )
     metrics_listen: str = setting("Address of the metrics endpoint, host:port.", optional_address, "")
+    finish_timeout: float = setting(
+        "Seconds in which operators and targets get the answers to their requests after the listener has "
+        "closed. Together with a handover of leadership (1 s) it has to end before the process is killed.",
+        number(0.0, MAX_TIME_S),
+        5.0,
+    )
     log: LogSettings = attrs.field(factory=LogSettings)
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -4,10 +4,12 @@
 
 import testtools
 
+from tests.caller_http.slow_reader import SlowReader
 from tests.platform.running_system import RunningSystem
 
 DRAIN_DELAY_S = 0.1
 FINISH_TIMEOUT_S = 1.0
+BODY_BYTES = 6_000_000
 
 
 class RecordedLog:
@@ -22,6 +24,38 @@
     warning = info
 
 
+def post(request_id):
+    """Return a request whose answer is as large as its body."""
+    head = (
+        "POST /desk/x HTTP/1.1\r\nHost: h.example\r\nCranberrylever-Deadline-Ms: 1500\r\n"
+        f"Cranberrylever-Request-Id: {request_id}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    )
+    return head.encode() + b"b" * BODY_BYTES
+
+
+async def read_slowly(system, rate):
+    """Stop an entry whose answers two callers read slowly, the second one that of a request passed on.
+
+    Returns:
+        The lengths of the bodies that they get, and the log lines of the entry.
+    """
+    entry = system.route_entries.pop()
+    entry.log = entry.app.log = RecordedLog()
+    addresses = [entry.settings.listen, entry.settings.peer_listen]
+    readers = [SlowReader(address, post(f"s{n}"), rate) for n, address in enumerate(addresses)]
+    for reader in readers:
+        reader.start()
+    async with asyncio.timeout(5.0):
+        while sum(name == "request" for name, _ in entry.log.lines) < len(readers):
+            await asyncio.sleep(0.01)
+    await entry.close()
+    for server in entry.servers:  # as at the end of the process
+        for connection in list(server.state.connections):
+            connection.transport.abort()
+    await asyncio.to_thread(lambda: [reader.join() for reader in readers])
+    return [len(reader.body) for reader in readers], entry.log.lines
+
+
 class PlannedStopTest(testtools.TestCase):
     def test_request_that_cannot_finish_before_the_stop_is_refused_at_once(self):
         """Guards against a request that is accepted during a stop and cut off without an answer."""
@@ -89,3 +123,29 @@
                 return (await running).status
 
         assert asyncio.run(main()) == 200
+
+    def test_stop_waits_until_slow_readers_have_their_answers(self):
+        """Guards against an answer of which a part is in the send buffer when the process ends."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                return await read_slowly(system, rate=8_000_000.0)
+
+        sizes, lines = asyncio.run(main())
+        assert sizes == [BODY_BYTES + len("ran ")] * 2, sizes
+        assert not [name for name, _ in lines if name.endswith("cut_off")]
+
+    def test_answers_that_are_cut_off_are_logged(self):
+        """Guards against a part of an answer whose cause the logs of the entry do not show."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                return await read_slowly(system, rate=500_000.0)
+
+        sizes, lines = asyncio.run(main())
+        assert max(sizes) < BODY_BYTES, sizes
+        (line,) = [fields for name, fields in lines if name == "answers_cut_off"]
+        assert (line["answers"], line["ids"]) == (2, ("s0", "s1"))
+        assert line["unsent_bytes"] > 0
