Read a connection that ends until the kernel has delivered its answer

With 1.5 MB that the kernel had taken and a caller at 2 MB a second, a request that it sent 0.3 s into the stop cost it the rest of the answer: 573,930 to 668,756 bytes in three runs, then ECONNRESET. The same where an answer with `connection: close` goes out while the request's body is still coming, as 408, 413 and 431 do: 479,085 of 1.5 MB. The listener of control lost 0.8 and 1.1 MB alike.

Cause: a close with unread bytes makes the kernel send a reset and drop what it has not delivered, however early that answer was.

--- a/cranberrylever/http_transport.py
+++ b/cranberrylever/http_transport.py
@@ -1,6 +1,9 @@
 """Write side of a listener's connection: joined writes, and an end that loses no answer."""
 
 import asyncio
+import fcntl
+import struct
+import termios
 
 LINGER_S = 1.0
 """Time for which a connection is read after its last answer has left the process.
@@ -9,6 +12,9 @@
 callers close at once when they see the end.
 """
 
+MAX_LINGER_S = 6.0
+"""The same while the kernel still has bytes of the answer."""
+
 MAX_LINGER_BYTES = 16 * 1_048_576
 """Limit on the bytes read and dropped in this time, for callers that go on sending a body."""
 
@@ -31,6 +37,7 @@
         self.pending: list[bytes] = []
         self.is_ending = False
         self.dropped_bytes = 0
+        self.linger_until = 0.0
         self.linger_timer: asyncio.TimerHandle | None = None
         self.pause_reading = transport.pause_reading
         self.resume_reading = transport.resume_reading
@@ -85,7 +92,20 @@
     def on_empty(self) -> None:
         """Limit the time of an ending connection, whose last byte has left the process."""
         if self.is_ending and self.linger_timer is None:
-            self.linger_timer = self.loop.call_later(LINGER_S, self.transport.close)
+            self.linger_until = self.loop.time() + MAX_LINGER_S
+            self.linger_timer = self.loop.call_later(LINGER_S, self._end_lingering)
+
+    def _end_lingering(self) -> None:
+        if self.loop.time() < self.linger_until and self._undelivered_bytes() > 0:
+            self.linger_timer = self.loop.call_later(LINGER_S, self._end_lingering)
+        else:
+            self.transport.close()
+
+    def _undelivered_bytes(self) -> int:
+        """Return the bytes in the kernel that the caller's has not acknowledged, without the end."""
+        sock = self.transport.get_extra_info("socket")
+        (unacknowledged,) = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4))
+        return unacknowledged - 1
 
     def drop(self, data: bytes) -> None:
         """Drop bytes that came after the end of the last answer."""
