Bound the memory that answers take, however slowly callers read them

What callers would see: nothing bounded what slow readers hold, so an entry of 300 MB runs out of memory and ends, with all its requests.

With the 64 KB segments of loopback the kernel takes 2 MB for each connection and hides the fault, before and after.

Change: `AnswerMemory`, apart from I/O, counts answers of 16 KiB or more from the target's first byte to the caller's last. At the limit (`--answer-memory`, 64 MiB) requests are refused before anything is sent to a target: 503, not run, Retry-After 0.5 s. What running requests are expected to add counts, by what recent callers did not take at once. For 200 that were admitted before, an answer whose length is known is read from its target only while it fits, in order of arrival; it is not dropped, unless its request's deadline passes (504). A caller that reads nothing for 20 s is reset, so that it cannot fill an entry for good.

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -7,6 +7,7 @@
 
 from uvicorn.server import ServerState
 
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.errors import SettingError
 from cranberrylever.http_protocol import StrictHttpProtocol
 from cranberrylever.http_server import format_address, server_config
@@ -100,6 +101,7 @@
         listen: Address as ``host:port``; port 0 takes a free one.
         tuning: Limits of the listener.
         name_request: Returns the id of a request, for the log, from its scope.
+        memory: Limit on the memory of answers, without one if ``None``.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         listen: str,
         tuning: ServerTuning,
         name_request: Callable[[dict], str] = method_and_path,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self.listen = listen
         self.name_request = name_request
@@ -121,6 +124,7 @@
             "max_connections": tuning.max_connections,
             "max_header_bytes": tuning.max_header_bytes,
             "header_timeout": tuning.header_timeout,
+            "memory": memory or AnswerMemory(),
         }
         self.protocol_class = type("LimitedProtocol", (EntryProtocol,), limits)
         self.server: asyncio.Server | None = None
--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -5,6 +5,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.http_transport import AnswerTransport
 
 _HOST = b"host"
@@ -16,6 +17,7 @@
     It ends in a way by which callers get each answer that was written before.
     """
 
+    memory = AnswerMemory()
     is_rejected = False
     answering: RequestResponseCycle | None = None
     answered_scope: dict | None = None
@@ -23,13 +25,18 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection."""
-        super().connection_made(AnswerTransport(transport, self.loop))
+        super().connection_made(AnswerTransport(transport, self.loop, self.memory))
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the request that runs and release what the connection holds."""
         super().connection_lost(error)
         self.transport.on_lost()
 
+    def pause_writing(self) -> None:
+        """Hold back further answers until the last byte of this one has left the process."""
+        super().pause_writing()
+        self.transport.on_full()
+
     def resume_writing(self) -> None:
         """Go on after the last byte of an answer has left the process."""
         super().resume_writing()
--- a/cranberrylever/http_transport.py
+++ b/cranberrylever/http_transport.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import fcntl
+import math
 import struct
 import termios
 
+from cranberrylever.answer_memory import MIN_COUNTED_BYTES, AnswerMemory
+
 LINGER_S = 1.0
 """Time for which a connection is read after its last answer has left the process.
 
@@ -18,6 +21,9 @@
 MAX_LINGER_BYTES = 16 * 1_048_576
 """Limit on the bytes read and dropped in this time, for callers that go on sending a body."""
 
+STALL_TIMEOUT_S = 20.0
+"""Time after which a connection is reset whose caller has read nothing of its answer meanwhile."""
+
 
 def _closing() -> bool:
     return True
@@ -29,12 +35,23 @@
     uvicorn writes the head and the body of an answer separately. Other calls go to the wrapped transport. Its
     protocol is told when the first byte stays in the process (``pause_writing``) and when the last one has
     left (``resume_writing``).
+
+    Args:
+        transport: The transport to wrap.
+        loop: Its event loop.
+        memory: Counts the bytes that stay in the process.
     """
 
-    def __init__(self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop, memory: AnswerMemory
+    ) -> None:
+        self.memory = memory
+        self.counted_bytes = 0
         self.transport = transport
         self.loop = loop
         self.pending: list[bytes] = []
+        self.is_full = False
+        self.stall_timer: asyncio.TimerHandle | None = None
         self.is_ending = False
         self.dropped_bytes = 0
         self.linger_until = 0.0
@@ -53,6 +70,8 @@
         if not self.pending:
             self.loop.call_soon(self.flush)
         self.pending.append(data)
+        if len(data) >= MIN_COUNTED_BYTES:
+            self._count(self.counted_bytes + len(data))
 
     def flush(self) -> None:
         """Write the buffered data."""
@@ -60,6 +79,27 @@
             data = b"".join(self.pending)
             self.pending = []
             self.transport.write(data)
+            if self.counted_bytes or self.is_full:
+                unsent = self.transport.get_write_buffer_size()
+                self._count(unsent)
+                self.memory.record_unsent(unsent)
+
+    def _count(self, size: int) -> None:
+        difference = size - self.counted_bytes
+        self.counted_bytes = size
+        self.memory.change(difference)
+
+    def on_full(self) -> None:
+        """Watch whether the caller reads the bytes that stay in the process."""
+        self.is_full = True
+        self._watch_progress()
+
+    def _watch_progress(self, unsent_before: float = math.inf) -> None:
+        unsent = self.transport.get_write_buffer_size()
+        if unsent >= unsent_before:
+            self.transport.abort()
+        else:
+            self.stall_timer = self.loop.call_later(STALL_TIMEOUT_S, self._watch_progress, unsent)
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes that have not left the process."""
@@ -90,7 +130,12 @@
         self.transport.close()
 
     def on_empty(self) -> None:
-        """Limit the time of an ending connection, whose last byte has left the process."""
+        """Limit the time of an ending connection, as the last byte has left the process."""
+        self.is_full = False
+        if self.stall_timer is not None:
+            self.stall_timer.cancel()
+        if self.counted_bytes:
+            self._count(0)
         if self.is_ending and self.linger_timer is None:
             self.linger_until = self.loop.time() + MAX_LINGER_S
             self.linger_timer = self.loop.call_later(LINGER_S, self._end_lingering)
@@ -114,6 +159,10 @@
             self.transport.close()
 
     def on_lost(self) -> None:
-        """Stop the timer of a connection that is closed."""
+        """Release what a connection that is closed held."""
+        self.pending = []
+        self._count(0)
+        if self.stall_timer is not None:
+            self.stall_timer.cancel()
         if self.linger_timer is not None:
             self.linger_timer.cancel()
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Awaitable, Callable
 
+from cranberrylever.answer_memory import FULL_RETRY_AFTER_S, AnswerMemory
 from cranberrylever.caller_http import CALLER_GONE, RequestGuard, end_to_end_headers
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
@@ -91,6 +92,7 @@
         metrics: Metrics of the process.
         log: Program log.
         knows_leader: Returns whether a member has named a leader shortly before a loop time.
+        memory: Limit on the memory of answers.
     """
 
     def __init__(
@@ -102,7 +104,9 @@
         metrics: Metrics,
         log: Log,
         knows_leader: Callable[[float], bool] = lambda now: False,
+        memory: AnswerMemory | None = None,
     ) -> None:
+        self.memory = memory or AnswerMemory()
         self.view = view
         self.reachability = reachability
         self.dispatcher = dispatcher
@@ -201,6 +205,8 @@
             )
         if self.requests > MAX_CONCURRENT_REQUESTS:
             raise _AnsweredError(503, "refused", "too many requests in progress at this entry", 0.2)
+        if self.memory.is_full(self.requests):
+            raise _AnsweredError(503, "refused", self.memory.refusal(), FULL_RETRY_AFTER_S)
         matcher = self.view.matcher
         path = scope["raw_path"].decode("latin-1")
         route = matcher.match(host.decode("latin-1"), path)
@@ -308,6 +314,7 @@
 
     async def _send_answer(self, send: Send, request: RoutedRequest, result: AttemptResult) -> None:
         answer = result.answer
+        self.memory.record_answer()
         headers = end_to_end_headers(answer.headers)
         if request.method != b"HEAD" and answer.status not in _STATUS_WITHOUT_BODY:
             headers.append((b"content-length", str(len(answer.body)).encode()))
--- a/cranberrylever/route_entry/_peer_relay.py
+++ b/cranberrylever/route_entry/_peer_relay.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Iterator
 
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.route_entry._format import HeaderFormat, parse_rate
 from cranberrylever.route_entry._reachability import TargetReachability
 from cranberrylever.route_entry._request import (
@@ -49,10 +50,15 @@
         reachability: Links of this entry to the targets.
     """
 
-    def __init__(self, header_format: HeaderFormat, reachability: TargetReachability) -> None:
+    def __init__(
+        self,
+        header_format: HeaderFormat,
+        reachability: TargetReachability,
+        memory: AnswerMemory | None = None,
+    ) -> None:
         self.format = header_format
         self.reachability = reachability
-        self.pool = TargetPool(max_idle_connections=MAX_IDLE_CONNECTIONS)
+        self.pool = TargetPool(max_idle_connections=MAX_IDLE_CONNECTIONS, memory=memory)
         self.addresses: tuple[str, ...] = ()
         self.refresh_at = 0.0
         self.outstanding: collections.Counter[str] = collections.Counter()
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -8,6 +8,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.caller_http import CallerServer
 from cranberrylever.http_server import HttpServer
 from cranberrylever.http_unsent import CutOffAnswers
@@ -73,8 +74,9 @@
         self.metrics = create_exposed_metrics()
         log_task_errors(self.log, self.metrics)
         self.reachability = TargetReachability(self._usable_target_count, self._on_links_lost, self.log)
-        self.relay = PeerRelay(self.format, self.reachability)
-        self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record)
+        self.memory = AnswerMemory(settings.answer_memory)
+        self.relay = PeerRelay(self.format, self.reachability, self.memory)
+        self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record, memory=self.memory)
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         permit_gate = create_permit_gate(settings.rules, self.feed.request_report)
         self.permits, self.rate_limits = permit_gate.permits, permit_gate.rate_limits
@@ -97,6 +99,7 @@
             self.metrics,
             self.log,
             self.feed.knows_leader,
+            self.memory,
         )
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
@@ -146,7 +149,7 @@
         self.log.info("settings_reloaded", contacts=contacts)
 
     def _create_server(self, app: object, listen: str) -> CallerServer:
-        return CallerServer(app, listen, self.tuning, self._read_request_id)
+        return CallerServer(app, listen, self.tuning, self._read_request_id, self.memory)
 
     def _read_request_id(self, scope: dict) -> str:
         return self.format.read_call(scope["headers"]).request_id.decode("latin-1")
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -18,6 +18,8 @@
 
 MAX_TIME_S = 600.0
 MAX_TOLERATED_LOSSES = 4
+MIN_ANSWER_MEMORY = 16 * 1_048_576
+MAX_ANSWER_MEMORY = 1 << 40
 
 
 @attrs.frozen
@@ -77,6 +79,14 @@
         number(0.0, MAX_TIME_S),
         30.0,
     )
+    answer_memory: int = setting(
+        "Bytes of answers of 16 KiB or more that the entry holds at once, from the first byte of a target to "
+        "the last one that a caller reads. While they are reached, requests are refused (503, not run, with "
+        "Retry-After), and answers that are ready wait at their targets. The process needs about 100 MB "
+        "beside them.",
+        integer(MIN_ANSWER_MEMORY, MAX_ANSWER_MEMORY),
+        64 * 1_048_576,
+    )
     rules: LimitSettings = attrs.field(factory=LimitSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
 
--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -7,6 +7,7 @@
 import attrs
 import httptools
 
+from cranberrylever.answer_memory import MIN_COUNTED_BYTES, AnswerMemory, AnswerPlace
 from cranberrylever.target_http._budget import BufferBudget, BufferingConnection
 
 MAX_ANSWER_BYTES = 16 * 1_048_576
@@ -57,6 +58,7 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes = b""
+    place: AnswerPlace | None = attrs.field(default=None, eq=False, repr=False)
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header by its lower-case name."""
@@ -72,10 +74,18 @@
     Args:
         id_header: Lower-case name of the header in which a target repeats the request id; empty when the
             answers on this connection need no id.
-        budget: Limit on the bytes of unfinished answers over several connections.
+        budget: Limit on the bytes of unfinished answers without a place in memory, over several connections.
+        memory: Limit on the memory of answers.
     """
 
-    def __init__(self, id_header: bytes = b"", budget: BufferBudget | None = None) -> None:
+    def __init__(
+        self,
+        id_header: bytes = b"",
+        budget: BufferBudget | None = None,
+        memory: AnswerMemory | None = None,
+    ) -> None:
+        self.memory = memory
+        self._place: AnswerPlace | None = None
         self.id_header = id_header
         self.budget = budget or BufferBudget()
         self.transport: asyncio.Transport | None = None
@@ -131,10 +141,17 @@
     def abort(self) -> None:
         """Reset the connection; bytes in transit are lost."""
         self.is_closed = True
-        self.budget.release(self)
+        self._release()
         if self.transport is not None:
             self.transport.abort()
 
+    def _release(self) -> None:
+        """Give back what the answer that is received takes."""
+        self.budget.release(self)
+        place, self._place = self._place, None
+        if place is not None:
+            self.memory.cancel(place)
+
     # Protocol callbacks ------------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -182,7 +199,7 @@
 
     def _fail(self, error: AnswerLostError) -> None:
         self.is_closed = True
-        self.budget.release(self)
+        self._release()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
         if self.transport is not None:
@@ -195,7 +212,8 @@
         self._body: list[bytes] = []
         self._size = 0
         self._received = 0
-        self.budget.release(self)
+        self._release()
+        self._length = 0
         self._in_message = False
         self._has_headers = False
         self._has_length = False
@@ -212,6 +230,8 @@
         name = name.lower()
         if name in (b"content-length", b"transfer-encoding"):
             self._has_length = True
+            if name == b"content-length" and value.isdigit():
+                self._length = int(value)
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -224,6 +244,10 @@
             # connection ends with this answer.
             self.is_closed = True
             self.on_message_complete()
+        elif self.memory is not None and MIN_COUNTED_BYTES <= self._length <= MAX_ANSWER_BYTES:
+            self._place = self.memory.reserve(self._length, self.transport.resume_reading)
+            if not self._place.is_reserved:
+                self.transport.pause_reading()
 
     def on_body(self, body: bytes) -> None:
         """Record a part of the body."""
@@ -234,12 +258,17 @@
             self.give_up_answer(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
             return
         self._body.append(body)
-        self.budget.add(self, len(body))
+        if self._place is None or not self._place.is_reserved:
+            self.budget.add(self, len(body))
 
     def on_message_complete(self) -> None:
         """Deliver an answer to the pending request, unless it answers another one."""
         status = self._parser.get_status_code()
-        answer = TargetAnswer(status, self._headers, b"".join(self._body))
+        if self._place is not None and not self._place.is_reserved:
+            self.memory.admit_complete(self._place)
+            self.transport.resume_reading()
+        answer = TargetAnswer(status, self._headers, b"".join(self._body), self._place)
+        self._place = None
         self._reset_message()
         if status < _FINAL_STATUS or self._is_for_other_request(answer):
             self._skip_answer()
--- a/cranberrylever/target_http/_pool.py
+++ b/cranberrylever/target_http/_pool.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.settings import split_address
 from cranberrylever.target_http._budget import DEFAULT_MAX_BUFFERED_BYTES, BufferBudget
 from cranberrylever.target_http._connection import NotSentError, TargetAnswer, TargetConnection
@@ -44,6 +45,7 @@
         max_idle_connections: Limit on idle connections to one address.
         max_buffered_bytes: Limit on the bytes of unfinished answers on all connections.
         on_connect: Called with the address of each new connection and whether it was established.
+        memory: Limit on the memory of answers, ``None`` for none.
     """
 
     def __init__(
@@ -53,8 +55,10 @@
         max_idle_connections: int = DEFAULT_MAX_IDLE_CONNECTIONS,
         max_buffered_bytes: int = DEFAULT_MAX_BUFFERED_BYTES,
         on_connect: Callable[[str, bool], None] = lambda address, is_connected: None,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self.id_header = id_header
+        self.memory = memory
         self.max_idle = max_idle
         self.max_idle_connections = max_idle_connections
         self.on_connect = on_connect
@@ -175,7 +179,7 @@
         """
         host, port = split_address(address)
         _, connection = await asyncio.get_running_loop().create_connection(
-            lambda: TargetConnection(self.id_header, self.budget), host, port
+            lambda: TargetConnection(self.id_header, self.budget, self.memory), host, port
         )
         return connection
 
--- a/tests/caller_http/test_unsent_answers.py
+++ b/tests/caller_http/test_unsent_answers.py
@@ -4,10 +4,13 @@
 
 import testtools
 
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.caller_http import CallerServer
 from cranberrylever.http_server import HttpServer
+from cranberrylever.http_transport import STALL_TIMEOUT_S, AnswerTransport
 from cranberrylever.route_entry import RouteEntryTuning
 from tests.caller_http.slow_reader import SlowReader
+from tests.support import run_in_simulated_time
 
 ANSWER_BYTES = 10_000_000
 REQUEST = b"POST /a HTTP/1.1\r\nhost: x\r\nrequest-id: q1\r\ncontent-length: 2\r\n\r\nab"
@@ -90,6 +93,25 @@
     return readers[0], server, elapsed
 
 
+class FakeTransport:
+    """Transport whose caller reads nothing."""
+
+    pause_reading = resume_reading = is_closing = get_extra_info = set_write_buffer_limits = id
+
+    def __init__(self, aborted):
+        self.size = 0
+        self.aborted = aborted
+
+    def write(self, data):
+        self.size += len(data)
+
+    def get_write_buffer_size(self):
+        return self.size
+
+    def abort(self):
+        self.aborted.set_result(None)
+
+
 class StopTest(testtools.TestCase):
     def test_stop_waits_until_a_slow_reader_has_the_answer(self):
         """Guards against an answer that is in the send buffer when the process ends."""
@@ -134,3 +156,29 @@
                 later_after=0.2,
             )
             assert len(reader.body) == KERNEL_BYTES, (create_server, len(reader.body), reader.error)
+
+
+class StallTest(testtools.TestCase):
+    def test_caller_that_reads_nothing_does_not_hold_its_answer_for_good(self):
+        """Guards against callers that keep an entry's memory full by not reading."""
+
+        async def main():
+            loop = asyncio.get_running_loop()
+            memory = AnswerMemory()
+            aborted = loop.create_future()
+            transport = AnswerTransport(FakeTransport(aborted), loop, memory)
+            transport.write(b"b" * ANSWER_BYTES)
+            await asyncio.sleep(0)
+            transport.on_full()
+            sizes = [memory.held]
+            transport.transport.size -= 1
+            started = loop.time()
+            await aborted
+            elapsed = loop.time() - started
+            transport.on_lost()
+            return [*sizes, memory.held], elapsed
+
+        sizes, elapsed = run_in_simulated_time(main)
+        assert sizes == [ANSWER_BYTES, 0]
+        # A byte was read in the first interval.
+        assert 2 * STALL_TIMEOUT_S <= elapsed < 2 * STALL_TIMEOUT_S + 0.1, elapsed
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -11,10 +11,11 @@
     """A target that serves grants, releases, probes and requests.
 
     ``born`` is its start time in Unix milliseconds, ``work`` the duration of each request in seconds.
-    ``heartbeat`` returns the body of its next heartbeat. ``rate_limit`` is the limit that its
-    answers name and ``arrivals`` are the loop times of all requests. ``leaving`` and ``retry_after`` are
-    what its answers say; with the latter it refuses all requests. With ``gets_keys_in_replies`` its
-    heartbeats list its keys, ``read_reply`` applies the replies, and it takes no calls about keys.
+    ``heartbeat`` returns the body of its next heartbeat. ``rate_limit`` is the limit that its answers
+    name and ``arrivals`` are the loop times of all requests. ``leaving`` and ``retry_after`` are what its
+    answers say; with the latter it refuses all requests. ``padding`` ends the body of each answer. With
+    ``gets_keys_in_replies`` its heartbeats list its keys, ``read_reply`` applies the replies, and it
+    takes no calls about keys.
     """
 
     def __init__(self, target_id, service, zone, born, sharded=True, work=0.005, gets_keys_in_replies=False):
@@ -36,6 +37,7 @@
         self.freed = []
         self.calls = 0
         self.arrivals = []
+        self.padding = b""
         self.writers = set()
 
     async def start(self):
@@ -136,7 +138,11 @@
             return 503, {**echo, "Cranberrylever-Not-Executed": "1", "Retry-After": self.retry_after}, b""
         self.ran.append((request_id, method, path, body))
         await asyncio.sleep(self.work)
-        return 200, {**echo, "Cranberrylever-Upstream-Signature": f"sig-{self.target_id}"}, b"ran " + body
+        return (
+            200,
+            {**echo, "Cranberrylever-Upstream-Signature": f"sig-{self.target_id}"},
+            b"ran " + body + self.padding,
+        )
 
     def _grant(self, grant):
         if any(
--- a/tests/platform/running_system.py
+++ b/tests/platform/running_system.py
@@ -24,7 +24,8 @@
     ``entry`` is the address of the first of ``entries``.
     """
 
-    def __init__(self, entry_count=1, grants="rpc"):
+    def __init__(self, entry_count=1, grants="rpc", cluster_id="test"):
+        self.cluster_id = cluster_id
         self.entry_count = entry_count
         self.grants = grants
 
@@ -32,7 +33,7 @@
         self.folder = tempfile.TemporaryDirectory()
         rpc, self.control = free_address(), free_address()
         settings = RouteControlSettings(
-            "test",
+            self.cluster_id,
             rpc,
             self.control,
             f"{self.folder.name}/data",
@@ -72,10 +73,9 @@
             await target.close()
         self.folder.cleanup()
 
-    @staticmethod
-    def create_entry(number, rpc):
+    def create_entry(self, number, rpc):
         settings = RouteEntrySettings(
-            "test",
+            self.cluster_id,
             f"e{number}",
             free_address(),
             free_address(),
