--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 from uvicorn.server import ServerState
 
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.errors import SettingError
 from cranberrylever.http_protocol import StrictHttpProtocol
 from cranberrylever.http_server import format_address, server_config
+from cranberrylever.http_unsent import CutOffAnswers, find_unsent, method_and_path
 from cranberrylever.settings import split_address
 
 
@@ -37,40 +40,6 @@
 """Time for cancelled requests to end, so that the log has their lines."""
 
 
-class CoalescingTransport:
-    """Transport that joins all writes of one loop iteration into one system call.
-
-    uvicorn writes the head and the body of an answer separately. Other calls go to the wrapped transport.
-    """
-
-    def __init__(self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop) -> None:
-        self.transport = transport
-        self.loop = loop
-        self.pending: list[bytes] = []
-        self.pause_reading = transport.pause_reading
-        self.resume_reading = transport.resume_reading
-        self.is_closing = transport.is_closing
-        self.get_extra_info = transport.get_extra_info
-
-    def write(self, data: bytes) -> None:
-        """Buffer ``data`` until the end of this loop iteration."""
-        if not self.pending:
-            self.loop.call_soon(self.flush)
-        self.pending.append(data)
-
-    def flush(self) -> None:
-        """Write the buffered data."""
-        if self.pending:
-            data = b"".join(self.pending)
-            self.pending = []
-            self.transport.write(data)
-
-    def close(self) -> None:
-        """Write the buffered data and close the transport."""
-        self.flush()
-        self.transport.close()
-
-
 class EntryProtocol(StrictHttpProtocol):
     """Connection of a caller, with limits on the number of connections, header bytes and header time."""
 
@@ -80,7 +49,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection unless the limit on connections is reached."""
-        super().connection_made(CoalescingTransport(transport, self.loop))
+        super().connection_made(transport)
         self.received_bytes = 0
         self.is_reading_headers = True
         if len(self.connections) > self.max_connections:
@@ -91,7 +60,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data; reject headers that are too large before the parser has buffered all of them."""
-        if self.is_rejected:
+        if self.is_rejected or self.transport.is_ending:
+            super().data_received(data)
             return
         if self.is_reading_headers:
             self.received_bytes += len(data)
@@ -130,10 +100,21 @@
         app: ASGI application.
         listen: Address as ``host:port``; port 0 takes a free one.
         tuning: Limits of the listener.
+        name_request: Returns the id of a request, for the log, from its scope.
+        memory: Limit on the memory of answers, without one if ``None``.
     """
 
-    def __init__(self, app: object, listen: str, tuning: ServerTuning) -> None:
+    def __init__(
+        self,
+        app: object,
+        listen: str,
+        tuning: ServerTuning,
+        name_request: Callable[[dict], str] = method_and_path,
+        memory: AnswerMemory | None = None,
+    ) -> None:
         self.listen = listen
+        self.name_request = name_request
+        self.cut_off_answers = CutOffAnswers()
         self.state = ServerState()
         self.config = server_config(app, timeout_keep_alive=tuning.keep_alive)
         self.config.load()
@@ -143,6 +124,7 @@
             "max_connections": tuning.max_connections,
             "max_header_bytes": tuning.max_header_bytes,
             "header_timeout": tuning.header_timeout,
+            "memory": memory or AnswerMemory(),
         }
         self.protocol_class = type("LimitedProtocol", (EntryProtocol,), limits)
         self.server: asyncio.Server | None = None
@@ -174,27 +156,38 @@
     def stop_accepting(self) -> None:
         """Close the listener and idle connections; busy connections close after their answer."""
         self.server.close()
-        for connection in list(self.state.connections):
-            connection.shutdown()
+        self._close_idle()
 
     async def wait_finished(self, until: float) -> bool:
-        """Wait for the running requests to finish, at most until a loop time; return whether they have."""
+        """Wait until callers have all answers, at most until a loop time; return whether they have.
+
+        An answer counts only once its last byte has left the process.
+        """
         loop = asyncio.get_running_loop()
-        while self.state.tasks and loop.time() < until:
+        while (self.state.tasks or self.state.connections) and loop.time() < until:
             await asyncio.sleep(_FINISH_POLL_INTERVAL_S)
-        return not self.state.tasks
+            self._close_idle()
+        return not (self.state.tasks or self.state.connections)
 
     async def close(self) -> int:
-        """Close the connections and cancel the requests that still run.
+        """Cancel the requests that still run and end the connections.
+
+        ``cut_off_answers`` has the answers of which a part has not left the process.
 
         Returns:
-            The number of requests that were cut off.
+            The number of requests that were cut off while they ran.
         """
         cut_off = list(self.state.tasks)
         for task in cut_off:
             task.cancel(CUT_OFF_MESSAGE)
-        for connection in list(self.state.connections):
-            connection.transport.close()
         if cut_off:
             await asyncio.wait(cut_off, timeout=_CANCELLATION_TIMEOUT_S)
+        self.cut_off_answers = find_unsent(self.state.connections, self.name_request)
+        for connection in list(self.state.connections):
+            connection.transport.end()
         return len(cut_off)
+
+    def _close_idle(self) -> None:
+        """Close idle connections; one may have been accepted just before the listener closed."""
+        for connection in list(self.state.connections):
+            connection.shutdown()
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -154,7 +154,9 @@
         service = LeaderRouteControlService(
             self.driver, self.leader, self.state, self.relay, self.metrics, self.log
         )
-        self.http = HttpServer(self.create_app(service, self.forwarder), settings.http)
+        self.http = HttpServer(
+            self.create_app(service, self.forwarder), settings.http, settings.finish_timeout
+        )
         self.rpc = RpcServer([self.transport, self.feed], RPC_CLOSE_TIMEOUT_S, self.log)
         # The data directory is read first, so that nothing else is open when that fails.
         await self.driver.start()
@@ -184,7 +186,8 @@
         await self.leader.close()
         await self.lease_manager.close()
         await self.driver.close()
-        await self.http.close()
+        cut_off = await self.http.close()
+        cut_off.write_to(self.log)
         await self.rpc.close()
         await self.transport.close()
 
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -8,8 +8,10 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.caller_http import CallerServer, finish_requests
 from cranberrylever.http_server import HttpServer
+from cranberrylever.http_unsent import CutOffAnswers
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
 from cranberrylever.route_entry._app import PeerRequestApp, RouteEntryApp
@@ -75,8 +77,9 @@
         self.metrics = create_exposed_metrics()
         log_task_errors(self.log, self.metrics)
         self.reachability = TargetReachability(self._usable_target_count, self._on_links_lost, self.log)
-        self.relay = PeerRelay(self.format, self.reachability)
-        self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record)
+        self.memory = AnswerMemory(settings.answer_memory)
+        self.relay = PeerRelay(self.format, self.reachability, self.memory)
+        self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record, memory=self.memory)
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         permit_gate = create_permit_gate(settings.rules, self.feed.request_report)
         self.permits, self.rate_limits = permit_gate.permits, permit_gate.rate_limits
@@ -99,10 +102,11 @@
             self.metrics,
             self.log,
             self.feed.knows_leader,
+            self.memory,
         )
-        self.servers = [CallerServer(self.app, settings.listen, self.tuning)]
+        self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
-            self.servers.append(CallerServer(PeerRequestApp(self.app), settings.peer_listen, self.tuning))
+            self.servers.append(self._create_server(PeerRequestApp(self.app), settings.peer_listen))
         self.ready = HttpServer(self._ready_app(), settings.ready_listen)
         self.metrics_server = (
             HttpServer(self.metrics.app(), settings.metrics_listen) if settings.metrics_listen else None
@@ -133,6 +137,7 @@
             self.log.warning(
                 "requests_cut_off", requests=outcome.cut_off, ids=self.app.request_log.cut_off_ids
             )
+        sum((server.cut_off_answers for server in self.servers), CutOffAnswers()).write_to(self.log)
         if self.link_probe is not None:
             self.link_probe.cancel()
         self.pool.close()
@@ -157,6 +162,12 @@
         self.feed.contacts = contacts
         self.log.info("settings_reloaded", contacts=contacts)
 
+    def _create_server(self, app: object, listen: str) -> CallerServer:
+        return CallerServer(app, listen, self.tuning, self._read_request_id, self.memory)
+
+    def _read_request_id(self, scope: dict) -> str:
+        return self.format.read_call(scope["headers"]).request_id.decode("latin-1")
+
     def _usable_target_count(self) -> int:
         return sum(target.info.usable for target in self.view.targets.values())
 
--- a/tests/caller_http/test_http_protocol.py
+++ b/tests/caller_http/test_http_protocol.py
@@ -52,7 +52,8 @@
                     await server.close()
                 else:
                     server.stop_accepting()
-                    await server.wait_finished(1.0)
+                    await server.wait_finished(asyncio.get_running_loop().time() + 1.0)
+                    await server.close()
             return answer, app.paths
 
         return asyncio.run(main())
