Refuse a request whose body ends too late for an answer

What callers saw: a request whose body took until shortly before the end of a stop was sent to a target, ran there, and was answered 504 a moment later. A caller may not repeat such a request.

Cause: whether an answer can be expected before the stop was asked only when the headers came; reading a body is bounded by the route's timeout.

Change: it is asked again after the body, 503, not run, Retry-After 0. Outside of a stop the question costs one attribute.

Evidence: test_request_whose_body_ends_too_late_for_an_answer_is_not_sent gets 504 without the change ("the entry stops; no answer yet from i-3") and passes. The other tests of planned stops pass.

Ruled out: a limit on the time for the body, as a request may be short enough.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -221,8 +221,7 @@
         if route is None:
             raise _AnsweredError(404, "invalid", "no route matches the host and path")
         record.route = route.name
-        if now + self.dispatcher.service_times.expected(route.name) > self.stop.stops_at:
-            raise _AnsweredError(503, "refused", "this entry stops before an answer is expected", 0.0)
+        self._refuse_if_too_late(route.name)
         time_limit = min(
             route.timeout, caller_headers.deadline if caller_headers.deadline is not None else route.timeout
         )
@@ -230,6 +229,7 @@
         body = await self._read_body(headers, receive, deadline)
         if body is None:
             return None
+        self._refuse_if_too_late(route.name)
         service = matcher.services[matcher.choose(route)]
         if service.keyed and caller_headers.key is None:
             raise _AnsweredError(
@@ -251,6 +251,14 @@
             is_relayed=is_relayed,
         )
 
+    def _refuse_if_too_late(self, route: str) -> None:
+        """Refuse a request whose answer is not expected before this entry stops."""
+        if not self.draining:
+            return
+        answer_expected_at = asyncio.get_running_loop().time() + self.dispatcher.service_times.expected(route)
+        if answer_expected_at > self.stop.stops_at:
+            raise _AnsweredError(503, "refused", "this entry stops before an answer is expected", 0.0)
+
     async def _wait_for_first_view(self, arrived_at: float, deadline: float | None) -> None:
         """Wait for the first view shortly after the start; refuse the request if there is none by then."""
         view_expected_at = self.started_at + FIRST_VIEW_TIMEOUT_S
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -19,6 +19,7 @@
 GRACE_S = 4.0
 START_TIMEOUT_S = 15.0
 SILENT_S = 30.0
+LATE_WORK_S = 0.5
 
 
 class EntryProcess:
@@ -199,6 +200,36 @@
 
         assert asyncio.run(main()).startswith(b"HTTP/1.1 503 ")
 
+    def test_request_whose_body_ends_too_late_for_an_answer_is_not_sent(self):
+        """Guards against a request that is sent to a target just before the stop breaks it off."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                for target in system.targets:
+                    target.work = LATE_WORK_S
+                    target.ran.clear()
+                entry = system.route_entries[0]
+                for _ in range(20):
+                    entry.dispatcher.service_times.record("b", LATE_WORK_S)
+                host, port = system.entry.split(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"POST /desk/x HTTP/1.1\r\nhost: h.example\r\ncontent-length: 9\r\n\r\nbody")
+                await asyncio.sleep(0.05)
+                stop = asyncio.ensure_future(entry.close())
+                await asyncio.sleep(DRAIN_DELAY_S + FINISH_TIMEOUT_S - LATE_WORK_S / 2)
+                writer.write(b" ends")
+                answer = await reader.read()
+                await stop
+                system.route_entries.clear()
+                writer.close()
+                await writer.wait_closed()
+                return answer, [target.ran for target in system.targets if target.ran]
+
+        answer, ran = asyncio.run(main())
+        assert answer.startswith(b"HTTP/1.1 503 "), answer
+        assert not ran, ran
+
     def test_process_with_running_requests_ends_before_it_is_killed(self):
         """Guards against a stop that takes longer than the grace period, with its log and answers lost."""
 
