Do not retry a request that an entry's stop would break off

What callers saw: a request that a target had refused (not run) shortly before the end of its entry's stop was sent to another target, began to run there, and was answered 504. Its caller may not send it again. Without the second send it gets 503, not run.

Cause: a retry needs half of the expected time before the request's deadline; a request that came before SIGTERM has its caller's deadline and not the end of the stop.

Change: no retry whose answer is not expected before the stop, the rule that new requests of a stopping entry have.

Evidence: test_request_refused_late_by_a_target_is_not_sent_to_another fails without the change, as the request runs at the second target, and passes. Tests of route entries and planned stops pass.

Not covered: the wait for the owner of a key or a permit (0.6 and 0.3 s at most) and a send after a failed connect.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -133,6 +133,7 @@
         self.draining = True
         self.stop = StopTimes(asyncio.get_running_loop().time(), accepts_until, stops_at)
         self.request_log.stop = self.stop
+        self.dispatcher.stops_at = stops_at
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatch of requests: sends them to the targets that are selected, and retries within the budget."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -54,6 +55,9 @@
         log: Program log.
         relay: Sends requests to other entries while this one reaches no target.
         request_report: Called when control should learn something at once.
+
+    Attributes:
+        stops_at: Loop time at which this entry stops, infinite before its stop begins.
     """
 
     def __init__(
@@ -76,6 +80,7 @@
         self.log = log
         self.relay = relay
         self.request_report = request_report
+        self.stops_at = math.inf
         self.service_times = ServiceTimeEstimator()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answered = AnsweredRequests()
@@ -301,7 +306,8 @@
             request.attempts >= request.route.attempts
             or request.send_count >= request.route.attempts + EXTRA_SENDS
         )
-        if is_exhausted or request.remaining(now) < self.service_times.expected(request.route.name) / 2:
+        service_time = self.service_times.expected(request.route.name)
+        if is_exhausted or request.remaining(now) < service_time / 2 or now + service_time > self.stops_at:
             return False
         return self._retry_budget(request).try_spend(self.view.entries, now)
 
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Requests at an entry that is asked to stop, over loopback."""
 
 import asyncio
+import functools
 import os
 import random
 import signal
@@ -55,6 +56,25 @@
             return await self.process.wait()
 
 
+def refuse_first_request_late(targets, seconds):
+    """Let one target refuse the first request after a while; return the list that gets its id."""
+    refusals = []
+    for target in targets:
+        target.work = LATE_WORK_S
+        target.ran.clear()
+        target._answer = functools.partial(_refuse_or_answer, target, target._answer, refusals, seconds)
+    return refusals
+
+
+async def _refuse_or_answer(target, answer, refusals, seconds, method, path, headers, body):
+    if refusals or not path.startswith("/desk"):
+        return await answer(method, path, headers, body)
+    refusals.append(target.target_id)
+    await asyncio.sleep(seconds)
+    request_id = headers["cranberrylever-request-id"]
+    return 503, {"Cranberrylever-Request-Id": request_id, "Cranberrylever-Not-Executed": "1"}, b""
+
+
 class RecordedLog:
     """Log that keeps the lines of a program."""
 
@@ -230,6 +250,29 @@
         assert answer.startswith(b"HTTP/1.1 503 "), answer
         assert not ran, ran
 
+    def test_request_refused_late_by_a_target_is_not_sent_to_another(self):
+        """Guards against a retry that the stop breaks off, so that its caller may not send it again."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                entry = system.route_entries[0]
+                for _ in range(20):
+                    entry.dispatcher.service_times.record("b", LATE_WORK_S)
+                refused_after = DRAIN_DELAY_S + FINISH_TIMEOUT_S - LATE_WORK_S / 2
+                refusals = refuse_first_request_late(system.targets, refused_after)
+                running = asyncio.ensure_future(system.request("POST", "/desk/x", deadline_ms=5000))
+                await asyncio.sleep(0.05)
+                await entry.close()
+                system.route_entries.clear()
+                ran = [target.ran for target in system.targets if target.ran]
+                return (await running).status, refusals, ran
+
+        status, refusals, ran = asyncio.run(main())
+        assert len(refusals) == 1, refusals
+        assert not ran, ran
+        assert status == 503
+
     def test_process_with_running_requests_ends_before_it_is_killed(self):
         """Guards against a stop that takes longer than the grace period, with its log and answers lost."""
 
