Do not end a response of the ticket path that has started

What callers saw: at the end of a stop, a request that had run and whose 504 still waited for its slow caller was answered 503, not run, so its caller may repeat it; and a response that was being sent was cut off 0.1 s before the limit.

Change: a request is removed when its response starts, as in a route entry, and before it waits for the caller.

--- a/cranberrylever/entry/_app.py
+++ b/cranberrylever/entry/_app.py
@@ -71,7 +71,7 @@
             await self.health(scope, receive, send)
             return
         self.active_requests += 1
-        writer = ResponseWriter(send, self.draining)
+        writer = ResponseWriter(send, self.draining, self.running.remove_current)
         clock = asyncio.get_running_loop().time
         started = clock()
         self.running.add_current()
--- a/cranberrylever/entry/_responses.py
+++ b/cranberrylever/entry/_responses.py
@@ -42,14 +42,18 @@
     Args:
         send: ASGI ``send``.
         closes_connection: Whether the caller's connection is closed after the response.
+        on_start: Called when the response starts, before it waits for the caller.
 
     Attributes:
         outcome: Outcome sent to the caller; empty before the response starts.
     """
 
-    def __init__(self, send: Send, closes_connection: bool) -> None:
+    def __init__(
+        self, send: Send, closes_connection: bool, on_start: Callable[[], None] = lambda: None
+    ) -> None:
         self.send = send
         self.closes_connection = closes_connection
+        self.on_start = on_start
         self.outcome = ""
 
     async def send_error(self, status: int, outcome: str, error: CranberryleverError) -> None:
@@ -106,6 +110,7 @@
         await self.send({"type": "http.response.body", "body": answer.body, "more_body": False})
 
     async def _send_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        self.on_start()
         if self.closes_connection:
             headers.append(_CONNECTION_CLOSE)
         await self.send({"type": "http.response.start", "status": status, "headers": headers})
