Use an answer that is read together with its request's deadline

What callers saw: 504 from a busy entry although the answer of the target was in its socket before the deadline.

Cause: an answer only schedules the task that waits for it. A deadline that passes in the same iteration of the event loop cancels the task before it resumes, and the answer is dropped. The longer an iteration, the more answers.

Change: the guard cancels one iteration later, after tasks whose answers were read have resumed.

Evidence: test_answer_that_is_read_together_with_the_deadline_is_not_dropped gets the deadline without the change and the answer with it. The tests of callers, entries and planned stops pass.

--- a/cranberrylever/caller_http/_guard.py
+++ b/cranberrylever/caller_http/_guard.py
@@ -49,11 +49,15 @@
     def _start_watcher(self) -> None:
         # One timer serves the check delay and the deadline, because most requests end before it fires.
         if self.loop.time() >= self.deadline:
-            self._cancel(DEADLINE)
+            self._on_deadline()
             return
-        self.timer = self.loop.call_at(self.deadline, self._cancel, DEADLINE)
+        self.timer = self.loop.call_at(self.deadline, self._on_deadline)
         self.watcher = self.loop.create_task(self._watch_caller())
 
+    def _on_deadline(self) -> None:
+        # An answer that was read in this iteration of the loop resumes the task before it is cancelled.
+        self.timer = self.loop.call_soon(self._cancel, DEADLINE)
+
     async def _watch_caller(self) -> None:
         while True:
             message = await self.receive()
