Follow the class to checks, answers without a body and answers in line

- A readiness check whose connection stayed open prolonged the stop of an entry to 1.21 s, of 0.1 s, as its end is awaited now; the process would have been killed before its last log line.
These listeners, and those for metrics, wait 0.1 s for answers.
- A 304 with a length took memory for a body that does not come.

No fault: HEAD and 204; an answer that waits behind one being sent counts as a running request, the one before as `answers_cut_off` under its own id; the listener of control reports what it cuts off. The example target logs it too.

--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -33,6 +33,7 @@
 from cranberrylever.wire import MsgpackCodec
 
 RPC_CLOSE_TIMEOUT_S = 0.5
+METRICS_FINISH_TIMEOUT_S = 0.1
 STORAGE_RETRY_INTERVAL_S = 0.5
 """Seconds between attempts to open a data directory that cannot be used."""
 
@@ -85,7 +86,9 @@
         log_task_errors(self.log, self.metrics)
         await self._start_member()
         if self.settings.metrics_listen:
-            self.metrics_server = HttpServer(self.metrics.app(), self.settings.metrics_listen)
+            self.metrics_server = HttpServer(
+                self.metrics.app(), self.settings.metrics_listen, METRICS_FINISH_TIMEOUT_S
+            )
             await self.metrics_server.start()
         self.watcher = asyncio.get_running_loop().create_task(self._watch_driver())
 
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -28,6 +28,9 @@
 from cranberrylever.task_errors import log_task_errors
 from cranberrylever.wire import FeedReply, FeedReport
 
+CHECK_FINISH_TIMEOUT_S = 0.1
+"""Time for answers to readiness checks and readers of metrics at the end of a stop."""
+
 
 @attrs.frozen
 class RouteEntryTuning:
@@ -104,9 +107,11 @@
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
             self.servers.append(self._create_server(PeerRequestApp(self.app), settings.peer_listen))
-        self.ready = HttpServer(self._ready_app(), settings.ready_listen)
+        self.ready = HttpServer(self._ready_app(), settings.ready_listen, CHECK_FINISH_TIMEOUT_S)
         self.metrics_server = (
-            HttpServer(self.metrics.app(), settings.metrics_listen) if settings.metrics_listen else None
+            HttpServer(self.metrics.app(), settings.metrics_listen, CHECK_FINISH_TIMEOUT_S)
+            if settings.metrics_listen
+            else None
         )
         for server in self.servers:
             await server.start()
--- a/cranberrylever/target/_program.py
+++ b/cranberrylever/target/_program.py
@@ -114,7 +114,8 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         self.tasks.clear()
-        await self.server.close()
+        cut_off = await self.server.close()
+        cut_off.write_to(self.log)
         self.record.close()
         self.log.info("target_stopped")
         self.installed_log.close()
--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -31,6 +31,8 @@
 _FINAL_STATUS = 200
 """Lowest status of an answer that is not an interim one."""
 
+_STATUS_WITHOUT_BODY = frozenset({204, 304})
+
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: enabled, 0 s
 
 
@@ -244,7 +246,11 @@
             # connection ends with this answer.
             self.is_closed = True
             self.on_message_complete()
-        elif self.memory is not None and MIN_COUNTED_BYTES <= self._length <= MAX_ANSWER_BYTES:
+        elif (
+            self.memory is not None
+            and MIN_COUNTED_BYTES <= self._length <= MAX_ANSWER_BYTES
+            and self._parser.get_status_code() not in _STATUS_WITHOUT_BODY
+        ):
             self._place = self.memory.reserve(self._length, self.transport.resume_reading)
             if not self._place.is_reserved:
                 self.transport.pause_reading()
--- a/tests/caller_http/test_unsent_answers.py
+++ b/tests/caller_http/test_unsent_answers.py
@@ -132,6 +132,49 @@
         assert (cut_off.answers, cut_off.requests) == (1, ("q1",)), cut_off
         assert 0 < cut_off.unsent_bytes < ANSWER_BYTES
 
+    def test_answer_that_waits_behind_one_being_sent_counts_as_a_running_request(self):
+        """Guards against a cut-off answer that is counted twice, not at all, or under the next one's id."""
+
+        async def main():
+            server = CallerServer(LargeAnswerApp(), "127.0.0.1:0", RouteEntryTuning(), read_id)
+            await server.start()
+            reader = SlowReader(server.bound_address, REQUEST + NEXT_REQUEST, UNREADABLE_RATE)
+            reader.start()
+            while len(server.state.tasks) != 1 or not server.state.total_requests:
+                await asyncio.sleep(0.01)
+            server.stop_accepting()
+            cut_off_requests = await server.wait_finished(0.3)
+            for connection in connections(server):
+                connection.transport.abort()
+            await asyncio.sleep(0)
+            return cut_off_requests, server.cut_off_answers, reader
+
+        cut_off_requests, cut_off, reader = asyncio.run(main())
+        reader.finish()
+        assert cut_off_requests == 1
+        assert (cut_off.answers, cut_off.requests) == (1, ("q1",)), cut_off
+
+    def test_the_listener_of_control_reports_cut_off_answers_too(self):
+        """Guards against the same at the listener for operators and targets, whose calls have no ids."""
+
+        async def main():
+            app = LargeAnswerApp()
+            server = HttpServer(app, "127.0.0.1:0", finish_timeout=0.3)
+            await server.start()
+            reader = SlowReader(server.bound_address, REQUEST, UNREADABLE_RATE)
+            reader.start()
+            await app.answered.wait()
+            cut_off = await server.close()
+            for connection in connections(server):
+                connection.transport.abort()
+            await asyncio.sleep(0)
+            return cut_off, reader
+
+        cut_off, reader = asyncio.run(main())
+        reader.finish()
+        assert (cut_off.answers, cut_off.requests) == (1, ("POST /a",)), cut_off
+        assert cut_off.unsent_bytes > 0
+
 
 class UnreadBytesTest(testtools.TestCase):
     def test_caller_that_sends_its_next_request_at_the_stop_gets_the_answer_before_it(self):
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Requests at an entry that is asked to stop, over loopback."""
 
 import asyncio
+import socket
 
 import testtools
 
@@ -149,3 +150,21 @@
         (line,) = [fields for name, fields in lines if name == "answers_cut_off"]
         assert (line["answers"], line["ids"]) == (2, ("s0", "s1"))
         assert line["unsent_bytes"] > 0
+
+    def test_readiness_check_that_stays_connected_does_not_prolong_the_stop(self):
+        """Guards against a stop that is killed while it waits for a connection that carries no request."""
+
+        async def main():
+            async with RunningSystem() as system:
+                await system.prepare()
+                entry = system.route_entries.pop()
+                host, port = entry.settings.ready_listen.split(":")
+                with socket.create_connection((host, int(port))) as connection:
+                    connection.sendall(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                    await asyncio.sleep(0.05)
+                    started = asyncio.get_running_loop().time()
+                    await entry.close()
+                    return asyncio.get_running_loop().time() - started
+
+        elapsed = asyncio.run(main())
+        assert elapsed < DRAIN_DELAY_S + 0.6, elapsed
--- a/tests/target_http/test_answer_memory.py
+++ b/tests/target_http/test_answer_memory.py
@@ -57,3 +57,25 @@
             return waiting, len((await third).body)
 
         assert self.run_exchanges(scenario) == (1, SIZE)
+
+    def test_answers_without_a_body_take_no_memory(self):
+        """Guards against answers to HEAD, 204 and 304, whose length names a body that does not come."""
+
+        def head_of(status):
+            async def send(writer):
+                writer.write(b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n" % (status, SIZE))
+
+            return send
+
+        async def main():
+            held = []
+            for method, status in ((b"HEAD", 200), (b"GET", 204), (b"GET", 304)):
+                memory = AnswerMemory(SIZE)
+                pool = TargetPool(memory=memory)
+                async with asyncio.timeout(5.0), ScriptedServer(head_of(status)) as server:
+                    answer = await pool.exchange(server.address, method, REQUEST.replace(b"GET", method))
+                    held.append((answer.status, memory.held, len(memory.waiting)))
+                    pool.close()
+            return held
+
+        assert asyncio.run(main()) == [(200, 0, 0), (204, 0, 0), (304, 0, 0)]
