--- a/cranberrylever/tracing.py
+++ b/cranberrylever/tracing.py
@@ -92,6 +92,8 @@
 
 
 def _is_related(line: LogLine, request: LogLine) -> bool:
+    if request.fields["request_id"] in line.fields.get("ids", ()):
+        return True
     started_at = request.at - request.fields.get("ms", 0.0) / 1000
     if not started_at - CONTEXT_BEFORE_S <= line.at <= request.at + CONTEXT_AFTER_S:
         return False
--- a/tests/cli/test_trace.py
+++ b/tests/cli/test_trace.py
@@ -35,6 +35,18 @@
         assert kinds == [("range_edit", ""), ("grant_failed", "t1"), ("request", "")]
         assert "request_id=q1" in found[-1].text()
 
+    def test_answer_that_was_cut_off_long_after_its_request_line_is_found(self):
+        """Guards against a request that looks answered, as its line is written before its answer is sent."""
+        cut_off = (
+            line(15.7, "e1", "answers_cut_off", answers=1, ids=["q1"]),
+            line(15.7, "e2", "answers_cut_off", answers=1, ids=["q2"]),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "log"
+            path.write_text("\n".join((*self.LINES, *cut_off)))
+            found = trace(read_lines([path]), "q1")
+        assert [item.node for item in found if item.kind == "answers_cut_off"] == ["e1"]
+
     def test_unknown_id_finds_nothing(self):
         """Guards against lines of another request for an unknown id."""
         assert trace([], "q1") == []
