Read the count of cut off requests where a listener closes

test_answer_that_waits_behind_one_being_sent_counts_as_a_running_request, written beside the change of `CallerServer.wait_finished`, took its result for the number of requests that were cut off; that is what `close` returns now. Its assertions are the same.

--- a/tests/caller_http/test_unsent_answers.py
+++ b/tests/caller_http/test_unsent_answers.py
@@ -144,7 +144,8 @@
             while len(server.state.tasks) != 1 or not server.state.total_requests:
                 await asyncio.sleep(0.01)
             server.stop_accepting()
-            cut_off_requests = await server.wait_finished(0.3)
+            await server.wait_finished(asyncio.get_running_loop().time() + 0.3)
+            cut_off_requests = await server.close()
             for connection in connections(server):
                 connection.transport.abort()
             await asyncio.sleep(0)
