Wait 0.2 s for a blocked log reader at the end of a program

Cause: the log waited up to 1.0 s for its last lines, more than the 0.4 s that are kept for the end of a process.

test_blocked_reader_does_not_hold_up_the_end_of_a_program fails before (1.0 s) and passes.

--- a/cranberrylever/logs.py
+++ b/cranberrylever/logs.py
@@ -19,6 +19,9 @@
 MAX_BUFFERED_LINES = 20_000
 """Lines buffered while the reader is slow; further lines are dropped and counted."""
 
+CLOSE_TIMEOUT_S = 0.2
+"""Time for the last lines at the end of a program, which may be killed soon."""
+
 STDOUT_DESCRIPTOR = 1
 STDERR_DESCRIPTOR = 2
 
@@ -59,7 +62,7 @@
             return
         self.pending.append(message)
 
-    def close(self, timeout: float = 1.0) -> None:
+    def close(self, timeout: float = CLOSE_TIMEOUT_S) -> None:
         """Write the buffered lines; give up after ``timeout`` seconds when the destination blocks."""
         self._stop.set()
         self._thread.join(timeout)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -39,6 +39,16 @@
         self.assertEqual(list(range(-1, 10)), [line["number"] for line in lines if "number" in line])
         self.assertEqual([990], [line["count"] for line in lines if "count" in line])
 
+    def test_blocked_reader_does_not_hold_up_the_end_of_a_program(self):
+        """Guards against a program that is killed while it waits for a reader of its log."""
+        release = threading.Event()
+        self.addCleanup(release.set)
+        writer = BufferedLogWriter(lambda data: release.wait(10))
+        writer({"number": 1})
+        started = time.monotonic()
+        writer.close()
+        self.assertLess(time.monotonic() - started, 0.35)
+
     def test_decision_line_has_all_fields(self):
         """Guards against decision lines with missing fields, which cannot be traced to a view."""
         path = self.temporary_path()
