Replay closed loops of long work in the model of a pooled service

Change: the model has closed loops, uniform work, unequal slots, failure domains and a target that is slow for a time without saying so; it counts requests and busy time by target, and refusals while a target has a free slot. The decision code is as it stood.

--- a/bench/experiments/pool.py
+++ b/bench/experiments/pool.py
@@ -37,7 +37,16 @@
 """Share of its remaining time that a caller waits at most before it retries."""
 
 SERVICE = RoutedService("office", False, "/healthz", 130, 3.0, 4.3, 0.0)
-FAILURE_DOMAIN = "a"
+
+
+@attrs.frozen
+class SlowTarget:
+    """A target whose speed has ``factor`` from ``start`` to ``end``, in seconds of simulated time."""
+
+    number: int
+    start: float
+    end: float
+    factor: float = 0.25
 
 
 @attrs.frozen
@@ -59,6 +68,11 @@
         late_credit: Credit of an answer after the objective.
         noise_share: Share of periods in which a target's machine is slow.
         noise_factor: Factor on service times in a slow period.
+        callers: Callers that each send their next request after the answer; 0 for requests at ``rates``.
+        work_range: Limits of a uniform service time, in place of a distribution with a heavy tail.
+        slots_by_target: Slots of the targets, in turn, in place of ``slots``.
+        slow_target: A target that is slow for a time without reporting it.
+        domains: Number of failure domains, which entries and targets are in by turns.
     """
 
     rates: tuple[float, ...]
@@ -75,11 +89,25 @@
     late_credit: float = 0.3
     noise_share: float = 0.2
     noise_factor: float = 3.0
+    callers: int = 0
+    work_range: tuple[float, float] | None = None
+    slots_by_target: tuple[int, ...] = ()
+    slow_target: SlowTarget | None = None
+    domains: int = 1
+
+
+def failure_domain(number: int, load: PoolLoad) -> str:
+    """Return the failure domain of the entry or target with a number."""
+    return f"domain{number % load.domains}"
 
 
 @attrs.define
 class PoolResult:
-    """Outcome of one second of arrivals: numbers of requests, and their credit."""
+    """Outcome of one second of arrivals: numbers of requests, and their credit.
+
+    ``rejections`` counts those that are retried too, and ``needless_rejections`` those among them while a
+    target had a free slot.
+    """
 
     asked: int = 0
     credit: float = 0.0
@@ -87,6 +115,8 @@
     late: int = 0
     refused: int = 0
     timed_out: int = 0
+    rejections: int = 0
+    needless_rejections: int = 0
 
     def __add__(self, other: "PoolResult") -> "PoolResult":
         return PoolResult(*(a + b for a, b in zip(attrs.astuple(self), attrs.astuple(other), strict=True)))
@@ -100,20 +130,34 @@
 class PoolTarget:
     """Simulated target with slots, a queue and slow periods of its machine."""
 
-    def __init__(self, load: PoolLoad, speed: float, seed: str) -> None:
+    def __init__(self, load: PoolLoad, number: int, seed: int) -> None:
         self.load = load
-        self.speed = speed
-        self.rng = random.Random(seed)
-        self.slot_limit = asyncio.Semaphore(load.slots)
+        self.speed = load.speeds[number % len(load.speeds)]
+        self.slots = (
+            load.slots_by_target[number % len(load.slots_by_target)] if load.slots_by_target else load.slots
+        )
+        self.failure_domain = failure_domain(number, load)
+        is_slow = load.slow_target is not None and load.slow_target.number == number
+        self.slow_period = load.slow_target if is_slow else None
+        self.rng = random.Random(f"{seed} {number}")
+        self.slot_limit = asyncio.Semaphore(self.slots)
         self.running = 0
         self.waiting = 0
+        self.requests: collections.Counter[int] = collections.Counter()
+        self.busy_time: collections.defaultdict[int, float] = collections.defaultdict(float)
         self.step = -1
         self.slowdown = 1.0
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether one more request would run at once."""
+        return self.running + self.waiting < self.slots
+
     async def run(self, work: float) -> bool:
         """Run a request of ``work`` seconds; return ``False`` when the queue is full."""
         if self.waiting >= self.load.queue:
             return False
+        self.requests[int(asyncio.get_running_loop().time())] += 1
         self.waiting += 1
         try:
             await self.slot_limit.acquire()
@@ -121,7 +165,7 @@
             self.waiting -= 1
         self.running += 1
         try:
-            await self._work(work / self.speed)
+            await self._work(work)
         finally:
             self.running -= 1
             self.slot_limit.release()
@@ -130,13 +174,19 @@
     async def _work(self, work: float) -> None:
         now = asyncio.get_running_loop().time()
         while work > 0:
-            slowdown = self.current_slowdown(now)
+            speed = self._current_speed(now)
             period_end = (self.step + 1) * NOISE_STEP_S
-            elapsed = min(work * slowdown, period_end - now)
+            elapsed = min(work / speed, period_end - now)
+            self.busy_time[int(now)] += elapsed
             await asyncio.sleep(elapsed)
-            work -= elapsed / slowdown
+            work -= elapsed * speed
             now = max(period_end, asyncio.get_running_loop().time())
 
+    def _current_speed(self, now: float) -> float:
+        period = self.slow_period
+        factor = period.factor if period is not None and period.start <= now < period.end else 1.0
+        return factor * self.speed / self.current_slowdown(now)
+
     def current_slowdown(self, now: float) -> float:
         """Return the factor on service times in the present period."""
         while now >= (self.step + 1) * NOISE_STEP_S:
@@ -148,7 +198,7 @@
     def answer(self, is_done: bool) -> TargetAnswer:
         """Return an answer with the load that the target reports."""
         slowdown = self.current_slowdown(asyncio.get_running_loop().time())
-        load = b"%d,%d,%d,%d" % (self.running, self.waiting, self.load.slots, slowdown * 100)
+        load = b"%d,%d,%d,%d" % (self.running, self.waiting, self.slots, slowdown * 100)
         if is_done:
             return TargetAnswer(200, [(OUTCOME, b"done"), (LOAD, load)])
         return TargetAnswer(503, [(OUTCOME, NOT_RUN), (LOAD, load)])
@@ -187,20 +237,17 @@
     def __init__(self, load: PoolLoad, seed: int) -> None:
         self.load = load
         self.rng = random.Random(seed)
-        self.targets = {
-            f"t{number}:80": PoolTarget(load, load.speeds[number % len(load.speeds)], f"{seed} {number}")
-            for number in range(load.targets)
-        }
+        self.targets = {f"t{number}:80": PoolTarget(load, number, seed) for number in range(load.targets)}
         self.route = Route(
             "r", "h", "/", (RouteShare("office", 1.0),), False, load.timeout, load.objective, 0, 2
         )
         self.speed_tracker = SpeedTracker()
         self.busy_tracker = BusyTracker()
         self.fleet_version = 0
-        self.entries = [self._create_entry() for _ in range(load.entries)]
+        self.entries = [self._create_entry(failure_domain(number, load)) for number in range(load.entries)]
         self.results: collections.defaultdict[int, PoolResult] = collections.defaultdict(PoolResult)
 
-    def _create_entry(self) -> Dispatcher:
+    def _create_entry(self, domain: str) -> Dispatcher:
         limits = LimitSettings()
         dispatcher = Dispatcher(
             EntryView(limits),
@@ -208,7 +255,7 @@
             DefaultHeaderFormat(),
             ReportCollector(),
             create_permit_gate(limits, lambda: None),
-            FAILURE_DOMAIN,
+            domain,
             Log("entry", "e", "error"),
         )
         dispatcher.selector.chooser.rng = random.Random(self.rng.random())
@@ -219,6 +266,16 @@
         loop = asyncio.get_running_loop()
         self._publish(0.0)
         control = loop.create_task(self._run_control())
+        if self.load.callers:
+            await asyncio.gather(*(self._run_closed_loop() for _ in range(self.load.callers)))
+        else:
+            await self._run_open_loop()
+        control.cancel()
+        return dict(self.results)
+
+    async def _run_open_loop(self) -> None:
+        """Send requests at the rates of the load, whatever the answers."""
+        loop = asyncio.get_running_loop()
         requests = []
         now = 0.0
         for second, rate in enumerate(self.load.rates):
@@ -227,8 +284,12 @@
                 requests.append(loop.create_task(self._run_caller(int(now))))
                 now += self.rng.expovariate(rate)
         await asyncio.gather(*requests)
-        control.cancel()
-        return dict(self.results)
+
+    async def _run_closed_loop(self) -> None:
+        """Send one request after the other, the next one when the last has ended."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < len(self.load.rates):
+            await self._run_caller(int(loop.time()))
 
     async def _run_control(self) -> None:
         while True:
@@ -251,14 +312,14 @@
                 1,
                 SERVICE.name,
                 address,
-                FAILURE_DOMAIN,
-                self.load.slots,
+                target.failure_domain,
+                target.slots,
                 True,
                 0.0,
                 round(speeds[address, 1], 2),
                 self._busy(address, now),
             )
-            for address in self.targets
+            for address, target in self.targets.items()
         )
         fleet = FleetView(targets, self.load.entries, ())
         for entry in self.entries:
@@ -266,12 +327,15 @@
             entry.view.apply(reply, now)
 
     def _busy(self, address: str, now: float) -> float:
-        target = RegisteredTarget(address, 1, SERVICE.name, address, FAILURE_DOMAIN, self.load.slots)
-        busy = self.busy_tracker.busy(target, 1.0, now)
+        target = self.targets[address]
+        registered = RegisteredTarget(address, 1, SERVICE.name, address, target.failure_domain, target.slots)
+        busy = self.busy_tracker.busy(registered, 1.0, now)
         return UNKNOWN if busy is None else round(busy, 1)
 
     def _draw_work(self) -> float:
         load = self.load
+        if load.work_range is not None:
+            return self.rng.uniform(*load.work_range)
         mean_log = math.log(load.work) - load.spread**2 / 2
         return min(self.rng.lognormvariate(mean_log, load.spread), 7.5 * load.work)
 
@@ -296,6 +360,8 @@
                 async with asyncio.timeout(time_limit):
                     await self.rng.choice(self.entries).run(request)
             except RefusedError as error:
+                result.rejections += 1
+                result.needless_rejections += any(target.has_free_slot for target in self.targets.values())
                 delay = min(error.retry_after, MAX_RETRY_AFTER_SHARE * (deadline - loop.time()))
                 if is_retry:
                     result.refused += 1
@@ -313,18 +379,19 @@
             return
 
 
-def simulate(
-    load: PoolLoad, seed: int, simulation: type[PoolSimulation] = PoolSimulation
-) -> dict[int, PoolResult]:
-    """Return the results of a load by the second of arrival."""
-
-    async def run() -> dict[int, PoolResult]:
-        return await simulation(load, seed).run()
-
+def replay(simulation: PoolSimulation) -> dict[int, PoolResult]:
+    """Run a simulation in simulated time; return its results by the second of arrival."""
     loop = looptime.new_event_loop(start=0, noop_cycles=0)
     asyncio.set_event_loop(loop)
     try:
-        return loop.run_until_complete(run())
+        return loop.run_until_complete(simulation.run())
     finally:
         loop.close()
         asyncio.set_event_loop(None)
+
+
+def simulate(
+    load: PoolLoad, seed: int, simulation: type[PoolSimulation] = PoolSimulation
+) -> dict[int, PoolResult]:
+    """Return the results of a load by the second of arrival."""
+    return replay(simulation(load, seed))
--- a/tests/route_entry/test_pooled_load.py
+++ b/tests/route_entry/test_pooled_load.py
@@ -15,8 +15,8 @@
 class RandomChoiceSimulation(PoolSimulation):
     """Simulation whose entries choose targets at random in proportion to capacity."""
 
-    def _create_entry(self):
-        dispatcher = super()._create_entry()
+    def _create_entry(self, domain):
+        dispatcher = super()._create_entry(domain)
         rng = random.Random(self.rng.random())
 
         async def choose_at_random(request, state):
