--- a/bench/experiments/placement.py
+++ b/bench/experiments/placement.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from bench.experiments.pool import PoolLoad, PoolResult, PoolSimulation, SlowTarget, replay
+from bench.experiments.pool import PoolResult, PoolSimulation, replay
+from bench.experiments.pool_target import PoolLoad, SlowTarget
 
 SECONDS = 20
 
@@ -70,7 +71,6 @@
     targets = simulation.targets.values()
     by_second = tuple(tuple(target.requests[second] for second in range(seconds)) for target in targets)
     busy_times = [sum(target.busy_time[second] for second in range(warm_up, seconds)) for target in targets]
-    expected = [entry.service_times.expected(simulation.route.name) for entry in simulation.entries]
     return Placement(
         tuple(sum(requests[warm_up:]) for requests in by_second),
         tuple(
@@ -79,7 +79,7 @@
         ),
         by_second,
         functools.reduce(operator.add, results.values(), PoolResult()),
-        sum(expected) / len(expected),
+        simulation.expected_service_time,
     )
 
 
@@ -109,10 +109,15 @@
 
 UNEQUAL_SPEEDS = (0.5, 1.0, 1.5, 0.75, 1.25, 1.0)
 
+HALF_LOAD = attrs.evolve(CALM, callers=360)
+"""Closed loop of long requests at half of the capacity."""
+
 LOADS = {
     "calm, 60 slots": CALM,
     "calm, 40 slots": TIGHT,
     "objective of 1 s": SHORT_OBJECTIVE,
+    "calm, load 0.5": HALF_LOAD,
+    "calm, load 0.5, 3 domains": attrs.evolve(HALF_LOAD, domains=3, entries=3),
     "equal, load 0.1": open_load(0.1, 12, 3, 0.3),
     "equal, load 0.5": open_load(0.5, 12, 3, 0.3),
     "equal, load 0.9": open_load(0.9, 12, 3, 0.3),
--- a/tests/route_entry/test_pooled_load.py
+++ b/tests/route_entry/test_pooled_load.py
@@ -6,7 +6,8 @@
 
 import testtools
 
-from bench.experiments.pool import PoolLoad, PoolResult, PoolSimulation, simulate
+from bench.experiments.pool import PoolResult, PoolSimulation, simulate
+from bench.experiments.pool_target import PoolLoad
 from cranberrylever.route_entry._estimates import ServiceTimeEstimator
 
 SECONDS = 10
