Count utilization in the choice of a pooled target

Cause: below its slots a target has no queue, so the least completion time was the highest measured speed. That speed comes from few samples of long work, and the targets that got nothing kept theirs: two of twelve equal targets took nearly all requests. Change: the cost of a target grows by up to five service times with the share of its slots that are busy. A target that has to be waited for counts as full, one that needs permits as half full at least.

--- a/bench/experiments/pool.py
+++ b/bench/experiments/pool.py
@@ -137,7 +137,7 @@
         return dict(self.results)
 
     def _record_service_time(self) -> None:
-        """Record the mean of what the entries expect; at the end of the load, as only long requests follow."""
+        """Record the mean of what the entries expect; only long requests end after the load."""
         expected = [entry.service_times.expected(self.route.name) for entry in self.entries]
         self.expected_service_time = sum(expected) / len(expected)
 
--- a/cranberrylever/route_entry/_choice.py
+++ b/cranberrylever/route_entry/_choice.py
@@ -1,4 +1,9 @@
-"""Choice of a target for a request to a pooled service, by estimated completion time.
+"""Choice of a target for a request to a pooled service, by estimated completion time and utilization.
+
+While slots are free there is no queue, so the completion time says nothing about the load. By it alone, the
+target that seems fastest would get all requests until it is full, and a speed measured from few requests
+decides which one seems fastest. So utilization counts as well: between idle and full as much as several
+service times.
 
 An entry learns the load of a target from its own answers. With many entries each sends a target only an
 occasional request, and what the others send there meanwhile is unknown to it. If each entry chose the target
@@ -20,8 +25,17 @@
 MAX_COMPARED_PER_ROUND = 64
 """Candidates that all entries together compare when each has one request; divided among the entries."""
 
-CROSS_DOMAIN_COST_S = 0.01
-"""Time by which a target in another failure domain must be faster, since traffic between domains costs."""
+CROSS_DOMAIN_COST_S = 0.04
+"""Cost of a target in another failure domain, since traffic between domains costs."""
+
+MAX_CROSS_DOMAIN_SHARE = 0.3
+"""Limit on that cost in service times, so that short requests are divided among failure domains as well."""
+
+UTILIZATION_WEIGHT = 5.0
+"""Service times by which the cost of a full target exceeds that of an idle one, at equal completion time."""
+
+MIN_PERMIT_UTILIZATION = 0.5
+"""Utilization that a target which needs permits counts as at least; it serves requests slowly or few."""
 
 EXPLORATION_SHARE = 0.03
 """Share of requests that go to a random idle target; a target without requests reports no load."""
@@ -122,8 +136,21 @@
     def _cost(self, target: TargetState, service_time: float, now: float) -> float:
         noise = 1.0 + CHOICE_NOISE * self.rng.random()
         delay = min(self.permits.delay(target, now), MAX_PERMIT_DELAY_S)
-        domain_cost = 0.0 if target.info.failure_domain == self.failure_domain else CROSS_DOMAIN_COST_S
-        return (target.estimate.completion_time(service_time, now) + delay + domain_cost) * noise
+        is_near = target.info.failure_domain == self.failure_domain
+        domain_cost = 0.0 if is_near else min(CROSS_DOMAIN_COST_S, MAX_CROSS_DOMAIN_SHARE * service_time)
+        load = target.estimate.expected_load(now)
+        utilization_cost = UTILIZATION_WEIGHT * service_time * self._utilization(target, load, delay, now)
+        completion_time = target.estimate.completion_time(service_time, now, load)
+        return (completion_time + utilization_cost + delay + domain_cost) * noise
+
+    def _utilization(self, target: TargetState, load: float, delay: float, now: float) -> float:
+        """Return the utilization that the target counts as; one that needs a wait for a permit is full."""
+        if delay > 0:
+            return 1.0
+        utilization = target.estimate.utilization(load)
+        if self.permits.is_required(target, now):
+            return max(MIN_PERMIT_UTILIZATION, utilization)
+        return utilization
 
 
 def _capacity(target: TargetState) -> float:
--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -137,15 +137,28 @@
         weight = math.exp(-(now - self.reported_at) / SLOWDOWN_DECAY_S)
         return (1.0 + (self.slowdown - 1.0) * weight) / max(0.1, self.speed)
 
-    def queue_time(self, service_time: float, now: float) -> float:
-        """Return the seconds that one more request would queue, if each takes ``service_time`` seconds."""
-        excess = max(0.0, self.expected_load(now) + 1.0 - self.slots)
+    def utilization(self, load: float) -> float:
+        """Return the share of the slots that are busy with one more request than ``load``."""
+        return min(1.0, (load + 1.0) / self.slots)
+
+    def queue_time(self, service_time: float, now: float, load: float | None = None) -> float:
+        """Return the seconds that one more request would queue, if each takes ``service_time`` seconds.
+
+        Args:
+            service_time: Service time at an average target in seconds.
+            now: Loop time.
+            load: Expected number of requests at the target; estimated if it is ``None``.
+        """
+        if load is None:
+            load = self.expected_load(now)
+        excess = max(0.0, load + 1.0 - self.slots)
         return excess * service_time * self.relative_service_time(now) / self.slots
 
-    def completion_time(self, service_time: float, now: float) -> float:
-        """Return the seconds until one more request of ``service_time`` seconds would be answered."""
+    def completion_time(self, service_time: float, now: float, load: float | None = None) -> float:
+        """Return the seconds until one more request would be answered; the arguments are as above."""
         penalty = FAILURE_PENALTY_S * self.recent_failures(now)
-        return self.queue_time(service_time, now) + service_time * self.relative_service_time(now) + penalty
+        own_time = service_time * self.relative_service_time(now)
+        return self.queue_time(service_time, now, load) + own_time + penalty
 
     def dispatch_estimate(self, service_time: float, now: float) -> DispatchEstimate:
         """Return all estimates for one more request of ``service_time`` seconds."""
--- /dev/null
+++ b/tests/route_entry/test_placement.py
@@ -0,0 +1,58 @@
+"""Replays of how requests to a pooled service are divided among its targets."""
+
+import functools
+
+import testtools
+
+from bench.experiments.placement import CALM, LOADS, SHORT_OBJECTIVE, TIGHT, place
+
+SEEDS = (1, 2)
+WARM_UP_S = 2
+MAX_BUSIEST_OVER_MEAN = 1.25
+MAX_CALM_BUSIEST_OVER_MEAN = 2.0
+MAX_UTILIZATION_SPREAD = 0.25
+SLOW_START_S, SLOW_END_S = 5, 11
+
+
+@functools.cache
+def placements(name):
+    return [place(LOADS[name], seed, WARM_UP_S) for seed in SEEDS]
+
+
+class PlacementTest(testtools.TestCase):
+    def test_calm_equal_targets_get_like_shares(self):
+        """Guards against a target that seems fastest and gets half of the requests while others are idle."""
+        for name in (
+            "calm, load 0.5",
+            "calm, load 0.5, 3 domains",
+            "equal, load 0.5",
+            "2 entries, 2 targets",
+        ):
+            for result in placements(name):
+                assert result.busiest_over_mean <= MAX_BUSIEST_OVER_MEAN, (name, result.requests)
+
+    def test_few_long_requests_do_not_gather_at_one_target(self):
+        """Guards against speeds from few samples that decide where long requests go at low load."""
+        for load in (CALM, TIGHT, SHORT_OBJECTIVE):
+            for seed in SEEDS:
+                result = place(load, seed, WARM_UP_S)
+                assert result.busiest_over_mean <= MAX_CALM_BUSIEST_OVER_MEAN, (load, result.requests)
+                assert result.result.rejections == 0, result.result
+                assert result.result.timed_out == 0, result.result
+
+    def test_unequal_targets_are_utilized_alike(self):
+        """Guards against fast or large targets that are full while the others are idle."""
+        for name in ("speeds of 0.5 to 1.5", "2 to 12 slots", "work of 5 ms", "work of 5 s"):
+            for result in placements(name):
+                assert result.utilization_spread <= MAX_UTILIZATION_SPREAD, (name, result.utilizations)
+
+    def test_slow_target_gets_less_within_a_second_and_recovers_within_three(self):
+        """Guards against a slow target that keeps its share, and one that is avoided long after."""
+        results = placements("one slow for 6 s")
+        targets = len(results[0].requests)
+
+        def relative_share(start, end):
+            return sum(result.share(0, start, end) for result in results) / len(results) * targets
+
+        assert relative_share(SLOW_START_S + 1, SLOW_END_S) < 0.5
+        assert relative_share(SLOW_END_S + 3, SLOW_END_S + 5) > 0.75
