Measure the speed of a target by requests, not by their length alone

Cause: control credits a target with 1.5 s of average work before any measurement, so one request of 2.6 s outweighed it and decided the speed; the first requests of a route were compared with the initial estimate of 0.1 s. Change: a request counts as one of 0.3 s at most, and the first three of a route at an entry are no measure of speed. Routes of up to 0.3 s keep their weight.

--- a/bench/experiments/placement.py
+++ b/bench/experiments/placement.py
@@ -119,7 +119,7 @@
     "calm, load 0.5": HALF_LOAD,
     "calm, load 0.5, 3 domains": attrs.evolve(HALF_LOAD, domains=3, entries=3),
     "equal, load 0.1": open_load(0.1, 12, 3, 0.3),
-    "equal, load 0.5": open_load(0.5, 12, 3, 0.3),
+    "equal, load 0.5": open_load(0.5, 12, 3, 0.3, 30),
     "equal, load 0.9": open_load(0.9, 12, 3, 0.3),
     "equal, load 1.2": open_load(1.2, 12, 3, 0.3),
     "speeds of 0.5 to 1.5": open_load(0.5, 12, 3, 0.3, 20, speeds=UNEQUAL_SPEEDS),
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -215,8 +215,10 @@
             )
         is_unqueued = load.waiting == 0 and load.running <= load.slots and not target.is_cold(now)
         if is_unqueued and not answer_headers.did_not_run and answer.status < _SERVER_ERROR:
-            expected = self.service_times.expected(request.route.name)
-            self.reports.record_service_time(target.info.target_id, target.info.started_ms, elapsed, expected)
+            if self.service_times.is_known(request.route.name):
+                expected = self.service_times.expected(request.route.name)
+                incarnation = target.info.incarnation
+                self.reports.record_service_time(*incarnation, elapsed, expected)
             # Recorded as at an average target; a speed below 0.25 counts as 0.25.
             self.service_times.record(request.route.name, elapsed * max(0.25, target.info.speed))
 
--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -45,6 +45,10 @@
 """Weight of each new sample in the mean service time, once there are many."""
 
 
+MIN_KNOWN_SAMPLES = 3
+"""Samples from which the expected service time of a route is a measure for the speed of targets."""
+
+
 @attrs.frozen
 class DispatchEstimate:
     """The estimates by which an entry decided on a target for a request; times are in seconds.
@@ -196,6 +200,11 @@
         """Record the service time of a request that did not queue."""
         self.routes.setdefault(route, _RouteServiceTime(INITIAL_SERVICE_TIME_S)).record(elapsed)
 
+    def is_known(self, route: str) -> bool:
+        """Return whether there are enough samples to compare a target's service times with the mean."""
+        service_time = self.routes.get(route)
+        return service_time is not None and service_time.sample_count > MIN_KNOWN_SAMPLES
+
     def expected(self, route: str) -> float:
         """Return the expected service time of a route's requests in seconds."""
         service_time = self.routes.get(route)
--- a/cranberrylever/route_entry/_reports.py
+++ b/cranberrylever/route_entry/_reports.py
@@ -4,6 +4,12 @@
 from cranberrylever.route_entry._departures import TargetDepartures
 from cranberrylever.wire import PartWork, ReportedLoad, ServiceWork, TargetServiceTime
 
+MAX_REPORTED_SERVICE_TIME_S = 0.3
+"""Expected service time that one request counts as at most in a target's speed.
+
+Control weighs requests by their service time. Without the limit one long request would decide the speed.
+"""
+
 MAX_CRASHES_REPORTED = 64
 """Limit on the crashes in one report; further ones are dropped."""
 
@@ -26,8 +32,10 @@
 
     def record_service_time(self, target_id: str, started_ms: int, elapsed: float, expected: float) -> None:
         """Add the elapsed and the expected time in seconds of a request that did not queue."""
+        weight = min(1.0, MAX_REPORTED_SERVICE_TIME_S / expected)
         previous = self.service_times.get((target_id, started_ms), (0.0, 0.0))
-        self.service_times[target_id, started_ms] = (previous[0] + elapsed, previous[1] + expected)
+        sums = (previous[0] + weight * elapsed, previous[1] + weight * expected)
+        self.service_times[target_id, started_ms] = sums
 
     def record_load(self, target_id: str, started_ms: int, requests: int) -> None:
         """Add the number of requests that ran or were queued at a target at the time of an answer."""
--- a/tests/route_entry/test_placement.py
+++ b/tests/route_entry/test_placement.py
@@ -1,10 +1,14 @@
 """Replays of how requests to a pooled service are divided among its targets."""
 
 import functools
+import statistics
 
 import testtools
 
 from bench.experiments.placement import CALM, LOADS, SHORT_OBJECTIVE, TIGHT, place
+from cranberrylever.route_control._speeds import SpeedTracker
+from cranberrylever.route_entry._estimates import ServiceTimeEstimator
+from cranberrylever.route_entry._reports import ReportCollector
 
 SEEDS = (1, 2)
 WARM_UP_S = 2
@@ -56,3 +60,34 @@
 
         assert relative_share(SLOW_START_S + 1, SLOW_END_S) < 0.5
         assert relative_share(SLOW_END_S + 3, SLOW_END_S + 5) > 0.75
+
+
+class ReportedSpeedTest(testtools.TestCase):
+    def test_one_long_request_does_not_decide_the_speed_of_a_target(self):
+        """Guards against a target that counts as slow for seconds because one long request took long."""
+        reports, tracker = ReportCollector(), SpeedTracker()
+        reports.record_service_time("a", 1, 4.7, 2.6)
+        for service_time in reports.take_service_times():
+            tracker.record(service_time, 0.0)
+        assert tracker.speeds([("a", 1), ("b", 1)])["a", 1] > 0.85
+
+    def test_many_long_requests_show_the_speed_of_a_target(self):
+        """Guards against a limit that hides a target of half the speed."""
+        reports, tracker = ReportCollector(), SpeedTracker()
+        for _ in range(40):
+            reports.record_service_time("a", 1, 5.2, 2.6)
+        for service_time in reports.take_service_times():
+            tracker.record(service_time, 0.0)
+        speeds = tracker.speeds([("a", 1), ("b", 1)])
+        assert speeds["a", 1] < 0.65 * speeds["b", 1], speeds
+        assert abs(statistics.harmonic_mean(speeds.values()) - 1.0) < 0.01, speeds
+
+    def test_first_requests_of_a_route_are_no_measure_of_speed(self):
+        """Guards against targets that count as slow because their route takes longer than first assumed."""
+        service_times = ServiceTimeEstimator()
+        assert not service_times.is_known("r")
+        service_times.record("r", 2.6)
+        assert not service_times.is_known("r")
+        for _ in range(4):
+            service_times.record("r", 2.6)
+        assert service_times.is_known("r")
