Ask all targets before a pooled request is refused

Cause: admission judged only the target that was chosen among a few, so a request was refused although another one had a free slot; an objective that an idle target cannot meet refused whatever had to queue at all. Change: before it refuses a pooled request an entry looks for a target that needs no wait for a permit, is expected to have part of a slot free and to answer before the deadline. A request whose route takes longer than its objective at an average idle target is judged by its deadline, but queues for at most a quarter of the objective, so that requests that can meet theirs go first. Requests that miss their objective only because of queues are still refused: a longer queue would make all late.

--- a/bench/experiments/placement.py
+++ b/bench/experiments/placement.py
@@ -112,10 +112,14 @@
 HALF_LOAD = attrs.evolve(CALM, callers=360)
 """Closed loop of long requests at half of the capacity."""
 
+SHORT_OBJECTIVE_FULL = attrs.evolve(SHORT_OBJECTIVE, callers=700, entries=3)
+"""The objective that cannot be met, with nearly as many callers as slots."""
+
 LOADS = {
     "calm, 60 slots": CALM,
     "calm, 40 slots": TIGHT,
     "objective of 1 s": SHORT_OBJECTIVE,
+    "objective of 1 s, load 0.97": SHORT_OBJECTIVE_FULL,
     "calm, load 0.5": HALF_LOAD,
     "calm, load 0.5, 3 domains": attrs.evolve(HALF_LOAD, domains=3, entries=3),
     "equal, load 0.1": open_load(0.1, 12, 3, 0.3),
@@ -129,6 +133,7 @@
     "2 entries, 2 targets": open_load(0.5, 2, 2, 0.3),
     "300 entries": open_load(0.5, 12, 300, 0.3),
     "80 entries, 21 targets": PoolLoad((163.0,) * 10),
+    "80 entries, load 1.2": PoolLoad((372.0,) * 6),
     "300 targets": open_load(0.5, 300, 12, 0.3, 4),
     "one slow for 6 s": open_load(0.5, 12, 3, 0.3, 16, slow_target=SlowTarget(0, 5.0, 11.0)),
     "one slow for 6 s, work of 1 s": open_load(0.5, 12, 3, 1.0, 20, slow_target=SlowTarget(0, 5.0, 11.0)),
--- a/cranberrylever/route_entry/_admission.py
+++ b/cranberrylever/route_entry/_admission.py
@@ -1,8 +1,12 @@
 """Admission control: decides from load estimates whether a request is sent, waits or is refused.
 
-A request that an overloaded keyed target cannot answer in time would only delay the others. It is refused at
+A request that an overloaded target cannot answer in time would only delay the others. It is refused at
 once, with the delay after which capacity is expected to be free. Requests of low priority are refused first,
 which leaves capacity for those of high priority.
+
+The objective of a route may be shorter than its requests take at an idle target. To refuse them for their
+objective would leave callers without the late answer that they wait for, so their deadline counts instead.
+They queue only briefly, so that they do not delay requests that can meet their objective.
 """
 
 import enum
@@ -37,6 +41,9 @@
 factors keep capacity at a nearly full target free for requests of high priority.
 """
 
+MAX_LATE_QUEUE_SHARE = 0.25
+"""Limit on the queue of a request that cannot meet its objective at any target, as a share of it."""
+
 NEW_REQUEST_TIME_SHARE = 0.9
 """Limit on the expected completion time of a new request, as a share of its remaining time."""
 
@@ -54,7 +61,8 @@
     ``priority`` 0 is the highest. ``objective`` is the completion time to aim for and ``remaining`` the
     time until the caller's deadline. ``queue_time`` and ``completion_time`` are the estimates for the target.
     ``permit_delay`` is the time until the target may receive another request, 0 when no permit is needed or
-    one is free, and ``permit_reason`` is why it needs one.
+    one is free, and ``permit_reason`` is why it needs one. ``service_time`` is the expected time at an
+    average target that is idle.
     ``is_caller_retry`` reports whether the caller was refused before.
     """
 
@@ -66,6 +74,7 @@
     permit_delay: float = 0.0
     permit_reason: str = ""
     is_caller_retry: bool = False
+    service_time: float = 0.0
 
 
 def _time_budget(request: AdmissionRequest) -> float:
@@ -73,11 +82,16 @@
     if request.is_caller_retry:
         return request.remaining * CALLER_RETRY_TIME_SHARE
     factor = OBJECTIVE_FACTORS_BY_PRIORITY[min(request.priority, len(OBJECTIVE_FACTORS_BY_PRIORITY) - 1)]
-    return min(request.remaining * NEW_REQUEST_TIME_SHARE, request.objective * factor)
+    time_limit = request.remaining * NEW_REQUEST_TIME_SHARE
+    objective_limit = request.objective * factor
+    if request.service_time > objective_limit:
+        own_time = request.completion_time - request.queue_time
+        return min(time_limit, own_time + MAX_LATE_QUEUE_SHARE * objective_limit)
+    return min(time_limit, objective_limit)
 
 
 def admit(request: AdmissionRequest) -> AdmissionDecision:
-    """Decide on a request for the target that was chosen for it."""
+    """Decide on a request for one target."""
     if request.remaining <= 0:
         return AdmissionDecision(Verdict.REFUSE, MIN_RETRY_AFTER_S, "no time left")
     budget = _time_budget(request)
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -2,10 +2,16 @@
 
 import asyncio
 
-from cranberrylever.route_entry._admission import MIN_RETRY_AFTER_S, AdmissionRequest, Verdict, admit
+from cranberrylever.route_entry._admission import (
+    MIN_RETRY_AFTER_S,
+    AdmissionDecision,
+    AdmissionRequest,
+    Verdict,
+    admit,
+)
 from cranberrylever.route_entry._choice import PooledChooser
 from cranberrylever.route_entry._dispatch_state import DispatchState
-from cranberrylever.route_entry._estimates import ServiceTimeEstimator
+from cranberrylever.route_entry._estimates import DispatchEstimate, ServiceTimeEstimator
 from cranberrylever.route_entry._permit_gate import PermitGate
 from cranberrylever.route_entry._request import RoutedRequest, raise_failure
 from cranberrylever.route_entry._view import EntryView, TargetState
@@ -61,10 +67,23 @@
         while True:
             target = await self._choose_target(request, state)
             now = _now()
-            service_time = self.service_times.expected(request.route.name)
-            estimate = target.estimate.dispatch_estimate(service_time, now)
-            request.estimate = estimate
-            admission_request = AdmissionRequest(
+            decision = self._admit(request, target, now)
+            if decision.verdict is Verdict.REFUSE and request.key is None:
+                free_target = self._find_free_target(request, state, now)
+                if free_target is not None:
+                    target, decision = free_target, AdmissionDecision(Verdict.SEND)
+                    request.estimate = self._estimate(request, target, now)
+            if decision.verdict is Verdict.REFUSE:
+                raise_failure(request, f"{decision.reason} ({target.info.target_id})", decision.delay)
+            if decision.verdict is Verdict.SEND and self.permits.try_acquire(target, now):
+                return target
+            await self._wait_for_permit(request, target, decision.delay, state)
+
+    def _admit(self, request: RoutedRequest, target: TargetState, now: float) -> AdmissionDecision:
+        """Decide on the request for a target, and record the estimates that decided."""
+        estimate = request.estimate = self._estimate(request, target, now)
+        return admit(
+            AdmissionRequest(
                 request.route.priority,
                 request.route.objective,
                 request.remaining(now),
@@ -73,18 +92,44 @@
                 self.permits.delay(target, now),
                 self.permits.reason(target),
                 request.is_caller_retry,
+                estimate.service_time,
             )
-            decision = admit(admission_request)
-            if decision.verdict is Verdict.REFUSE:
-                raise_failure(request, f"{decision.reason} ({target.info.target_id})", decision.delay)
-            if decision.verdict is Verdict.SEND and self.permits.try_acquire(target, now):
-                return target
-            await self._wait_for_permit(request, target, decision.delay, state)
+        )
+
+    def _estimate(self, request: RoutedRequest, target: TargetState, now: float) -> DispatchEstimate:
+        return target.estimate.dispatch_estimate(self.service_times.expected(request.route.name), now)
+
+    def _find_free_target(
+        self, request: RoutedRequest, state: DispatchState, now: float
+    ) -> TargetState | None:
+        """Return a target that can run the request at once and answer it in time, ``None`` without one.
+
+        The one that was chosen has the least cost of a few candidates, so others may have free slots.
+        """
+        service_time = self.service_times.expected(request.route.name)
+        remaining = request.remaining(now)
+        free = [
+            target
+            for target in self._awake_targets(request, state, now)
+            if self.permits.delay(target, now) == 0.0
+            and target.estimate.expected_load(now) < target.estimate.slots
+            and target.estimate.completion_time(service_time, now) <= remaining
+        ]
+        return self.chooser.choose(free, self.view.entries, service_time, now) if free else None
 
     async def _choose_target(self, request: RoutedRequest, state: DispatchState) -> TargetState:
         if request.key is not None:
             return await self._wait_for_owner(request)
         now = _now()
+        awake = self._awake_targets(request, state, now)
+        if state.permit_target in awake and self.permits.delay(state.permit_target, now) == 0.0:
+            # A permit that came for this request would expire unused if it went elsewhere.
+            return state.permit_target
+        service_time = self.service_times.expected(request.route.name)
+        return self.chooser.choose(awake, self.view.entries, service_time, now)
+
+    def _awake_targets(self, request: RoutedRequest, state: DispatchState, now: float) -> list[TargetState]:
+        """Return the targets that may get the request now, those that were not tried if there are any."""
         candidates = self.view.usable_targets(request.service.name)
         untried = [target for target in candidates if target.info.target_id not in state.excluded_targets]
         if not (untried or candidates):
@@ -93,11 +138,7 @@
         if not awake:
             rest_end = min(target.rests_until for target in untried or candidates)
             raise_failure(request, "all targets of the service asked for a pause", rest_end - now)
-        if state.permit_target in awake and self.permits.delay(state.permit_target, now) == 0.0:
-            # A permit that came for this request would expire unused if it went elsewhere.
-            return state.permit_target
-        service_time = self.service_times.expected(request.route.name)
-        return self.chooser.choose(awake, self.view.entries, service_time, now)
+        return awake
 
     async def _wait_for_owner(self, request: RoutedRequest) -> TargetState:
         """Return the owner of the request's key; wait briefly while the key moves."""
--- a/tests/route_entry/test_decisions.py
+++ b/tests/route_entry/test_decisions.py
@@ -42,6 +42,22 @@
         """Guards against running a request that its caller has given up."""
         assert admit(AdmissionRequest(0, 0.3, 0.0, 0.0, 0.1)).verdict is Verdict.REFUSE
 
+    def test_objective_that_cannot_be_met_does_not_refuse_a_request(self):
+        """Guards against callers who get no answer at all because it would be late at any target."""
+        request = AdmissionRequest(2, 0.3, 5.0, 0.05, 1.05, service_time=1.0)
+        assert admit(request).verdict is Verdict.SEND
+
+    def test_request_that_can_meet_its_objective_goes_before_one_that_cannot(self):
+        """Guards against late requests that fill the queue of those that could be answered in time."""
+        in_time = AdmissionRequest(2, 1.0, 5.0, 0.4, 0.5, service_time=0.1)
+        late = AdmissionRequest(2, 1.0, 5.0, 0.4, 2.4, service_time=2.0)
+        assert admit(in_time).verdict is Verdict.SEND
+        assert admit(late).verdict is Verdict.REFUSE
+
+    def test_late_request_must_end_before_the_deadline(self):
+        """Guards against work for callers that will have left."""
+        assert admit(AdmissionRequest(2, 0.3, 1.0, 0.05, 1.05, service_time=1.0)).verdict is Verdict.REFUSE
+
 
 class EstimateTest(testtools.TestCase):
     def test_own_requests_count_at_once(self):
--- a/tests/route_entry/test_placement.py
+++ b/tests/route_entry/test_placement.py
@@ -11,6 +11,7 @@
 from cranberrylever.route_entry._reports import ReportCollector
 
 SEEDS = (1, 2)
+MANY_ENTRIES_SEEDS = (0, 1, 2, 3, 4)
 WARM_UP_S = 2
 MAX_BUSIEST_OVER_MEAN = 1.25
 MAX_CALM_BUSIEST_OVER_MEAN = 2.0
@@ -61,6 +62,23 @@
         assert relative_share(SLOW_START_S + 1, SLOW_END_S) < 0.5
         assert relative_share(SLOW_END_S + 3, SLOW_END_S + 5) > 0.75
 
+    def test_late_answers_go_before_refusals_where_the_objective_cannot_be_met(self):
+        """Guards against refusals for an objective that no target can meet, while the deadline can be met."""
+        for result in placements("objective of 1 s, load 0.97"):
+            assert result.result.rejections == 0, result.result
+
+    def test_no_request_is_refused_while_a_target_has_a_free_slot(self):
+        """Guards against a refusal that asked only the target that was chosen first."""
+        for name in ("equal, load 0.9", "equal, load 1.2", "speeds of 0.5 to 1.5"):
+            for result in placements(name):
+                assert result.result.needless_rejections == 0, (name, result.result)
+
+    def test_many_entries_refuse_nothing_while_a_target_has_a_free_slot(self):
+        """Guards against refusals by entries whose estimates are old, while targets are idle."""
+        for seed in MANY_ENTRIES_SEEDS:
+            result = place(LOADS["80 entries, load 1.2"], seed).result
+            assert result.needless_rejections == 0, (seed, result)
+
 
 class ReportedSpeedTest(testtools.TestCase):
     def test_one_long_request_does_not_decide_the_speed_of_a_target(self):
