--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -54,6 +54,7 @@
         log: Program log.
         relay: Sends requests to other entries while this one reaches no target.
         request_report: Called when control should learn something at once.
+        record_send: Called when a request is sent to a target, with the loop time.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         log: Log,
         relay: PeerRelay | None = None,
         request_report: Callable[[], None] = lambda: None,
+        record_send: Callable[[RoutedRequest, TargetState, float], None] = lambda request, target, now: None,
     ) -> None:
         self.view = view
         self.pool = pool
@@ -76,6 +78,7 @@
         self.log = log
         self.relay = relay
         self.request_report = request_report
+        self.record_send = record_send
         self.service_times = ServiceTimeEstimator()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answered = AnsweredRequests()
@@ -137,6 +140,7 @@
             self.format.target_headers(request.headers, target.info.target_id, remaining)
         )
         estimate.record_start(started_at)
+        self.record_send(request, target, started_at)
         is_lost = True
         try:
             answer = await self.pool.exchange(
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -20,6 +20,7 @@
 from cranberrylever.route_entry._permit_gate import create_permit_gate
 from cranberrylever.route_entry._reachability import TargetReachability, probe_until_reachable
 from cranberrylever.route_entry._reports import ReportCollector
+from cranberrylever.route_entry._target_shares import TargetShareGauge
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.settings import RouteEntrySettings
 from cranberrylever.target_http import TargetPool
@@ -87,6 +88,7 @@
             self.log,
             self.relay,
             self.feed.request_report,
+            TargetShareGauge(self.metrics, self.view).record,
         )
         self.app = RouteEntryApp(
             self.view,
