--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "straggler_p99": ("straggler", "run"),
     "imbalance": ("planner", "run_imbalance"),
     "churn": ("planner", "run_churn"),
+    "placement": ("placement", "run"),
     "owner_loss": ("owner_loss", "run"),
     "double_loss": ("double_loss", "run"),
     "leader_loss": ("leader_loss", "run"),
--- a/bench/experiments/__main__.py
+++ b/bench/experiments/__main__.py
@@ -3,10 +3,10 @@
 import argparse
 from pathlib import Path
 
-from bench.experiments import placement_report, shares_report
+from bench.experiments import choices_report, placement_report, shares_report
 
 OUTPUT_DIR = Path("docs/experiments")
-EXPERIMENTS = {"shares": shares_report, "placement": placement_report}
+EXPERIMENTS = {"shares": shares_report, "placement": placement_report, "choices": choices_report}
 
 
 def main() -> None:
--- a/bench/experiments/placement.py
+++ b/bench/experiments/placement.py
@@ -10,6 +10,9 @@
 
 SECONDS = 20
 
+WARM_UP_S = 2
+"""Time whose requests do not count for the shares and the utilization of targets."""
+
 CALM = PoolLoad(
     rates=(0.0,) * SECONDS,
     entries=2,
@@ -63,9 +66,14 @@
         return own / max(1, sum(sum(requests[start:end]) for requests in self.requests_by_second))
 
 
-def place(load: PoolLoad, seed: int, warm_up: int = 0) -> Placement:
+def place(
+    load: PoolLoad,
+    seed: int,
+    warm_up: int = WARM_UP_S,
+    simulation_class: type[PoolSimulation] = PoolSimulation,
+) -> Placement:
     """Replay a load; the first ``warm_up`` seconds do not count for requests and utilization."""
-    simulation = PoolSimulation(load, seed)
+    simulation = simulation_class(load, seed)
     results = replay(simulation)
     seconds = len(load.rates)
     targets = simulation.targets.values()
--- a/bench/experiments/placement_report.py
+++ b/bench/experiments/placement_report.py
@@ -3,10 +3,9 @@
 from pathlib import Path
 
 from bench.experiments import placement
-from bench.experiments.placement import LOADS, Placement
+from bench.experiments.placement import LOADS, WARM_UP_S, Placement
 
 PLOTTED_LOADS = ("calm, 60 slots", "calm, 40 slots", "objective of 1 s")
-WARM_UP_S = 2
 HEADERS = (
     "load",
     "busiest / mean",
@@ -22,9 +21,7 @@
 
 def write(seeds: range, plot_path: Path) -> list[str]:
     """Run the experiment and write its plot; return the lines of its report."""
-    placements = {
-        name: [placement.place(load, seed, WARM_UP_S) for seed in seeds] for name, load in LOADS.items()
-    }
+    placements = {name: [placement.place(load, seed) for seed in seeds] for name, load in LOADS.items()}
     lines = [f"# {placement.__doc__}", *_table(placements), ""]
     lines += [
         f"Each value is the worst seed's; the first {WARM_UP_S} s don't count for the first two.",
--- a/tests/route_entry/test_placement.py
+++ b/tests/route_entry/test_placement.py
@@ -12,7 +12,6 @@
 
 SEEDS = (1, 2)
 MANY_ENTRIES_SEEDS = (0, 1, 2, 3, 4)
-WARM_UP_S = 2
 MAX_BUSIEST_OVER_MEAN = 1.25
 MAX_CALM_BUSIEST_OVER_MEAN = 2.0
 MAX_UTILIZATION_SPREAD = 0.25
@@ -21,7 +20,7 @@
 
 @functools.cache
 def placements(name):
-    return [place(LOADS[name], seed, WARM_UP_S) for seed in SEEDS]
+    return [place(LOADS[name], seed) for seed in SEEDS]
 
 
 class PlacementTest(testtools.TestCase):
@@ -40,7 +39,7 @@
         """Guards against speeds from few samples that decide where long requests go at low load."""
         for load in (CALM, TIGHT, SHORT_OBJECTIVE):
             for seed in SEEDS:
-                result = place(load, seed, WARM_UP_S)
+                result = place(load, seed)
                 assert result.busiest_over_mean <= MAX_CALM_BUSIEST_OVER_MEAN, (load, result.requests)
                 assert result.result.rejections == 0, result.result
                 assert result.result.timed_out == 0, result.result
--- a/tests/route_entry/test_pooled_load.py
+++ b/tests/route_entry/test_pooled_load.py
@@ -2,31 +2,16 @@
 
 import functools
 import operator
-import random
 
 import testtools
 
+from bench.experiments.choices import simulation_of
 from bench.experiments.pool import PoolResult, PoolSimulation, simulate
 from bench.experiments.pool_target import PoolLoad
 from cranberrylever.route_entry._estimates import ServiceTimeEstimator
 
 SECONDS = 10
-
-
-class RandomChoiceSimulation(PoolSimulation):
-    """Simulation whose entries choose targets at random in proportion to capacity."""
-
-    def _create_entry(self, domain):
-        dispatcher = super()._create_entry(domain)
-        rng = random.Random(self.rng.random())
-
-        async def choose_at_random(request, state):
-            targets = dispatcher.view.usable_targets(request.service.name)
-            capacities = [target.info.slots * target.info.speed for target in targets]
-            return rng.choices(targets, capacities)[0]
-
-        dispatcher.selector._choose_target = choose_at_random
-        return dispatcher
+AT_RANDOM = "at random by capacity"
 
 
 def replay(rate, entries, simulation=PoolSimulation):
@@ -44,13 +29,13 @@
         """
         for rate in (163, 260):
             chosen = replay(rate, 80).credit_share
-            at_random = replay(rate, 80, RandomChoiceSimulation).credit_share
+            at_random = replay(rate, 80, simulation_of(AT_RANDOM)).credit_share
             assert chosen >= at_random, (rate, chosen, at_random)
 
     def test_few_entries_use_what_they_know_of_the_targets(self):
         """Guards against a random choice where each entry sees much of the load, so that it knows better."""
         chosen = replay(163, 10).credit_share
-        at_random = replay(163, 10, RandomChoiceSimulation).credit_share
+        at_random = replay(163, 10, simulation_of(AT_RANDOM)).credit_share
         assert chosen >= at_random, (chosen, at_random)
 
 
