Search all targets for one that admits a refused request

Cause: an entry that refused looked only for a target with a free slot. Change: the search also takes a target whose queue admits the request; it goes through the targets in random order and ends with as many as an entry compares.

--- a/cranberrylever/route_entry/_choice.py
+++ b/cranberrylever/route_entry/_choice.py
@@ -95,6 +95,10 @@
         candidates = self._draw_candidates(targets, candidate_count(entries), now)
         return min(candidates, key=lambda target: self._cost(target, service_time, now))
 
+    def shuffled(self, targets: Sequence[TargetState]) -> list[TargetState]:
+        """Return the targets in random order."""
+        return self.rng.sample(targets, len(targets))
+
     def _draw_candidates(
         self, targets: Sequence[TargetState], count: int, now: float
     ) -> Sequence[TargetState]:
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -1,6 +1,7 @@
 """Selection of the target for a request: waits for the owner of its key and for permits, or refuses it."""
 
 import asyncio
+import itertools
 
 from cranberrylever.route_entry._admission import (
     MIN_RETRY_AFTER_S,
@@ -9,7 +10,7 @@
     Verdict,
     admit,
 )
-from cranberrylever.route_entry._choice import PooledChooser
+from cranberrylever.route_entry._choice import PooledChooser, candidate_count
 from cranberrylever.route_entry._dispatch_state import DispatchState
 from cranberrylever.route_entry._estimates import DispatchEstimate, ServiceTimeEstimator
 from cranberrylever.route_entry._permit_gate import PermitGate
@@ -67,11 +68,12 @@
         while True:
             target = await self._choose_target(request, state)
             now = _now()
-            decision = self._admit(request, target, now)
+            request.estimate = self._estimate(request, target, now)
+            decision = self._admit(request, target, request.estimate, now)
             if decision.verdict is Verdict.REFUSE and request.key is None:
-                free_target = self._find_free_target(request, state, now)
-                if free_target is not None:
-                    target, decision = free_target, AdmissionDecision(Verdict.SEND)
+                other_target = self._find_other_target(request, state, now)
+                if other_target is not None:
+                    target, decision = other_target, AdmissionDecision(Verdict.SEND)
                     request.estimate = self._estimate(request, target, now)
             if decision.verdict is Verdict.REFUSE:
                 raise_failure(request, f"{decision.reason} ({target.info.target_id})", decision.delay)
@@ -79,9 +81,10 @@
                 return target
             await self._wait_for_permit(request, target, decision.delay, state)
 
-    def _admit(self, request: RoutedRequest, target: TargetState, now: float) -> AdmissionDecision:
-        """Decide on the request for a target, and record the estimates that decided."""
-        estimate = request.estimate = self._estimate(request, target, now)
+    def _admit(
+        self, request: RoutedRequest, target: TargetState, estimate: DispatchEstimate, now: float
+    ) -> AdmissionDecision:
+        """Decide on the request for a target by the estimates for it."""
         return admit(
             AdmissionRequest(
                 request.route.priority,
@@ -99,23 +102,31 @@
     def _estimate(self, request: RoutedRequest, target: TargetState, now: float) -> DispatchEstimate:
         return target.estimate.dispatch_estimate(self.service_times.expected(request.route.name), now)
 
-    def _find_free_target(
+    def _find_other_target(
         self, request: RoutedRequest, state: DispatchState, now: float
     ) -> TargetState | None:
-        """Return a target that can run the request at once and answer it in time, ``None`` without one.
+        """Return a target that can serve a request which the chosen one cannot, ``None`` without one.
 
-        The one that was chosen has the least cost of a few candidates, so others may have free slots.
+        The chosen one has the least cost of a few candidates only. The search ends with as many targets, so
+        that it is short unless all are full.
         """
+        targets = self._awake_targets(request, state, now)
+        found = itertools.islice(
+            (target for target in self.chooser.shuffled(targets) if self._can_serve(request, target, now)),
+            candidate_count(self.view.entries),
+        )
         service_time = self.service_times.expected(request.route.name)
-        remaining = request.remaining(now)
-        free = [
-            target
-            for target in self._awake_targets(request, state, now)
-            if self.permits.delay(target, now) == 0.0
-            and target.estimate.expected_load(now) < target.estimate.slots
-            and target.estimate.completion_time(service_time, now) <= remaining
-        ]
-        return self.chooser.choose(free, self.view.entries, service_time, now) if free else None
+        candidates = list(found)
+        return self.chooser.choose(candidates, self.view.entries, service_time, now) if candidates else None
+
+    def _can_serve(self, request: RoutedRequest, target: TargetState, now: float) -> bool:
+        """Return whether a target has a free slot or admits the request, and answers it in time."""
+        estimate = self._estimate(request, target, now)
+        if self.permits.delay(target, now) > 0 or estimate.completion_time > request.remaining(now):
+            return False
+        if target.estimate.expected_load(now) < target.estimate.slots:
+            return True
+        return self._admit(request, target, estimate, now).verdict is Verdict.SEND
 
     async def _choose_target(self, request: RoutedRequest, state: DispatchState) -> TargetState:
         if request.key is not None:
