--- a/tests/route_entry/test_choice.py
+++ b/tests/route_entry/test_choice.py
@@ -94,6 +94,20 @@
         counts = choose_often(targets, MANY_ENTRIES)
         assert not {"warm1", "warm2"} & set(counts), counts
 
+    def test_idle_cold_target_does_not_draw_requests_from_idle_warm_ones(self):
+        """Guards against permits that are spent on a slow cold target although warm ones have free slots."""
+        targets = [state("cold", cold_until=NOW + 3.0), state("warm1"), state("warm2")]
+        counts = choose_often(targets, entries=2)
+        assert counts["cold"] < 0.05 * counts.total(), counts
+
+    def test_free_slot_is_used_before_a_wait_for_a_permit(self):
+        """Guards against a request that waits for a cold target while a warm one has a free slot."""
+        targets = [state("cold", cold_until=NOW + 3.0), state("warm")]
+        for _ in range(targets[1].estimate.slots - 1):
+            targets[1].estimate.record_start(NOW)
+        counts = choose_often(targets, entries=2, cold_delay=PERMIT_ANSWER_TIME_S)
+        assert set(counts) == {"warm"}, counts
+
     def test_there_are_always_two_candidates(self):
         """Guards against a choice without any comparison in very large clusters."""
         assert candidate_count(10_000) == MIN_CANDIDATES
