--- a/bench/experiments/pool.py
+++ b/bench/experiments/pool.py
@@ -12,11 +12,11 @@
 import attrs
 import looptime
 
-from bench.experiments.model import NOISE_STEP_S
+from bench.experiments.pool_target import PoolLoad, PoolTarget, failure_domain
 from cranberrylever.logs import Log
 from cranberrylever.route_control._busy import BusyTracker
 from cranberrylever.route_control._speeds import SpeedTracker
-from cranberrylever.route_entry._default_format import LOAD, NOT_RUN, OUTCOME, DefaultHeaderFormat
+from cranberrylever.route_entry._default_format import DefaultHeaderFormat
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._permit_gate import create_permit_gate
 from cranberrylever.route_entry._reports import ReportCollector
@@ -37,49 +37,15 @@
 """Share of its remaining time that a caller waits at most before it retries."""
 
 SERVICE = RoutedService("office", False, "/healthz", 130, 3.0, 4.3, 0.0)
-FAILURE_DOMAIN = "a"
-
-
-@attrs.frozen
-class PoolLoad:
-    """Requests of one route, and the targets and entries that serve them; times are in seconds.
-
-    Attributes:
-        rates: Requests per second, each for one second of simulated time.
-        entries: Number of entries.
-        speeds: Relative speeds of the targets, in turn.
-        targets: Number of targets.
-        slots: Requests that a target runs at once.
-        queue: Requests that a target queues; further ones are rejected.
-        work: Mean service time at speed 1.0, without slow periods.
-        spread: Standard deviation of the logarithm of the service time.
-        timeout: Timeout of the route.
-        objective: Latency up to which an answer has a credit of 1.
-        deadline: Time that the caller waits.
-        late_credit: Credit of an answer after the objective.
-        noise_share: Share of periods in which a target's machine is slow.
-        noise_factor: Factor on service times in a slow period.
-    """
-
-    rates: tuple[float, ...]
-    entries: int = 80
-    speeds: tuple[float, ...] = (0.7, 0.7, 1.6)
-    targets: int = 21
-    slots: int = 6
-    queue: int = 24
-    work: float = 0.29
-    spread: float = 0.8
-    timeout: float = 1.2
-    objective: float = 0.8
-    deadline: float = 2.0
-    late_credit: float = 0.3
-    noise_share: float = 0.2
-    noise_factor: float = 3.0
 
 
 @attrs.define
 class PoolResult:
-    """Outcome of one second of arrivals: numbers of requests, and their credit."""
+    """Outcome of one second of arrivals: numbers of requests, and their credit.
+
+    ``rejections`` counts those that are retried too, and ``needless_rejections`` those among them while a
+    target had a free slot.
+    """
 
     asked: int = 0
     credit: float = 0.0
@@ -87,6 +53,8 @@
     late: int = 0
     refused: int = 0
     timed_out: int = 0
+    rejections: int = 0
+    needless_rejections: int = 0
 
     def __add__(self, other: "PoolResult") -> "PoolResult":
         return PoolResult(*(a + b for a, b in zip(attrs.astuple(self), attrs.astuple(other), strict=True)))
@@ -97,63 +65,6 @@
         return self.credit / max(1, self.asked)
 
 
-class PoolTarget:
-    """Simulated target with slots, a queue and slow periods of its machine."""
-
-    def __init__(self, load: PoolLoad, speed: float, seed: str) -> None:
-        self.load = load
-        self.speed = speed
-        self.rng = random.Random(seed)
-        self.slot_limit = asyncio.Semaphore(load.slots)
-        self.running = 0
-        self.waiting = 0
-        self.step = -1
-        self.slowdown = 1.0
-
-    async def run(self, work: float) -> bool:
-        """Run a request of ``work`` seconds; return ``False`` when the queue is full."""
-        if self.waiting >= self.load.queue:
-            return False
-        self.waiting += 1
-        try:
-            await self.slot_limit.acquire()
-        finally:
-            self.waiting -= 1
-        self.running += 1
-        try:
-            await self._work(work / self.speed)
-        finally:
-            self.running -= 1
-            self.slot_limit.release()
-        return True
-
-    async def _work(self, work: float) -> None:
-        now = asyncio.get_running_loop().time()
-        while work > 0:
-            slowdown = self.current_slowdown(now)
-            period_end = (self.step + 1) * NOISE_STEP_S
-            elapsed = min(work * slowdown, period_end - now)
-            await asyncio.sleep(elapsed)
-            work -= elapsed / slowdown
-            now = max(period_end, asyncio.get_running_loop().time())
-
-    def current_slowdown(self, now: float) -> float:
-        """Return the factor on service times in the present period."""
-        while now >= (self.step + 1) * NOISE_STEP_S:
-            self.step += 1
-            is_slow = self.rng.random() < self.load.noise_share
-            self.slowdown = self.load.noise_factor if is_slow else 1.0
-        return self.slowdown
-
-    def answer(self, is_done: bool) -> TargetAnswer:
-        """Return an answer with the load that the target reports."""
-        slowdown = self.current_slowdown(asyncio.get_running_loop().time())
-        load = b"%d,%d,%d,%d" % (self.running, self.waiting, self.load.slots, slowdown * 100)
-        if is_done:
-            return TargetAnswer(200, [(OUTCOME, b"done"), (LOAD, load)])
-        return TargetAnswer(503, [(OUTCOME, NOT_RUN), (LOAD, load)])
-
-
 class PoolTransport:
     """Stands in for the connections of an entry; the body of a request states its work in microseconds."""
 
@@ -187,20 +98,18 @@
     def __init__(self, load: PoolLoad, seed: int) -> None:
         self.load = load
         self.rng = random.Random(seed)
-        self.targets = {
-            f"t{number}:80": PoolTarget(load, load.speeds[number % len(load.speeds)], f"{seed} {number}")
-            for number in range(load.targets)
-        }
+        self.targets = {f"t{number}:80": PoolTarget(load, number, seed) for number in range(load.targets)}
         self.route = Route(
             "r", "h", "/", (RouteShare("office", 1.0),), False, load.timeout, load.objective, 0, 2
         )
         self.speed_tracker = SpeedTracker()
         self.busy_tracker = BusyTracker()
         self.fleet_version = 0
-        self.entries = [self._create_entry() for _ in range(load.entries)]
+        self.entries = [self._create_entry(failure_domain(number, load)) for number in range(load.entries)]
+        self.expected_service_time = 0.0
         self.results: collections.defaultdict[int, PoolResult] = collections.defaultdict(PoolResult)
 
-    def _create_entry(self) -> Dispatcher:
+    def _create_entry(self, domain: str) -> Dispatcher:
         limits = LimitSettings()
         dispatcher = Dispatcher(
             EntryView(limits),
@@ -208,7 +117,7 @@
             DefaultHeaderFormat(),
             ReportCollector(),
             create_permit_gate(limits, lambda: None),
-            FAILURE_DOMAIN,
+            domain,
             Log("entry", "e", "error"),
         )
         dispatcher.selector.chooser.rng = random.Random(self.rng.random())
@@ -219,6 +128,22 @@
         loop = asyncio.get_running_loop()
         self._publish(0.0)
         control = loop.create_task(self._run_control())
+        loop.call_at(len(self.load.rates), self._record_service_time)
+        if self.load.callers:
+            await asyncio.gather(*(self._run_closed_loop() for _ in range(self.load.callers)))
+        else:
+            await self._run_open_loop()
+        control.cancel()
+        return dict(self.results)
+
+    def _record_service_time(self) -> None:
+        """Record the mean of what the entries expect; only long requests end after the load."""
+        expected = [entry.service_times.expected(self.route.name) for entry in self.entries]
+        self.expected_service_time = sum(expected) / len(expected)
+
+    async def _run_open_loop(self) -> None:
+        """Send requests at the rates of the load, whatever the answers."""
+        loop = asyncio.get_running_loop()
         requests = []
         now = 0.0
         for second, rate in enumerate(self.load.rates):
@@ -227,8 +152,12 @@
                 requests.append(loop.create_task(self._run_caller(int(now))))
                 now += self.rng.expovariate(rate)
         await asyncio.gather(*requests)
-        control.cancel()
-        return dict(self.results)
+
+    async def _run_closed_loop(self) -> None:
+        """Send one request after the other, the next one when the last has ended."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < len(self.load.rates):
+            await self._run_caller(int(loop.time()))
 
     async def _run_control(self) -> None:
         while True:
@@ -251,14 +180,14 @@
                 1,
                 SERVICE.name,
                 address,
-                FAILURE_DOMAIN,
-                self.load.slots,
+                target.failure_domain,
+                target.slots,
                 True,
                 0.0,
                 round(speeds[address, 1], 2),
                 self._busy(address, now),
             )
-            for address in self.targets
+            for address, target in self.targets.items()
         )
         fleet = FleetView(targets, self.load.entries, ())
         for entry in self.entries:
@@ -266,12 +195,15 @@
             entry.view.apply(reply, now)
 
     def _busy(self, address: str, now: float) -> float:
-        target = RegisteredTarget(address, 1, SERVICE.name, address, FAILURE_DOMAIN, self.load.slots)
-        busy = self.busy_tracker.busy(target, 1.0, now)
+        target = self.targets[address]
+        registered = RegisteredTarget(address, 1, SERVICE.name, address, target.failure_domain, target.slots)
+        busy = self.busy_tracker.busy(registered, 1.0, now)
         return UNKNOWN if busy is None else round(busy, 1)
 
     def _draw_work(self) -> float:
         load = self.load
+        if load.work_range is not None:
+            return self.rng.uniform(*load.work_range)
         mean_log = math.log(load.work) - load.spread**2 / 2
         return min(self.rng.lognormvariate(mean_log, load.spread), 7.5 * load.work)
 
@@ -296,6 +228,8 @@
                 async with asyncio.timeout(time_limit):
                     await self.rng.choice(self.entries).run(request)
             except RefusedError as error:
+                result.rejections += 1
+                result.needless_rejections += any(target.has_free_slot for target in self.targets.values())
                 delay = min(error.retry_after, MAX_RETRY_AFTER_SHARE * (deadline - loop.time()))
                 if is_retry:
                     result.refused += 1
@@ -313,18 +247,19 @@
             return
 
 
-def simulate(
-    load: PoolLoad, seed: int, simulation: type[PoolSimulation] = PoolSimulation
-) -> dict[int, PoolResult]:
-    """Return the results of a load by the second of arrival."""
-
-    async def run() -> dict[int, PoolResult]:
-        return await simulation(load, seed).run()
-
+def replay(simulation: PoolSimulation) -> dict[int, PoolResult]:
+    """Run a simulation in simulated time; return its results by the second of arrival."""
     loop = looptime.new_event_loop(start=0, noop_cycles=0)
     asyncio.set_event_loop(loop)
     try:
-        return loop.run_until_complete(run())
+        return loop.run_until_complete(simulation.run())
     finally:
         loop.close()
         asyncio.set_event_loop(None)
+
+
+def simulate(
+    load: PoolLoad, seed: int, simulation: type[PoolSimulation] = PoolSimulation
+) -> dict[int, PoolResult]:
+    """Return the results of a load by the second of arrival."""
+    return replay(simulation(load, seed))
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -55,6 +55,7 @@
         log: Program log.
         relay: Sends requests to other entries while this one reaches no target.
         request_report: Called when control should learn something at once.
+        record_send: Called when a request is sent to a target, with the loop time.
 
     Attributes:
         stops_at: Loop time at which this entry stops, infinite before its stop begins.
@@ -71,6 +72,7 @@
         log: Log,
         relay: PeerRelay | None = None,
         request_report: Callable[[], None] = lambda: None,
+        record_send: Callable[[RoutedRequest, TargetState, float], None] = lambda request, target, now: None,
     ) -> None:
         self.view = view
         self.pool = pool
@@ -81,6 +83,7 @@
         self.relay = relay
         self.request_report = request_report
         self.stops_at = math.inf
+        self.record_send = record_send
         self.service_times = ServiceTimeEstimator()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answered = AnsweredRequests()
@@ -142,6 +145,7 @@
             self.format.target_headers(request.headers, target.info.target_id, remaining)
         )
         estimate.record_start(started_at)
+        self.record_send(request, target, started_at)
         is_lost = True
         try:
             answer = await self.pool.exchange(
@@ -220,8 +224,10 @@
             )
         is_unqueued = load.waiting == 0 and load.running <= load.slots and not target.is_cold(now)
         if is_unqueued and not answer_headers.did_not_run and answer.status < _SERVER_ERROR:
-            expected = self.service_times.expected(request.route.name)
-            self.reports.record_service_time(target.info.target_id, target.info.started_ms, elapsed, expected)
+            if self.service_times.is_known(request.route.name):
+                expected = self.service_times.expected(request.route.name)
+                incarnation = target.info.incarnation
+                self.reports.record_service_time(*incarnation, elapsed, expected)
             # Recorded as at an average target; a speed below 0.25 counts as 0.25.
             self.service_times.record(request.route.name, elapsed * max(0.25, target.info.speed))
 
--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -45,6 +45,10 @@
 """Weight of each new sample in the mean service time, once there are many."""
 
 
+MIN_KNOWN_SAMPLES = 3
+"""Samples from which the expected service time of a route is a measure for the speed of targets."""
+
+
 @attrs.frozen
 class DispatchEstimate:
     """The estimates by which an entry decided on a target for a request; times are in seconds.
@@ -137,15 +141,28 @@
         weight = math.exp(-(now - self.reported_at) / SLOWDOWN_DECAY_S)
         return (1.0 + (self.slowdown - 1.0) * weight) / max(0.1, self.speed)
 
-    def queue_time(self, service_time: float, now: float) -> float:
-        """Return the seconds that one more request would queue, if each takes ``service_time`` seconds."""
-        excess = max(0.0, self.expected_load(now) + 1.0 - self.slots)
+    def utilization(self, load: float) -> float:
+        """Return the share of the slots that are busy with one more request than ``load``."""
+        return min(1.0, (load + 1.0) / self.slots)
+
+    def queue_time(self, service_time: float, now: float, load: float | None = None) -> float:
+        """Return the seconds that one more request would queue, if each takes ``service_time`` seconds.
+
+        Args:
+            service_time: Service time at an average target in seconds.
+            now: Loop time.
+            load: Expected number of requests at the target; estimated if it is ``None``.
+        """
+        if load is None:
+            load = self.expected_load(now)
+        excess = max(0.0, load + 1.0 - self.slots)
         return excess * service_time * self.relative_service_time(now) / self.slots
 
-    def completion_time(self, service_time: float, now: float) -> float:
-        """Return the seconds until one more request of ``service_time`` seconds would be answered."""
+    def completion_time(self, service_time: float, now: float, load: float | None = None) -> float:
+        """Return the seconds until one more request would be answered; the arguments are as above."""
         penalty = FAILURE_PENALTY_S * self.recent_failures(now)
-        return self.queue_time(service_time, now) + service_time * self.relative_service_time(now) + penalty
+        own_time = service_time * self.relative_service_time(now)
+        return self.queue_time(service_time, now, load) + own_time + penalty
 
     def dispatch_estimate(self, service_time: float, now: float) -> DispatchEstimate:
         """Return all estimates for one more request of ``service_time`` seconds."""
@@ -183,6 +200,11 @@
         """Record the service time of a request that did not queue."""
         self.routes.setdefault(route, _RouteServiceTime(INITIAL_SERVICE_TIME_S)).record(elapsed)
 
+    def is_known(self, route: str) -> bool:
+        """Return whether there are enough samples to compare a target's service times with the mean."""
+        service_time = self.routes.get(route)
+        return service_time is not None and service_time.sample_count > MIN_KNOWN_SAMPLES
+
     def expected(self, route: str) -> float:
         """Return the expected service time of a route's requests in seconds."""
         service_time = self.routes.get(route)
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -1,11 +1,18 @@
 """Selection of the target for a request: waits for the owner of its key and for permits, or refuses it."""
 
 import asyncio
-
-from cranberrylever.route_entry._admission import MIN_RETRY_AFTER_S, AdmissionRequest, Verdict, admit
-from cranberrylever.route_entry._choice import PooledChooser
+import itertools
+
+from cranberrylever.route_entry._admission import (
+    MIN_RETRY_AFTER_S,
+    AdmissionDecision,
+    AdmissionRequest,
+    Verdict,
+    admit,
+)
+from cranberrylever.route_entry._choice import PooledChooser, candidate_count
 from cranberrylever.route_entry._dispatch_state import DispatchState
-from cranberrylever.route_entry._estimates import ServiceTimeEstimator
+from cranberrylever.route_entry._estimates import DispatchEstimate, ServiceTimeEstimator
 from cranberrylever.route_entry._permit_gate import PermitGate
 from cranberrylever.route_entry._request import RoutedRequest, raise_failure
 from cranberrylever.route_entry._view import EntryView, TargetState
@@ -61,10 +68,25 @@
         while True:
             target = await self._choose_target(request, state)
             now = _now()
-            service_time = self.service_times.expected(request.route.name)
-            estimate = target.estimate.dispatch_estimate(service_time, now)
-            request.estimate = estimate
-            admission_request = AdmissionRequest(
+            request.estimate = self._estimate(request, target, now)
+            decision = self._admit(request, target, request.estimate, now)
+            if decision.verdict is Verdict.REFUSE and request.key is None:
+                other_target = self._find_other_target(request, state, now)
+                if other_target is not None:
+                    target, decision = other_target, AdmissionDecision(Verdict.SEND)
+                    request.estimate = self._estimate(request, target, now)
+            if decision.verdict is Verdict.REFUSE:
+                raise_failure(request, f"{decision.reason} ({target.info.target_id})", decision.delay)
+            if decision.verdict is Verdict.SEND and self.permits.try_acquire(target, now):
+                return target
+            await self._wait_for_permit(request, target, decision.delay, state)
+
+    def _admit(
+        self, request: RoutedRequest, target: TargetState, estimate: DispatchEstimate, now: float
+    ) -> AdmissionDecision:
+        """Decide on the request for a target by the estimates for it."""
+        return admit(
+            AdmissionRequest(
                 request.route.priority,
                 request.route.objective,
                 request.remaining(now),
@@ -73,18 +95,52 @@
                 self.permits.delay(target, now),
                 self.permits.reason(target),
                 request.is_caller_retry,
+                estimate.service_time,
             )
-            decision = admit(admission_request)
-            if decision.verdict is Verdict.REFUSE:
-                raise_failure(request, f"{decision.reason} ({target.info.target_id})", decision.delay)
-            if decision.verdict is Verdict.SEND and self.permits.try_acquire(target, now):
-                return target
-            await self._wait_for_permit(request, target, decision.delay, state)
+        )
+
+    def _estimate(self, request: RoutedRequest, target: TargetState, now: float) -> DispatchEstimate:
+        return target.estimate.dispatch_estimate(self.service_times.expected(request.route.name), now)
+
+    def _find_other_target(
+        self, request: RoutedRequest, state: DispatchState, now: float
+    ) -> TargetState | None:
+        """Return a target that can serve a request which the chosen one cannot, ``None`` without one.
+
+        The chosen one has the least cost of a few candidates only. The search ends with as many targets, so
+        that it is short unless all are full.
+        """
+        targets = self._awake_targets(request, state, now)
+        found = itertools.islice(
+            (target for target in self.chooser.shuffled(targets) if self._can_serve(request, target, now)),
+            candidate_count(self.view.entries),
+        )
+        service_time = self.service_times.expected(request.route.name)
+        candidates = list(found)
+        return self.chooser.choose(candidates, self.view.entries, service_time, now) if candidates else None
+
+    def _can_serve(self, request: RoutedRequest, target: TargetState, now: float) -> bool:
+        """Return whether a target has a free slot or admits the request, and answers it in time."""
+        estimate = self._estimate(request, target, now)
+        if self.permits.delay(target, now) > 0 or estimate.completion_time > request.remaining(now):
+            return False
+        if target.estimate.expected_load(now) < target.estimate.slots:
+            return True
+        return self._admit(request, target, estimate, now).verdict is Verdict.SEND
 
     async def _choose_target(self, request: RoutedRequest, state: DispatchState) -> TargetState:
         if request.key is not None:
             return await self._wait_for_owner(request)
         now = _now()
+        awake = self._awake_targets(request, state, now)
+        if state.permit_target in awake and self.permits.delay(state.permit_target, now) == 0.0:
+            # A permit that came for this request would expire unused if it went elsewhere.
+            return state.permit_target
+        service_time = self.service_times.expected(request.route.name)
+        return self.chooser.choose(awake, self.view.entries, service_time, now)
+
+    def _awake_targets(self, request: RoutedRequest, state: DispatchState, now: float) -> list[TargetState]:
+        """Return the targets that may get the request now, those that were not tried if there are any."""
         candidates = self.view.usable_targets(request.service.name)
         untried = [target for target in candidates if target.info.target_id not in state.excluded_targets]
         if not (untried or candidates):
@@ -93,11 +149,7 @@
         if not awake:
             rest_end = min(target.rests_until for target in untried or candidates)
             raise_failure(request, "all targets of the service asked for a pause", rest_end - now)
-        if state.permit_target in awake and self.permits.delay(state.permit_target, now) == 0.0:
-            # A permit that came for this request would expire unused if it went elsewhere.
-            return state.permit_target
-        service_time = self.service_times.expected(request.route.name)
-        return self.chooser.choose(awake, self.view.entries, service_time, now)
+        return awake
 
     async def _wait_for_owner(self, request: RoutedRequest) -> TargetState:
         """Return the owner of the request's key; wait briefly while the key moves."""
