Let answers take 96 MiB of an entry by default

64 MiB hold ten answers of 6 MB. A site whose callers read such answers within two seconds would have requests refused that an entry of 200 MB can carry.

--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -85,7 +85,7 @@
         "Retry-After), and answers that are ready wait at their targets. The process needs about 100 MB "
         "beside them.",
         integer(MIN_ANSWER_MEMORY, MAX_ANSWER_MEMORY),
-        64 * 1_048_576,
+        96 * 1_048_576,
     )
     rules: LimitSettings = attrs.field(factory=LimitSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
