Test that an answer to a connection that is gone takes no memory

Looked for: bytes that count in AnswerMemory for good where the request before a pipelined one answers after the connection has ended, as uvicorn tells only the last request of it. No fault: the count follows the transport's buffer, which stays empty. The test passes without a change.

--- a/tests/caller_http/test_unsent_answers.py
+++ b/tests/caller_http/test_unsent_answers.py
@@ -225,3 +225,35 @@
         assert sizes == [ANSWER_BYTES, 0]
         # A byte was read in the first interval.
         assert 2 * STALL_TIMEOUT_S <= elapsed < 2 * STALL_TIMEOUT_S + 0.1, elapsed
+
+    def test_answer_to_a_connection_that_is_gone_takes_no_memory(self):
+        """Guards against bytes that count for good, as a request before a pipelined one is not told."""
+
+        async def main():
+            memory = AnswerMemory()
+            may_answer = asyncio.Event()
+
+            async def app(scope, receive, send):
+                await may_answer.wait()
+                headers = [(b"content-length", str(ANSWER_BYTES).encode())]
+                await send({"type": "http.response.start", "status": 200, "headers": headers})
+                await send({"type": "http.response.body", "body": b"b" * ANSWER_BYTES, "more_body": False})
+
+            server = CallerServer(app, "127.0.0.1:0", RouteEntryTuning(), read_id, memory)
+            await server.start()
+            host, port = server.bound_address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(REQUEST + NEXT_REQUEST)
+            while not server.state.tasks:
+                await asyncio.sleep(0.01)
+            # The end is seen once reading goes on, so the connection is reset at the listener.
+            connections(server)[0].transport.abort()
+            await asyncio.sleep(0.05)
+            may_answer.set()
+            await asyncio.sleep(0.05)
+            writer.close()
+            server.stop_accepting()
+            await server.wait_finished(1.0)
+            return memory.held
+
+        assert asyncio.run(main()) == 0
