Replay short work at many entries above the capacity

The load shows refusals while a target has a free slot that the other loads do not: 13 entries, 6 targets of 3 slots, 63 ms, 1.2 of the capacity.

--- a/bench/experiments/placement.py
+++ b/bench/experiments/placement.py
@@ -123,6 +123,23 @@
 SHORT_OBJECTIVE_FULL = attrs.evolve(SHORT_OBJECTIVE, callers=700, entries=3)
 """The objective that cannot be met, with nearly as many callers as slots."""
 
+SHORT_WORK_FULL = PoolLoad(
+    (245.0,) * 15,
+    13,
+    (1.0, 0.8, 1.2),
+    6,
+    slots=3,
+    queue=12,
+    work=0.063,
+    spread=0.5,
+    timeout=0.45,
+    objective=0.2,
+    deadline=0.5,
+    late_credit=0.1,
+    domains=3,
+)
+"""Short requests above the capacity of few targets that are slow by turns, at many entries."""
+
 LOADS = {
     "calm, 60 slots": CALM,
     "calm, 40 slots": TIGHT,
@@ -142,6 +159,7 @@
     "300 entries": open_load(0.5, 12, 300, 0.3),
     "80 entries, 21 targets": PoolLoad((163.0,) * 10),
     "80 entries, load 1.2": PoolLoad((372.0,) * 6),
+    "13 entries, work of 63 ms, load 1.2": SHORT_WORK_FULL,
     "300 targets": open_load(0.5, 300, 12, 0.3, 4),
     "one slow for 6 s": open_load(0.5, 12, 3, 0.3, 16, slow_target=SlowTarget(0, 5.0, 11.0)),
     "one slow for 6 s, work of 1 s": open_load(0.5, 12, 3, 1.0, 20, slow_target=SlowTarget(0, 5.0, 11.0)),
--- a/tests/route_entry/test_placement.py
+++ b/tests/route_entry/test_placement.py
@@ -78,6 +78,12 @@
             result = place(LOADS["80 entries, load 1.2"], seed).result
             assert result.needless_rejections == 0, (seed, result)
 
+    def test_many_entries_with_short_work_refuse_nothing_while_a_target_has_a_free_slot(self):
+        """Guards against the same where targets have few slots and work ends before it is reported."""
+        for seed in MANY_ENTRIES_SEEDS:
+            result = place(LOADS["13 entries, work of 63 ms, load 1.2"], seed).result
+            assert result.needless_rejections == 0, (seed, result)
+
 
 class ReportedSpeedTest(testtools.TestCase):
     def test_one_long_request_does_not_decide_the_speed_of_a_target(self):
