--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -132,7 +132,7 @@
         Args:
             accepts_until: Loop time at which the listener closes. A connection that is accepted in this
                 moment may stay open.
-            stops_at: Loop time at which requests that still run are ended.
+            stops_at: Loop time of the limit for requests; those that still run are ended shortly before.
         """
         self.draining = True
         self.stop = StopTimes(asyncio.get_running_loop().time(), accepts_until, stops_at)
