--- a/cranberrylever/route_entry/_request_log.py
+++ b/cranberrylever/route_entry/_request_log.py
@@ -20,8 +20,8 @@
 class StopTimes:
     """Loop times of the stop of an entry, infinite before it begins.
 
-    ``accepts_until`` is when the listener closes. ``stops_at`` is the limit for requests; those that still run are
-    ended shortly before it, so that their answers are sent.
+    ``accepts_until`` is when the listener closes. ``stops_at`` is the limit for requests; those that still
+    run are ended shortly before it, so that their answers are sent.
     """
 
     began_at: float = math.inf
--- a/tests/process/test_route_soak.py
+++ b/tests/process/test_route_soak.py
@@ -4,10 +4,12 @@
 
 import testtools
 
+from bench.routes.calm import run_calm
 from bench.routes.soak import run_soak, run_stop_soak
 
 SECONDS = 8.0
 STOP_SECONDS = 4.0
+CALM_SECONDS = 10.0
 
 
 class RouteSoakTest(testtools.TestCase):
@@ -29,3 +31,7 @@
         The causes of seeds that have failed are in bench/routes/regressions.py.
         """
         self.assertEqual([], asyncio.run(run_stop_soak(seed=15, seconds=STOP_SECONDS)))
+
+    def test_calm_system_refuses_nothing_and_spreads_requests(self):
+        """Guards against an equal target that gets most requests, and refusals beside idle targets."""
+        self.assertEqual([], asyncio.run(run_calm(seed=41, seconds=CALM_SECONDS)))
