Let system calls of other threads go on at a signal

Python repeats its own, a library in another thread gets EINTR.

Change: siginterrupt off, as the loop does for its handlers.

--- a/cranberrylever/stop_signals.py
+++ b/cranberrylever/stop_signals.py
@@ -22,6 +22,7 @@
         loop.call_soon_threadsafe(function)
 
     signal.signal(number, handle)
+    signal.siginterrupt(number, False)
     return handle
 
 
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -1,6 +1,7 @@
 """Tests of the signals that stop a program; ``cli/test_run.py`` has those with a process."""
 
 import asyncio
+import ctypes
 import os
 import signal
 import threading
@@ -59,6 +60,31 @@
 
         assert len(asyncio.run(main())) == 3
 
+    def test_signal_does_not_interrupt_a_call_of_another_thread(self):
+        """Guards against a library whose system call fails because the program is told to stop."""
+        receiver, sender = os.pipe()
+        self.addCleanup(os.close, receiver)
+        self.addCleanup(os.close, sender)
+        results = []
+        libc = ctypes.CDLL(None)
+        buffer = ctypes.create_string_buffer(1)
+        thread = threading.Thread(target=lambda: results.append(libc.read(receiver, buffer, 1)))
+
+        async def main():
+            is_called = asyncio.Event()
+            call_at_signal(signal.SIGHUP, is_called.set)
+            await asyncio.sleep(0.1)
+            signal.pthread_kill(thread.ident, signal.SIGHUP)
+            async with asyncio.timeout(20):
+                while not is_called.is_set():
+                    await asyncio.sleep(0.01)
+
+        thread.start()
+        asyncio.run(main())
+        os.write(sender, b"x")
+        thread.join()
+        assert results == [1]
+
     def test_signal_that_another_thread_gets_wakes_the_loop(self):
         """Guards against a stop that begins with the next timer, as the loop sleeps in the main thread."""
 
