--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	$(PYTHON) -m bench.experiments $(NAME)
 
 soak-routes: env
-	$(PYTHON) -m bench.routes --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+	$(PYTHON) -m bench.routes --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) $(OPTIONS)
 
 soak-rules: env
 	$(PYTHON) -m bench.rules_soak --seed $(SEED) --minutes $(MINUTES)
