--- a/tests/route_entry/test_choice.py
+++ b/tests/route_entry/test_choice.py
@@ -63,6 +63,16 @@
         counts = choose_often(targets, entries=2)
         assert counts["t0"] > 290, counts
 
+    def test_idle_target_that_has_just_failed_does_not_draw_requests_from_busy_ones(self):
+        """Guards against a target that answers nothing and gets more requests the less it does."""
+        targets = [state("failed"), state("busy1"), state("busy2")]
+        targets[0].estimate.record_failure(NOW)
+        for item in targets[1:]:
+            for _ in range(item.estimate.slots // 2):
+                item.estimate.record_start(NOW)
+        counts = choose_often(targets, entries=2)
+        assert counts["failed"] < 0.05 * counts.total(), counts
+
     def test_many_entries_spread_requests_over_like_targets(self):
         """Guards against many entries with like estimates that choose the same target."""
         targets = [state(f"t{number}") for number in range(20)]
--- a/tests/route_entry/test_dispatcher.py
+++ b/tests/route_entry/test_dispatcher.py
@@ -1,4 +1,6 @@
-"""Tests of how the dispatcher retries requests."""
+"""Tests of how the dispatcher retries requests, and what it learns from their ends."""
+
+import asyncio
 
 import testtools
 
@@ -44,6 +46,44 @@
     return RoutedRequest(b"q", b"GET", b"/x", [], b"", ROUTE, SERVICE, 7, 0.0, 1.0)
 
 
+class SilentPool:
+    """Fake pool without answers."""
+
+    async def exchange(self, *arguments, **options):
+        await asyncio.Event().wait()
+
+
+class SilentTargetTest(testtools.TestCase):
+    def send(self, seconds):
+        """Give a request of 1 s up after some seconds; return the recent failures of its target."""
+
+        async def scenario():
+            view = EntryView(LimitSettings())
+            fleet, ranges = Section(), Section()
+            fleet.update(FleetView((target("a"),), 8), 1)
+            ranges.update(owned_by("a"), 1)
+            view.apply(reply(fleet, ranges), 0.0)
+            permits = create_permit_gate(LimitSettings(), lambda: None)
+            log = Log("entry", "e", "error")
+            parts = (view, SilentPool(), DefaultHeaderFormat(), ReportCollector(), permits, "a", log)
+            running = asyncio.ensure_future(Dispatcher(*parts).run(keyed_request()))
+            await asyncio.sleep(seconds)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            (state,) = view.targets.values()
+            return state.estimate.recent_failures(asyncio.get_running_loop().time())
+
+        return run_in_simulated_time(scenario)
+
+    def test_request_without_an_answer_at_its_deadline_is_a_failure_of_its_target(self):
+        """Guards against a silent target that seems idle once its requests have ended."""
+        assert self.send(0.98) > 0.9
+
+    def test_caller_who_leaves_is_no_failure_of_the_target(self):
+        """Guards against sound targets that get less because callers are impatient."""
+        assert self.send(0.3) == 0.0
+
+
 class MisdirectedTest(testtools.TestCase):
     def run_request(self, change_owner, request=None):
         """Send a keyed request whose owner answers 421; return the addresses and the status or ``None``."""
