Set up the two tests of logged stops in one way

Both tests of the lines of requests that a stop ends or cuts off stopped an entry with a long request by the same fifteen lines. One function does it now, and one finds the line of a request. All assertions stay.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -122,6 +122,36 @@
     return [len(reader.body) for reader in readers], entry.log.lines
 
 
+async def stop_with_a_long_request(is_answered):
+    """Stop an entry with a request that lasts longer, and keep it from answering that itself if asked to.
+
+    Returns:
+        The id of the request, and the log lines of the entry.
+    """
+    async with RunningSystem() as system:
+        await system.prepare()
+        for target in system.targets:
+            target.work = 3.0
+        entry = system.route_entries[0]
+        entry.log = entry.app.request_log.log = RecordedLog()
+        if not is_answered:
+            entry.app.running.end_all = lambda: 0
+        running = asyncio.ensure_future(system.request("POST", "/desk/x", deadline_ms=2000))
+        await asyncio.sleep(0.05)
+        request_id = f"q{system.requests}"
+        await entry.close()
+        system.route_entries.clear()
+        (answer,) = await asyncio.gather(running, return_exceptions=True)
+        assert not (is_answered and isinstance(answer, Exception)), answer
+        return request_id, entry.log.lines
+
+
+def request_line(lines, request_id):
+    """Return the fields of the log line of a request."""
+    (line,) = [fields for name, fields in lines if name == "request" and fields["request_id"] == request_id]
+    return line
+
+
 class PlannedStopTest(testtools.TestCase):
     def test_request_that_cannot_finish_before_the_stop_is_refused_at_once(self):
         """Guards against a request that is accepted during a stop and cut off without an answer."""
@@ -148,28 +178,9 @@
 
     def test_requests_that_are_cut_off_are_logged(self):
         """Guards against a lost answer whose cause the logs of the entry do not show."""
-
-        async def main():
-            async with RunningSystem() as system:
-                await system.prepare()
-                for target in system.targets:
-                    target.work = 3.0
-                entry = system.route_entries[0]
-                entry.log = entry.app.request_log.log = RecordedLog()
-                entry.app.running.end_all = lambda: 0
-                running = asyncio.ensure_future(system.request("POST", "/desk/x", deadline_ms=2000))
-                await asyncio.sleep(0.05)
-                request_id = f"q{system.requests}"
-                await entry.close()
-                system.route_entries.clear()
-                await asyncio.gather(running, return_exceptions=True)
-                return request_id, entry.log.lines
-
-        request_id, lines = asyncio.run(main())
+        request_id, lines = asyncio.run(stop_with_a_long_request(is_answered=False))
         assert ("requests_cut_off", {"requests": 1, "ids": [request_id]}) in lines
-        (line,) = [
-            fields for name, fields in lines if name == "request" and fields["request_id"] == request_id
-        ]
+        line = request_line(lines, request_id)
         assert line["outcome"] == "cut off"
         assert line["reason"] == "the time that an entry has to stop is over"
         stop_ms = (DRAIN_DELAY_S + FINISH_TIMEOUT_S) * 1000
@@ -177,27 +188,9 @@
 
     def test_requests_that_the_stop_ends_are_logged(self):
         """Guards against an answer of the entry whose cause its logs do not show."""
-
-        async def main():
-            async with RunningSystem() as system:
-                await system.prepare()
-                for target in system.targets:
-                    target.work = 3.0
-                entry = system.route_entries[0]
-                entry.log = entry.app.request_log.log = RecordedLog()
-                running = asyncio.ensure_future(system.request("POST", "/desk/x", deadline_ms=2000))
-                await asyncio.sleep(0.05)
-                request_id = f"q{system.requests}"
-                await entry.close()
-                system.route_entries.clear()
-                await running
-                return request_id, entry.log.lines
-
-        request_id, lines = asyncio.run(main())
+        request_id, lines = asyncio.run(stop_with_a_long_request(is_answered=True))
         assert ("requests_ended", {"requests": 1, "ids": [request_id]}) in lines
-        (line,) = [
-            fields for name, fields in lines if name == "request" and fields["request_id"] == request_id
-        ]
+        line = request_line(lines, request_id)
         assert (line["outcome"], line["status"]) == ("unknown", 504)
         assert line["reason"].startswith("the entry stops"), line
         assert line["stopping_ms"] < (DRAIN_DELAY_S + FINISH_TIMEOUT_S) * 1000, line
