--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -50,6 +50,14 @@
 FAILURE_DOMAINS = frozenset({"puget"})
 
 
+class RouteKindTest(testtools.TestCase):
+    def test_plan_with_uploads_is_not_rejected(self):
+        document = configuration(1, "ledger", "desk")
+        document["routes"][1]["type"] = "upload"
+        plan = config_document.read_plan(json.dumps(document).encode())
+        self.assertFalse(plan.routes[1].idempotent)
+
+
 class SettingsFileTest(testtools.TestCase):
     def read(self, text):
         path = f"{self.useTempDir()}/settings.conf"
