Declare customers in route plans

Interface of the parts for keys, quotas and revocation, agreed before they are built side by side: a plan holds customers with the digests of their keys, an optional priority and an optional quota; a route may be public. Changes of a plan bring the customers along, so that entries learn of a key that was taken away.

Nothing reads them yet; plans without customers and records of earlier versions are unchanged, as the new fields have defaults. The test of the changes fails without the customers in PlanChanges.

--- a/cranberrylever/route_plan/__init__.py
+++ b/cranberrylever/route_plan/__init__.py
@@ -2,12 +2,20 @@
 
 from cranberrylever.route_plan._changes import PlanChanges, apply_changes, changes_between, share_routes
 from cranberrylever.route_plan._matcher import RouteMatcher
-from cranberrylever.route_plan._plan import CallerLimits, Route, RoutedService, RoutePlan, RouteShare
+from cranberrylever.route_plan._plan import (
+    CallerLimits,
+    Customer,
+    Route,
+    RoutedService,
+    RoutePlan,
+    RouteShare,
+)
 from cranberrylever.route_plan._registry import PlanOutcome, PlanRegistry, PlanRegistryRecord
 from cranberrylever.route_plan._rules import plan_problem
 
 __all__ = [
     "CallerLimits",
+    "Customer",
     "PlanChanges",
     "PlanOutcome",
     "PlanRegistry",
--- a/cranberrylever/route_plan/_changes.py
+++ b/cranberrylever/route_plan/_changes.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from cranberrylever.route_plan._plan import CallerLimits, Route, RoutedService, RoutePlan
+from cranberrylever.route_plan._plan import CallerLimits, Customer, Route, RoutedService, RoutePlan
 
 RoutePlace = tuple[str, str]
 """Lower-case host and path prefix, which identify a route of a plan."""
@@ -21,6 +21,7 @@
     removed: tuple[RoutePlace, ...]
     services: tuple[RoutedService, ...]
     limits: CallerLimits
+    customers: tuple[Customer, ...] = ()
 
 
 def changes_between(before: RoutePlan, after: RoutePlan, base_version: int) -> PlanChanges:
@@ -31,7 +32,15 @@
         old = known.pop(_place(route), None)
         if old is not route and old != route:
             changed.append(route)
-    return PlanChanges(base_version, after.number, tuple(changed), tuple(known), after.services, after.limits)
+    return PlanChanges(
+        base_version,
+        after.number,
+        tuple(changed),
+        tuple(known),
+        after.services,
+        after.limits,
+        after.customers,
+    )
 
 
 def apply_changes(plan: RoutePlan, changes: PlanChanges) -> RoutePlan:
@@ -40,7 +49,13 @@
     for place in changes.removed:
         routes.pop(place, None)
     routes.update((_place(route), route) for route in changes.routes)
-    return RoutePlan(changes.number, tuple(routes.values()), changes.services, changes.limits)
+    return RoutePlan(
+        changes.number,
+        tuple(routes.values()),
+        changes.services,
+        changes.limits,
+        customers=changes.customers,
+    )
 
 
 def share_routes(before: RoutePlan | None, after: RoutePlan) -> RoutePlan:
--- a/cranberrylever/route_plan/_plan.py
+++ b/cranberrylever/route_plan/_plan.py
@@ -17,7 +17,8 @@
 
     ``idempotent`` permits that a request runs more than once. ``timeout`` is the longest time that a caller
     waits, ``objective`` the time within which an answer has its full value. Priority 0 is the highest.
-    ``attempts`` is the maximum number of targets that one request is sent to.
+    ``attempts`` is the maximum number of targets that one request is sent to. A ``public`` route needs no
+    API key in a plan with customers.
     """
 
     name: str
@@ -29,6 +30,7 @@
     objective: float
     priority: int
     attempts: int
+    public: bool = False
 
 
 @attrs.frozen
@@ -61,11 +63,28 @@
     idle_timeout: float = 20.0
 
 
+@attrs.frozen
+class Customer:
+    """A customer whose requests carry one of its API keys.
+
+    ``key_digests`` are the digests of its keys. ``priority`` goes before that of the route, ``None`` without
+    one. Its quota is ``rate`` requests per second and ``burst`` requests beyond that, over all entries
+    together; ``rate`` is ``None`` without a quota.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int | None = None
+    rate: float | None = None
+    burst: float = 0.0
+
+
 @attrs.frozen
 class RoutePlan:
     """A numbered configuration that replaces the previous one completely.
 
-    ``source`` is the document as the operator sent it; ``digest`` identifies its content.
+    ``source`` is the document as the operator sent it; ``digest`` identifies its content. In a plan with
+    ``customers`` a request needs an API key of one of them unless its route is public.
     """
 
     number: int
@@ -74,6 +93,7 @@
     limits: CallerLimits = attrs.field(factory=CallerLimits)
     source: bytes = b""
     digest: str = ""
+    customers: tuple[Customer, ...] = ()
 
     def service(self, name: str) -> RoutedService | None:
         """Return the service with that name, or ``None``."""
--- a/tests/route_plan/test_changes.py
+++ b/tests/route_plan/test_changes.py
@@ -6,6 +6,7 @@
 import testtools
 
 from cranberrylever.route_plan import (
+    Customer,
     PlanRegistry,
     Route,
     RoutedService,
@@ -69,6 +70,13 @@
         assert matcher.match("h1.example", "/1/x") is None
         assert matcher.match("h2.example", "/2/x") is not None
 
+    def test_changes_bring_the_keys_in_force(self):
+        """Guards against an entry that accepts a key which a plan took away."""
+        before = attrs.evolve(plan(1, [route(1)]), customers=(Customer("x", ("k1", "k2")),))
+        after = attrs.evolve(plan(2, [route(1)]), customers=(Customer("x", ("k2",)), Customer("y", ("k1",))))
+        held = apply_changes(before, changes_between(before, after, 1))
+        assert held.customers == after.customers
+
     def test_accepted_plans_share_routes(self):
         """Guards against a member whose memory holds every route once for each recent plan."""
         registry = PlanRegistry()
