Move the entry process of the stop tests into a module of its own

Nothing else changes: the class and the grace period that it is killed after stand in tests/platform/entry_process.py.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -2,63 +2,24 @@
 
 import asyncio
 import functools
-import os
-import random
-import signal
 import socket
-import sys
 import tempfile
-from pathlib import Path
 
 import testtools
 
 from tests.caller_http.slow_reader import SlowReader
-from tests.platform import ROOT
+from tests.platform.entry_process import EntryProcess
 from tests.platform.fakes import configuration
 from tests.platform.running_system import RunningSystem
 
 DRAIN_DELAY_S = 0.1
 FINISH_TIMEOUT_S = 1.0
-GRACE_S = 4.0
 BODY_BYTES = 6_000_000
 START_TIMEOUT_S = 15.0
 SILENT_S = 30.0
 LATE_WORK_S = 0.5
 
 
-class EntryProcess:
-    """An entry of the deploy file as a process, in the cluster of a running system."""
-
-    def __init__(self, system, folder):
-        self.ip = f"127.3.{random.randint(1, 250)}.{random.randint(1, 250)}"
-        self.address = f"{self.ip}:8161"
-        control_ip, rpc_port = system.rpc.split(":")
-        self.settings = Path(folder) / "settings"
-        self.settings.write_text(
-            f"node=e9\nip={self.ip}\nzone=z\nlisten.front={self.address}\nlisten.ready={self.ip}:8167\n"
-            f"port_range={rpc_port},{rpc_port}\nseeds={control_ip}:1\nbounds=grace_s={GRACE_S}\n"
-        )
-
-    async def start(self):
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            f"{ROOT}/platform/start.py",
-            "entry",
-            env={**os.environ, "CRANBERRYLEVER_CONFIG": str(self.settings)},
-            stdout=asyncio.subprocess.DEVNULL,
-            stderr=asyncio.subprocess.DEVNULL,
-        )
-
-    async def stop(self):
-        """Send SIGTERM and, as the platform does, SIGKILL after the grace period; return the exit status."""
-        self.process.send_signal(signal.SIGTERM)
-        try:
-            return await asyncio.wait_for(self.process.wait(), GRACE_S)
-        except TimeoutError:
-            self.process.kill()
-            return await self.process.wait()
-
-
 def refuse_first_request_late(targets, seconds):
     """Let one target refuse the first request after a while; return the list that gets its id."""
     refusals = []
