Count the share of failed requests as utilization of a target

Callers saw requests sent to a target that had just failed while two others were half busy: a failure cost 0.15 s of completion time, half a load up to 2.5 service times, so that a target that fails at once seemed the idlest one.

The share of the entry's requests there in the last second that failed now counts as busy slots. It is a share and not a number, so that a target with many requests and a few failures does not count as full. The penalty on the completion time stays as it was.

Ruled out: a number of failures as utilization (tried before; one failure in a hundred requests a second would count as full).

--- a/cranberrylever/route_entry/_choice.py
+++ b/cranberrylever/route_entry/_choice.py
@@ -151,7 +151,7 @@
         """Return the utilization that the target counts as; one that needs a wait for a permit is full."""
         if delay > 0:
             return 1.0
-        utilization = target.estimate.utilization(load)
+        utilization = target.estimate.utilization(load, now)
         if self.permits.is_required(target, now):
             return max(MIN_PERMIT_UTILIZATION, utilization)
         return utilization
--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -141,9 +141,18 @@
         weight = math.exp(-(now - self.reported_at) / SLOWDOWN_DECAY_S)
         return (1.0 + (self.slowdown - 1.0) * weight) / max(0.1, self.speed)
 
-    def utilization(self, load: float) -> float:
-        """Return the share of the slots that are busy with one more request than ``load``."""
-        return min(1.0, (load + 1.0) / self.slots)
+    def utilization(self, load: float, now: float) -> float:
+        """Return the share of the slots that one more request than ``load`` uses, 1.0 at most.
+
+        The share of recent requests that have failed counts as busy: a target that fails at once, or has
+        not answered at all, has few requests and would seem idle.
+        """
+        return min(1.0, (load + 1.0) / self.slots + self._failure_share(now))
+
+    def _failure_share(self, now: float) -> float:
+        """Return the share of the entry's recent requests that have failed; it decays without requests."""
+        self._update_average(now)
+        return self.recent_failures(now) / max(1.0, self.recent_starts)
 
     def queue_time(self, service_time: float, now: float, load: float | None = None) -> float:
         """Return the seconds that one more request would queue, if each takes ``service_time`` seconds.
