Count a request without an answer at its deadline as a failure of its target

A target that took requests and answered none seemed idle once they had reached their deadlines, and drew the next ones: the cancellation at the deadline recorded nothing.

The entry now records a timeout if the request had its expected service time and ended at its deadline. A caller who leaves earlier and a send shortly before the deadline say nothing about the target. A timeout counts as utilization and against exploration, as other failures do, and not as completion time.

Ruled out: the same counter as for other failures.

The new test of a late send guards the other side; it did not fail before.

--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -38,6 +38,9 @@
 NEWER_VIEW_WAIT_S = 0.1
 """Time that a request waits for a newer view after a target has answered that it does not hold the key."""
 
+DEADLINE_TOLERANCE_S = 0.05
+"""Time before the deadline from which a cancelled request counts as one that got no answer in time."""
+
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
 
@@ -159,6 +162,9 @@
         except NotSentError:
             is_lost = False
             raise
+        except asyncio.CancelledError:
+            self._record_timeout(request, target, started_at)
+            raise
         finally:
             estimate.record_end(self._now())
             if is_lost:
@@ -233,6 +239,16 @@
 
     # Failures ------------------------------------------------------------------------------------
 
+    def _record_timeout(self, request: RoutedRequest, target: TargetState, started_at: float) -> None:
+        """Record a timeout if a cancelled request had its expected service time and is at its deadline.
+
+        A caller who leaves earlier, or a send shortly before the deadline, says nothing about the target.
+        """
+        now = self._now()
+        had_time = now - started_at >= self.service_times.expected(request.route.name)
+        if had_time and request.remaining(now) <= DEADLINE_TOLERANCE_S:
+            target.estimate.record_timeout(now)
+
     async def _handle_connect_failure(
         self, request: RoutedRequest, target: TargetState, state: DispatchState, error: NotSentError
     ) -> None:
--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -64,6 +64,23 @@
     load_age: float
 
 
+@attrs.define
+class DecayedCount:
+    """Number of failures, each of which decays exponentially over ``FAILURE_DECAY_S``."""
+
+    count: float = 0.0
+    counted_at: float = -math.inf
+
+    def add(self, now: float) -> None:
+        """Count one more failure at loop time ``now``."""
+        self.count = self.at(now) + 1.0
+        self.counted_at = now
+
+    def at(self, now: float) -> float:
+        """Return the decayed number at loop time ``now``."""
+        return self.count * math.exp(-(now - self.counted_at) / FAILURE_DECAY_S)
+
+
 @attrs.define
 class TargetLoadEstimate:
     """One entry's estimate of the load of one incarnation of a target; times are loop times in seconds.
@@ -71,6 +88,7 @@
     ``speed`` and ``slowdown`` are relative to 1.0. ``outstanding`` counts the entry's own requests there and
     ``other_load`` the requests of other entries in the last report. ``average_outstanding`` and
     ``recent_starts`` decay over ``AVERAGE_DECAY_S``. ``reported_busy`` is the load that control publishes.
+    ``errors`` counts requests that failed and ``timeouts`` those without an answer at their deadline.
     """
 
     slots: int
@@ -84,8 +102,8 @@
     averaged_at: float = 0.0
     recent_starts: float = 0.0
     reported_busy: float | None = None
-    failures: float = 0.0
-    failed_at: float = -math.inf
+    errors: DecayedCount = attrs.field(factory=DecayedCount)
+    timeouts: DecayedCount = attrs.field(factory=DecayedCount)
 
     def record_load(self, load: LoadSample, now: float) -> None:
         """Record a load report; the request whose answer carried it is no longer at the target."""
@@ -113,12 +131,18 @@
 
     def record_failure(self, now: float) -> None:
         """Record a failed request, which raises the completion time until it has decayed."""
-        self.failures = self.recent_failures(now) + 1.0
-        self.failed_at = now
+        self.errors.add(now)
+
+    def record_timeout(self, now: float) -> None:
+        """Record a request without an answer at its deadline.
+
+        It does not raise the completion time: that would refuse requests while the target has a free slot.
+        """
+        self.timeouts.add(now)
 
     def recent_failures(self, now: float) -> float:
-        """Return the exponentially decayed number of failures."""
-        return self.failures * math.exp(-(now - self.failed_at) / FAILURE_DECAY_S)
+        """Return the exponentially decayed number of failures, timeouts included."""
+        return self.errors.at(now) + self.timeouts.at(now)
 
     def expected_load(self, now: float) -> float:
         """Return the expected number of requests at the target."""
@@ -169,7 +193,7 @@
 
     def completion_time(self, service_time: float, now: float, load: float | None = None) -> float:
         """Return the seconds until one more request would be answered; the arguments are as above."""
-        penalty = FAILURE_PENALTY_S * self.recent_failures(now)
+        penalty = FAILURE_PENALTY_S * self.errors.at(now)
         own_time = service_time * self.relative_service_time(now)
         return self.queue_time(service_time, now, load) + own_time + penalty
 
--- a/tests/route_entry/test_dispatcher.py
+++ b/tests/route_entry/test_dispatcher.py
@@ -42,8 +42,8 @@
     return RangesView((ServiceRanges("ledger", (RangeView(0, KEYS - 1, name),)),))
 
 
-def keyed_request():
-    return RoutedRequest(b"q", b"GET", b"/x", [], b"", ROUTE, SERVICE, 7, 0.0, 1.0)
+def keyed_request(deadline=1.0):
+    return RoutedRequest(b"q", b"GET", b"/x", [], b"", ROUTE, SERVICE, 7, 0.0, deadline)
 
 
 class SilentPool:
@@ -54,8 +54,8 @@
 
 
 class SilentTargetTest(testtools.TestCase):
-    def send(self, seconds):
-        """Give a request of 1 s up after some seconds; return the recent failures of its target."""
+    def send(self, seconds, deadline=1.0):
+        """Give a request up after some seconds; return the recent failures of its target."""
 
         async def scenario():
             view = EntryView(LimitSettings())
@@ -66,7 +66,7 @@
             permits = create_permit_gate(LimitSettings(), lambda: None)
             log = Log("entry", "e", "error")
             parts = (view, SilentPool(), DefaultHeaderFormat(), ReportCollector(), permits, "a", log)
-            running = asyncio.ensure_future(Dispatcher(*parts).run(keyed_request()))
+            running = asyncio.ensure_future(Dispatcher(*parts).run(keyed_request(deadline)))
             await asyncio.sleep(seconds)
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
@@ -83,6 +83,10 @@
         """Guards against sound targets that get less because callers are impatient."""
         assert self.send(0.3) == 0.0
 
+    def test_request_that_was_sent_shortly_before_its_deadline_is_no_failure_of_the_target(self):
+        """Guards against sound targets that get less because requests reach them too late."""
+        assert self.send(0.04, deadline=0.05) == 0.0
+
 
 class MisdirectedTest(testtools.TestCase):
     def run_request(self, change_owner, request=None):
