Count an unknown load as none

Callers' requests went to part of the targets only: a target of which neither an answer nor control told a load counted as 0.4 busy. So it cost more than an idle known one and was not idle enough to be explored, got no request and stayed unknown.

An unknown load now counts as none; own requests count as before, and the first answer tells the rest.

--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -3,9 +3,9 @@
 Load reports are seconds old at an entry that sends only occasional requests to a target. The entry's own
 outstanding requests count exactly. The reported load of other entries decays towards an expected value, a
 weighted mean of two figures: the entry's own average, since callers are spread over the entries, and the
-load that control publishes for all entries together. The own average weighs more, the more requests the
-entry has sent there recently. A rule that only adds each request sent since the last report would also count
-answered requests; here those answered since the report are subtracted again.
+load that control publishes for all entries together, none while it is unknown. The own average weighs more,
+the more requests the entry has sent there recently. A rule that only adds each request sent since the last
+report would also count answered requests; here those answered since the report are subtracted again.
 """
 
 import math
@@ -29,9 +29,6 @@
 The average is multiplied by the number of entries, and so is its error, so more entries need more requests.
 """
 
-DEFAULT_BUSY_SHARE = 0.4
-"""Expected share of busy slots at a target for which control has published no load."""
-
 FAILURE_PENALTY_S = 0.15
 """Time added to the completion time for each recent failure."""
 
@@ -154,7 +151,8 @@
         """Return the expected number of requests of other entries at the target."""
         if self.entries == 1:
             return 0.0
-        busy = DEFAULT_BUSY_SHARE * self.slots if self.reported_busy is None else self.reported_busy
+        # An unknown load counts as none: a target without requests would otherwise stay without.
+        busy = 0.0 if self.reported_busy is None else self.reported_busy
         other_load = busy * (self.entries - 1) / self.entries
         own_estimate = (self.entries - 1) * self.average_outstanding
         evidence = EVIDENCE_REQUESTS_PER_ENTRY * self.entries
