Ask in the calm soak for the least busy target and for one that joins

The calm soak passed while targets got next to no request: it asked for the busiest target only.

It now asks that each of the twelve equal targets gets half to twice the mean. A second check, `--join`, stops a target for 5 s and starts it again: from 3 s after its start it must get half to twice the mean as well. Both run short among the tests of processes. The test of the check itself asks for the targets without requests by name, and so for more than before.

Targets of the soak state their connections as their load, idle ones too; not changed.

--- a/bench/routes/__main__.py
+++ b/bench/routes/__main__.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from bench.routes.calm import run_calm
+from bench.routes.calm import run_calm, run_join
 from bench.routes.cluster import SoakOptions
 from bench.routes.regressions import REGRESSIONS
 from bench.routes.soak import run_soak, run_stop_soak
@@ -50,6 +50,7 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--stops", action="store_true", help="planned stops instead of faults")
     parser.add_argument("--calm", action="store_true", help="no faults; equal shares of equal targets")
+    parser.add_argument("--join", action="store_true", help="a target that joins in a calm system")
     parser.add_argument("--single-signals", action="store_true", help="one SIGTERM for each stop")
     parser.add_argument("--early-end", type=float, default=0.0, help="seconds by which entries end too early")
     parser.add_argument("--regressions", action="store_true", help="only the seeds that have failed")
@@ -59,6 +60,8 @@
 
 
 async def _run(seed: int, options: argparse.Namespace) -> list[str]:
+    if options.join:
+        return await run_join(seed, options.seconds)
     if options.calm:
         return await run_calm(seed, options.seconds)
     sizes = {name: getattr(options, name) for name in ("entries", "targets", "callers")}
--- a/bench/routes/calm.py
+++ b/bench/routes/calm.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 import shutil
+from collections.abc import AsyncIterator
 
 import attrs
 
@@ -20,7 +22,15 @@
 OBJECTIVE_S = 4.5
 START_TIMEOUT_S = 20.0
 SETTLE_TIME_S = 3.0
+MIN_LEAST_BUSY_OVER_MEAN = 0.5
 MAX_BUSIEST_OVER_MEAN = 2.0
+
+ABSENCE_TIME_S = 5.0
+"""Time for which a target is gone before it joins again, in which control notices it."""
+
+JOIN_TIME_S = 3.0
+"""Time after which a target that joins gets its share."""
+
 ANSWER_TIMEOUT_S = 6.0
 NO_ANSWER = 0
 
@@ -66,8 +76,39 @@
 
 
 async def run_calm(seed: int, seconds: float) -> list[str]:
-    """Run one seed; returns refused or failed requests and targets with too many, empty without any."""
+    """Run one seed; returns refused or failed requests and uneven targets, empty without any."""
+    cluster = create_soak_cluster(options=CALM_OPTIONS)
+    async with _calm_load(cluster, seed) as callers:
+        callers.statuses.clear()
+        await asyncio.sleep(seconds)
+        statuses = dict(callers.statuses)
+    return _report(cluster, find_uneven(statuses, cluster.observations.runs, _pooled_names(cluster)))
+
+
+async def run_join(seed: int, seconds: float) -> list[str]:
+    """Run one seed in which a target joins; returns a problem if it does not get its share in time.
+
+    Args:
+        seed: Seed of all random choices.
+        seconds: Time after ``JOIN_TIME_S`` for which the shares count.
+    """
     cluster = create_soak_cluster(options=CALM_OPTIONS)
+    loop = asyncio.get_running_loop()
+    async with _calm_load(cluster, seed):
+        joining = next(target for target in cluster.targets if not target.keyed)
+        await joining.crash()
+        await asyncio.sleep(ABSENCE_TIME_S)
+        await joining.start()
+        await asyncio.sleep(JOIN_TIME_S)
+        counted_from = loop.time()
+        await asyncio.sleep(seconds)
+    counts = cluster.observations.count_starts(counted_from)
+    return _report(cluster, find_uneven_shares(counts, [joining.name], len(_pooled_names(cluster))))
+
+
+@contextlib.asynccontextmanager
+async def _calm_load(cluster: SoakCluster, seed: int) -> AsyncIterator[CalmCallers]:
+    """Start a cluster and its callers, and wait until the load is steady."""
     callers = CalmCallers(cluster, random.Random(seed))
     task: asyncio.Task[None] | None = None
     try:
@@ -78,15 +119,17 @@
                 await asyncio.sleep(0.1)
         task = asyncio.get_running_loop().create_task(callers.run())
         await asyncio.sleep(SETTLE_TIME_S)
-        callers.statuses.clear()
-        await asyncio.sleep(seconds)
+        yield callers
     finally:
         if task is not None:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
         callers.pool.close()
         await cluster.close()
-    problems = find_uneven(callers.statuses, cluster.observations.runs, _pooled_names(cluster))
+
+
+def _report(cluster: SoakCluster, problems: list[str]) -> list[str]:
+    """Return the problems and where the logs are; remove the logs without any."""
     if problems:
         return [*problems, f"logs are in {cluster.root}"]
     shutil.rmtree(cluster.root, ignore_errors=True)
@@ -106,7 +149,7 @@
 
 
 def find_uneven(statuses: dict[str, int], runs: dict[str, list[str]], names: list[str]) -> list[str]:
-    """Return requests that were not answered by 200, and a target that got too many of them.
+    """Return requests that were not answered by 200, and targets that got too many or too few of them.
 
     Args:
         statuses: Status by request id.
@@ -115,11 +158,26 @@
     """
     problems = [f"{request_id} got {status}" for request_id, status in statuses.items() if status != 200]
     counts = collections.Counter(name for request_id in statuses for name in runs.get(request_id, []))
-    mean = sum(counts.values()) / len(names)
+    return [*problems, *find_uneven_shares(counts, names, len(names))]
+
+
+def find_uneven_shares(counts: collections.Counter[str], names: list[str], targets: int) -> list[str]:
+    """Return those of the named targets that got too many or too few requests.
+
+    Args:
+        counts: Number of requests by name of the target.
+        names: Names of the targets to check.
+        targets: Number of equal targets, of which each should get a like share.
+    """
+    mean = counts.total() / targets
     if mean == 0:
-        return [*problems, "no request ran"]
-    name, most = counts.most_common(1)[0]
-    print(f"{len(statuses)} requests, busiest target {name} with {most / mean:.2f} times the mean")
-    if most > MAX_BUSIEST_OVER_MEAN * mean:
-        problems.append(f"{name} got {most} requests, the mean is {mean:.1f}")
-    return problems
+        return ["no request ran"]
+    shares = sorted(((counts[name] / mean, name) for name in names), reverse=True)
+    print(
+        f"{counts.total()} requests; relative to the mean: {', '.join(f'{share:.2f}' for share, _ in shares)}"
+    )
+    return [
+        f"{name} got {counts[name]} requests, the mean is {mean:.1f}"
+        for share, name in shares
+        if not MIN_LEAST_BUSY_OVER_MEAN <= share <= MAX_BUSIEST_OVER_MEAN
+    ]
--- a/bench/routes/target.py
+++ b/bench/routes/target.py
@@ -1,6 +1,7 @@
 """Fake targets that hold key ranges and check that no key has two holders."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import random
@@ -47,6 +48,11 @@
     history: list[Run] = attrs.field(factory=list)
     problems: list[str] = attrs.field(factory=list)
 
+    def count_starts(self, since: float) -> collections.Counter[str]:
+        """Return the number of requests that each target has started since a loop time."""
+        request_ids = [request_id for started_at, _, request_id in self.starts if started_at >= since]
+        return collections.Counter(name for request_id in request_ids for name in self.runs[request_id])
+
 
 class SoakTarget:
     """One target behind a relay; it can crash, freeze, drain and restart under the same id.
--- a/tests/bench/test_calm.py
+++ b/tests/bench/test_calm.py
@@ -17,6 +17,10 @@
         statuses = {**{f"q{number}": 200 for number in range(7)}, "q7": 503}
         runs = {f"q{number}": ["t0"] for number in range(7)}
         problems = find_uneven(statuses, runs, ["t0", "t1", "t2"])
-        assert len(problems) == 2, problems
+        assert len(problems) == 4, problems
         assert problems[0] == "q7 got 503"
         assert problems[1].startswith("t0 got 7 requests"), problems
+        assert {problem.partition(",")[0] for problem in problems[2:]} == {
+            "t1 got 0 requests",
+            "t2 got 0 requests",
+        }, problems
--- a/tests/process/test_route_soak.py
+++ b/tests/process/test_route_soak.py
@@ -4,12 +4,13 @@
 
 import testtools
 
-from bench.routes.calm import run_calm
+from bench.routes.calm import run_calm, run_join
 from bench.routes.soak import run_soak, run_stop_soak
 
 SECONDS = 8.0
 STOP_SECONDS = 4.0
 CALM_SECONDS = 10.0
+JOIN_SECONDS = 8.0
 
 
 class RouteSoakTest(testtools.TestCase):
@@ -33,5 +34,9 @@
         self.assertEqual([], asyncio.run(run_stop_soak(seed=15, seconds=STOP_SECONDS)))
 
     def test_calm_system_refuses_nothing_and_spreads_requests(self):
-        """Guards against an equal target that gets most requests, and refusals beside idle targets."""
+        """Guards against an equal target that gets most or no requests, and refusals beside idle targets."""
         self.assertEqual([], asyncio.run(run_calm(seed=41, seconds=CALM_SECONDS)))
+
+    def test_target_that_joins_gets_its_share(self):
+        """Guards against a target without work whose load therefore stays unknown."""
+        self.assertEqual([], asyncio.run(run_join(seed=41, seconds=JOIN_SECONDS)))
