--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -3,9 +3,9 @@
 Load reports are seconds old at an entry that sends only occasional requests to a target. The entry's own
 outstanding requests count exactly. The reported load of other entries decays towards an expected value, a
 weighted mean of two figures: the entry's own average, since callers are spread over the entries, and the
-load that control publishes for all entries together. The own average weighs more, the more requests the
-entry has sent there recently. A rule that only adds each request sent since the last report would also count
-answered requests; here those answered since the report are subtracted again.
+load that control publishes for all entries together, none while it is unknown. The own average weighs more,
+the more requests the entry has sent there recently. A rule that only adds each request sent since the last
+report would also count answered requests; here those answered since the report are subtracted again.
 """
 
 import math
@@ -29,8 +29,8 @@
 The average is multiplied by the number of entries, and so is its error, so more entries need more requests.
 """
 
-DEFAULT_BUSY_SHARE = 0.4
-"""Expected share of busy slots at a target for which control has published no load."""
+MIN_SERVICE_TIME_SHARE = 0.5
+"""Share of the expected service time that a request takes at least, for the least load since a report."""
 
 FAILURE_PENALTY_S = 0.15
 """Time added to the completion time for each recent failure."""
@@ -64,6 +64,23 @@
     load_age: float
 
 
+@attrs.define
+class DecayedCount:
+    """Number of failures, each of which decays exponentially over ``FAILURE_DECAY_S``."""
+
+    count: float = 0.0
+    counted_at: float = -math.inf
+
+    def add(self, now: float) -> None:
+        """Count one more failure at loop time ``now``."""
+        self.count = self.at(now) + 1.0
+        self.counted_at = now
+
+    def at(self, now: float) -> float:
+        """Return the decayed number at loop time ``now``."""
+        return self.count * math.exp(-(now - self.counted_at) / FAILURE_DECAY_S)
+
+
 @attrs.define
 class TargetLoadEstimate:
     """One entry's estimate of the load of one incarnation of a target; times are loop times in seconds.
@@ -71,6 +88,7 @@
     ``speed`` and ``slowdown`` are relative to 1.0. ``outstanding`` counts the entry's own requests there and
     ``other_load`` the requests of other entries in the last report. ``average_outstanding`` and
     ``recent_starts`` decay over ``AVERAGE_DECAY_S``. ``reported_busy`` is the load that control publishes.
+    ``errors`` counts requests that failed and ``timeouts`` those without an answer at their deadline.
     """
 
     slots: int
@@ -84,8 +102,8 @@
     averaged_at: float = 0.0
     recent_starts: float = 0.0
     reported_busy: float | None = None
-    failures: float = 0.0
-    failed_at: float = -math.inf
+    errors: DecayedCount = attrs.field(factory=DecayedCount)
+    timeouts: DecayedCount = attrs.field(factory=DecayedCount)
 
     def record_load(self, load: LoadSample, now: float) -> None:
         """Record a load report; the request whose answer carried it is no longer at the target."""
@@ -113,12 +131,18 @@
 
     def record_failure(self, now: float) -> None:
         """Record a failed request, which raises the completion time until it has decayed."""
-        self.failures = self.recent_failures(now) + 1.0
-        self.failed_at = now
+        self.errors.add(now)
+
+    def record_timeout(self, now: float) -> None:
+        """Record a request without an answer at its deadline.
+
+        It does not raise the completion time: that would refuse requests while the target has a free slot.
+        """
+        self.timeouts.add(now)
 
     def recent_failures(self, now: float) -> float:
-        """Return the exponentially decayed number of failures."""
-        return self.failures * math.exp(-(now - self.failed_at) / FAILURE_DECAY_S)
+        """Return the exponentially decayed number of failures, timeouts included."""
+        return self.errors.at(now) + self.timeouts.at(now)
 
     def expected_load(self, now: float) -> float:
         """Return the expected number of requests at the target."""
@@ -130,20 +154,40 @@
         """Return the expected number of requests of other entries at the target."""
         if self.entries == 1:
             return 0.0
-        busy = DEFAULT_BUSY_SHARE * self.slots if self.reported_busy is None else self.reported_busy
+        # An unknown load counts as none: a target without requests would otherwise stay without.
+        busy = 0.0 if self.reported_busy is None else self.reported_busy
         other_load = busy * (self.entries - 1) / self.entries
         own_estimate = (self.entries - 1) * self.average_outstanding
         evidence = EVIDENCE_REQUESTS_PER_ENTRY * self.entries
         return (evidence * other_load + self.recent_starts * own_estimate) / (evidence + self.recent_starts)
 
+    def least_load(self, service_time: float, now: float) -> float:
+        """Return the least number of requests at the target, if none has come since its last report.
+
+        Args:
+            service_time: Service time at an average target in seconds.
+            now: Loop time.
+        """
+        ended = (now - self.reported_at) * self.slots / (MIN_SERVICE_TIME_SHARE * service_time)
+        return self.outstanding + max(0.0, self.other_load - ended)
+
     def relative_service_time(self, now: float) -> float:
         """Return the service time at the target relative to an average target."""
         weight = math.exp(-(now - self.reported_at) / SLOWDOWN_DECAY_S)
         return (1.0 + (self.slowdown - 1.0) * weight) / max(0.1, self.speed)
 
-    def utilization(self, load: float) -> float:
-        """Return the share of the slots that are busy with one more request than ``load``."""
-        return min(1.0, (load + 1.0) / self.slots)
+    def utilization(self, load: float, now: float) -> float:
+        """Return the share of the slots that one more request than ``load`` uses, 1.0 at most.
+
+        The share of recent requests that have failed counts as busy: a target that fails at once, or has
+        not answered at all, has few requests and would seem idle.
+        """
+        return min(1.0, (load + 1.0) / self.slots + self._failure_share(now))
+
+    def _failure_share(self, now: float) -> float:
+        """Return the share of the entry's recent requests that have failed; it decays without requests."""
+        self._update_average(now)
+        return self.recent_failures(now) / max(1.0, self.recent_starts)
 
     def queue_time(self, service_time: float, now: float, load: float | None = None) -> float:
         """Return the seconds that one more request would queue, if each takes ``service_time`` seconds.
@@ -160,7 +204,7 @@
 
     def completion_time(self, service_time: float, now: float, load: float | None = None) -> float:
         """Return the seconds until one more request would be answered; the arguments are as above."""
-        penalty = FAILURE_PENALTY_S * self.recent_failures(now)
+        penalty = FAILURE_PENALTY_S * self.errors.at(now)
         own_time = service_time * self.relative_service_time(now)
         return self.queue_time(service_time, now, load) + own_time + penalty
 
