Move the queue for memory out of the memory of answers

Request bodies are to be bounded in the same way as answers: places of a fixed size, the limit, and a queue in the order of arrival. No change of behaviour.

Ruled out: a second queue beside the first, which would differ in nothing but its name.

--- a/cranberrylever/http_transport.py
+++ b/cranberrylever/http_transport.py
@@ -6,7 +6,8 @@
 import struct
 import termios
 
-from cranberrylever.answer_memory import MIN_COUNTED_BYTES, AnswerMemory
+from cranberrylever.answer_memory import AnswerMemory
+from cranberrylever.memory_limit import MIN_COUNTED_BYTES
 
 LINGER_S = 1.0
 """Time for which a connection is read after its last answer has left the process.
--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -7,7 +7,8 @@
 import attrs
 import httptools
 
-from cranberrylever.answer_memory import MIN_COUNTED_BYTES, AnswerMemory, AnswerPlace
+from cranberrylever.answer_memory import AnswerMemory
+from cranberrylever.memory_limit import MIN_COUNTED_BYTES, MemoryPlace
 from cranberrylever.target_http._budget import BufferBudget, BufferingConnection
 
 MAX_ANSWER_BYTES = 16 * 1_048_576
@@ -60,7 +61,7 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes = b""
-    place: AnswerPlace | None = attrs.field(default=None, eq=False, repr=False)
+    place: MemoryPlace | None = attrs.field(default=None, eq=False, repr=False)
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header by its lower-case name."""
@@ -87,7 +88,7 @@
         memory: AnswerMemory | None = None,
     ) -> None:
         self.memory = memory
-        self._place: AnswerPlace | None = None
+        self._place: MemoryPlace | None = None
         self.id_header = id_header
         self.budget = budget or BufferBudget()
         self.transport: asyncio.Transport | None = None
