Bound the bytes of request bodies that an entry has at a target

Cause: a target ends when the requests that it holds exceed its memory. Entries count requests, not bytes, and none knows what the others have sent, so uploads to a slow target pile up there.

Change: the setting target_body_memory (0: no limit, the default) is divided among the entries of the view. An entry sends a target a large body only within its share, or as the only one; otherwise it takes another target, then waits up to 1 s for one of its uploads to end, then refuses (503, not run, Retry-After). Bodies under 16 KiB do not count.

Ruled out: a lease of bytes by control, which costs a round trip before each upload; a limit without a single request beside it, which with many entries sends nothing.

--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -23,6 +23,7 @@
     raise_failure,
 )
 from cranberrylever.route_entry._selection import MIN_OWNER_RETRY_AFTER_S, TargetSelector
+from cranberrylever.route_entry._target_bodies import TargetBodies
 from cranberrylever.route_entry._view import EntryView, TargetState
 from cranberrylever.target_http import AnswerLostError, NotSentError, TargetAnswer, TargetPool
 
@@ -56,6 +57,7 @@
         relay: Sends requests to other entries while this one reaches no target.
         request_report: Called when control should learn something at once.
         record_send: Called when a request is sent to a target, with the loop time.
+        bodies: Limit on the bytes of request bodies at targets.
 
     Attributes:
         stops_at: Loop time at which this entry stops, infinite before its stop begins.
@@ -73,6 +75,7 @@
         relay: PeerRelay | None = None,
         request_report: Callable[[], None] = lambda: None,
         record_send: Callable[[RoutedRequest, TargetState, float], None] = lambda request, target, now: None,
+        bodies: TargetBodies | None = None,
     ) -> None:
         self.view = view
         self.pool = pool
@@ -88,7 +91,8 @@
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answered = AnsweredRequests()
         chooser = PooledChooser(failure_domain, permits, random.Random())
-        self.selector = TargetSelector(view, permits, chooser, self.service_times)
+        self.bodies = bodies or TargetBodies()
+        self.selector = TargetSelector(view, permits, chooser, self.service_times, self.bodies)
 
     async def run(self, request: RoutedRequest) -> AttemptResult:
         """Send a request to targets until one answers it.
@@ -148,13 +152,14 @@
         self.record_send(request, target, started_at)
         is_lost = True
         try:
-            answer = await self.pool.exchange(
-                target.info.address,
-                request.method,
-                request_bytes,
-                request.request_id,
-                request.route.idempotent,
-            )
+            with self.bodies.holding(target.info.incarnation, len(request.body)):
+                answer = await self.pool.exchange(
+                    target.info.address,
+                    request.method,
+                    request_bytes,
+                    request.request_id,
+                    request.route.idempotent,
+                )
             is_lost = False
         except NotSentError:
             is_lost = False
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -1,6 +1,7 @@
 """The route entry program."""
 
 import asyncio
+import math
 
 import attrs
 from starlette.applications import Starlette
@@ -24,6 +25,7 @@
 from cranberrylever.route_entry._permit_gate import create_permit_gate
 from cranberrylever.route_entry._reachability import TargetReachability, probe_until_reachable
 from cranberrylever.route_entry._reports import ReportCollector
+from cranberrylever.route_entry._target_bodies import TargetBodies
 from cranberrylever.route_entry._target_shares import TargetShareGauge
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.settings import RouteEntrySettings
@@ -100,6 +102,7 @@
             self.relay,
             self.feed.request_report,
             TargetShareGauge(self.metrics, self.view).record,
+            TargetBodies(settings.target_body_memory or math.inf),
         )
         self.app = RouteEntryApp(
             self.view,
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -15,6 +15,7 @@
 from cranberrylever.route_entry._estimates import DispatchEstimate, ServiceTimeEstimator
 from cranberrylever.route_entry._permit_gate import PermitGate
 from cranberrylever.route_entry._request import RoutedRequest, raise_failure
+from cranberrylever.route_entry._target_bodies import MAX_ROOM_WAIT_S, MIN_ROOM_WAIT_S, TargetBodies
 from cranberrylever.route_entry._view import EntryView, TargetState
 
 MAX_OWNER_WAIT_S = 0.6
@@ -44,6 +45,7 @@
         permits: Permits for targets in cold start or with a rate limit.
         chooser: Chooses among the targets of a pooled service.
         service_times: Expected service times by route.
+        bodies: Bytes of request bodies at targets.
     """
 
     def __init__(
@@ -52,11 +54,13 @@
         permits: PermitGate,
         chooser: PooledChooser,
         service_times: ServiceTimeEstimator,
+        bodies: TargetBodies,
     ) -> None:
         self.view = view
         self.permits = permits
         self.chooser = chooser
         self.service_times = service_times
+        self.bodies = bodies
 
     async def select(self, request: RoutedRequest, state: DispatchState) -> TargetState:
         """Return the target to which the request is sent now.
@@ -67,6 +71,9 @@
         """
         while True:
             target = await self._choose_target(request, state)
+            if not self._has_room(request, target):
+                await self._wait_for_room(request, state)
+                continue
             now = _now()
             request.estimate = self._estimate(request, target, now)
             decision = self._admit(request, target, request.estimate, now)
@@ -140,7 +147,10 @@
         return self.chooser.choose(awake, self.view.entries, service_time, now)
 
     def _awake_targets(self, request: RoutedRequest, state: DispatchState, now: float) -> list[TargetState]:
-        """Return the targets that may get the request now, those that were not tried if there are any."""
+        """Return the targets that may get the request now.
+
+        Those that were not tried go before others, then those with room for its body.
+        """
         candidates = self.view.usable_targets(request.service.name)
         untried = [target for target in candidates if target.info.target_id not in state.excluded_targets]
         if not (untried or candidates):
@@ -149,7 +159,7 @@
         if not awake:
             rest_end = min(target.rests_until for target in untried or candidates)
             raise_failure(request, "all targets of the service asked for a pause", rest_end - now)
-        return awake
+        return [target for target in awake if self._has_room(request, target)] or awake
 
     async def _wait_for_owner(self, request: RoutedRequest) -> TargetState:
         """Return the owner of the request's key; wait briefly while the key moves."""
@@ -171,6 +181,22 @@
                 raise_failure(request, "no target serves the key at present", retry_after)
             await self.view.changed.wait(wait_until - current_time)
 
+    def _has_room(self, request: RoutedRequest, target: TargetState) -> bool:
+        """Return whether this entry may have the body of the request at the target beside others."""
+        return self.bodies.has_room(target.info.incarnation, len(request.body), self.view.entries)
+
+    async def _wait_for_room(self, request: RoutedRequest, state: DispatchState) -> None:
+        """Wait until a request with a large body has ended; refuse this one if that takes too long."""
+        now = _now()
+        if state.room_deadline is None:
+            state.room_deadline = now + min(MAX_ROOM_WAIT_S, MAX_WAIT_SHARE * request.remaining(now))
+        wait_time = state.room_deadline - now
+        if wait_time < MIN_ROOM_WAIT_S:
+            reason = "this entry has as many bytes of request bodies at the service's targets as it may"
+            retry_after = max(MIN_RETRY_AFTER_S, self.service_times.expected(request.route.name))
+            raise_failure(request, reason, retry_after)
+        await self.bodies.released.wait(wait_time)
+
     async def _wait_for_permit(
         self, request: RoutedRequest, target: TargetState, delay: float, state: DispatchState
     ) -> None:
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -97,6 +97,12 @@
         integer(MIN_BODY_MEMORY, MAX_BODY_MEMORY),
         96 * 1_048_576,
     )
+    target_body_memory: int = setting(
+        "Bytes of request bodies of 16 KiB or more that one target may hold of all entries together, running "
+        "and queued; 0 for no limit. Each entry uses an equal share of it, or one request if that is less.",
+        integer(0, MAX_BODY_MEMORY),
+        0,
+    )
     rules: LimitSettings = attrs.field(factory=LimitSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
 
