--- a/cranberrylever/settings/__init__.py
+++ b/cranberrylever/settings/__init__.py
@@ -11,7 +11,11 @@
     TargetSettings,
 )
 from cranberrylever.settings._routes import (
+    DEFAULT_ANSWER_MEMORY,
+    DEFAULT_BODY_MEMORY,
     MAX_TOLERATED_LOSSES,
+    MIN_ANSWER_MEMORY,
+    MIN_BODY_MEMORY,
     LimitSettings,
     RouteControlSettings,
     RouteEntrySettings,
@@ -24,7 +28,11 @@
 )
 
 __all__ = [
+    "DEFAULT_ANSWER_MEMORY",
+    "DEFAULT_BODY_MEMORY",
     "MAX_TOLERATED_LOSSES",
+    "MIN_ANSWER_MEMORY",
+    "MIN_BODY_MEMORY",
     "ControlSettings",
     "DevSettings",
     "EntrySettings",
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -20,8 +20,10 @@
 MAX_TOLERATED_LOSSES = 4
 MIN_ANSWER_MEMORY = 16 * 1_048_576
 MAX_ANSWER_MEMORY = 1 << 40
+DEFAULT_ANSWER_MEMORY = 96 * 1_048_576
 MIN_BODY_MEMORY = 1_048_576
 MAX_BODY_MEMORY = 1 << 40
+DEFAULT_BODY_MEMORY = 96 * 1_048_576
 
 
 @attrs.frozen
@@ -87,7 +89,7 @@
         "Retry-After), and answers that are ready wait at their targets. The process needs about 100 MB "
         "beside them.",
         integer(MIN_ANSWER_MEMORY, MAX_ANSWER_MEMORY),
-        96 * 1_048_576,
+        DEFAULT_ANSWER_MEMORY,
     )
     body_memory: int = setting(
         "Bytes of request bodies of 16 KiB or more that the entry holds at once, from a body's first byte to "
@@ -95,7 +97,7 @@
         "body takes up to twice its bytes while it is sent to a target. A larger one is taken only while "
         "there is no other.",
         integer(MIN_BODY_MEMORY, MAX_BODY_MEMORY),
-        96 * 1_048_576,
+        DEFAULT_BODY_MEMORY,
     )
     target_body_memory: int = setting(
         "Bytes of request bodies of 16 KiB or more that one target may hold of all entries together, running "
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -81,6 +81,22 @@
         assert settings.failure_domain == "puget"
         assert settings.peer_listen == "10.1.0.10:7721"
 
+    def test_limits_on_memory_fit_into_the_machine(self):
+        """Guards against an entry that is killed because its limits are above the memory of its machine."""
+        for megabytes in (136, 160, 200, 300, 440, 1_000):
+            text = f"{ENTRY_FILE}limits.memory_mb={megabytes}\n"
+            settings = settings_file.entry_settings(self.read(text))
+            copies = settings_file.BODY_COPIES
+            needed = settings_file.ENTRY_BASE_MEMORY + settings.answer_memory + copies * settings.body_memory
+            assert needed <= megabytes * 1_000_000, (megabytes, settings)
+            assert settings.body_memory >= 8_000_000, (megabytes, settings)
+
+    def test_unknown_memory_leaves_the_limits_at_their_defaults(self):
+        """Guards against an entry that does not start because its file states no memory."""
+        for text in ("", "limits.memory_mb=\n", "limits.memory_mb=inf\n", "limits.memory_mb=nan\n"):
+            settings = settings_file.entry_settings(self.read(ENTRY_FILE + text))
+            self.assertEqual(96 * 1_048_576, settings.answer_memory)
+
     def test_requests_have_the_grace_period_to_finish(self):
         """Guards against requests cut off long before the process is killed, or accepted until then."""
         for grace in (1, 2, 3, 4.5, 6, 8, 10, 15, 20, 60):
