--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -1,6 +1,7 @@
 """The route entry program."""
 
 import asyncio
+import math
 
 import attrs
 from starlette.applications import Starlette
@@ -9,12 +10,14 @@
 from starlette.routing import Route
 
 from cranberrylever.answer_memory import AnswerMemory
+from cranberrylever.body_memory import BodyMemory
 from cranberrylever.caller_http import CallerServer, finish_requests
 from cranberrylever.http_server import HttpServer
 from cranberrylever.http_unsent import CutOffAnswers
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
 from cranberrylever.route_entry._app import PeerRequestApp, RouteEntryApp
+from cranberrylever.route_entry._body import BodyReader
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._feed import FeedClient
 from cranberrylever.route_entry._format import HeaderFormat
@@ -22,6 +25,7 @@
 from cranberrylever.route_entry._permit_gate import create_permit_gate
 from cranberrylever.route_entry._reachability import TargetReachability, probe_until_reachable
 from cranberrylever.route_entry._reports import ReportCollector
+from cranberrylever.route_entry._target_bodies import TargetBodies
 from cranberrylever.route_entry._target_shares import TargetShareGauge
 from cranberrylever.route_entry._view import EntryView
 from cranberrylever.settings import RouteEntrySettings
@@ -98,6 +102,7 @@
             self.relay,
             self.feed.request_report,
             TargetShareGauge(self.metrics, self.view).record,
+            TargetBodies(settings.target_body_memory or math.inf),
         )
         self.app = RouteEntryApp(
             self.view,
@@ -108,6 +113,7 @@
             self.log,
             self.feed.knows_leader,
             self.memory,
+            BodyReader(BodyMemory(settings.body_memory), self.metrics),
         )
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
