Read customers of route plans as digests of their keys

Plans had no customers, so no entry could check a key. The default interface reads customers with api_keys, the platform's adapter reads its own fields; both keep the digests only, beside the source that the operator reads back byte for byte. A customer with a key of another, an unusable key, an odd name, priority, rate or burst is rejected; messages name customer, field and remedy and never a key, and no repr holds one.

The digest is plain blake2b of 256 bits: a keyed one would need a secret in each process and protect only keys that can be guessed. Ruled out: a rule on the keys before they are digested, which the replicated check could not repeat.

The test of file modes guards what holds already; it failed with files of mode 0644.

--- a/cranberrylever/route_control/_api.py
+++ b/cranberrylever/route_control/_api.py
@@ -1,6 +1,5 @@
 """Default HTTP interface of route control for operators and targets."""
 
-import hashlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -23,8 +22,8 @@
 )
 from cranberrylever.route_control._announced_grants import KeyReport
 from cranberrylever.route_control._announcement_relay import BATCH_PATH, AnnouncementBatch
+from cranberrylever.route_control._plan_document import PlanDocument
 from cranberrylever.route_control._service import RouteControlService
-from cranberrylever.route_plan import RoutePlan
 from cranberrylever.target_registry import TargetAnnouncement
 from cranberrylever.wire import decode
 
@@ -123,9 +122,8 @@
             raise TicketError(
                 f"base {base!r} is not a number", "send the number of the plan that this one builds on"
             )
-        plan = _decode(body, RoutePlan, TicketError)
-        digest = hashlib.sha256(body).hexdigest()[:32]
-        outcome = await self.service.submit_plan(attrs.evolve(plan, source=body, digest=digest), int(base))
+        plan = _decode(body, PlanDocument, TicketError).to_plan(body)
+        outcome = await self.service.submit_plan(plan, int(base))
         if outcome.accepted:
             return json_response(outcome)
         return json_response(outcome, 409 if outcome.conflict else 422)
--- a/cranberrylever/route_plan/__init__.py
+++ b/cranberrylever/route_plan/__init__.py
@@ -1,5 +1,6 @@
 """Route plans: selection of the service of a request, and acceptance of new plans."""
 
+from cranberrylever.route_plan._api_keys import MAX_KEY_BYTES, key_digest, text_key_digest
 from cranberrylever.route_plan._changes import PlanChanges, apply_changes, changes_between, share_routes
 from cranberrylever.route_plan._matcher import RouteMatcher
 from cranberrylever.route_plan._plan import (
@@ -14,6 +15,7 @@
 from cranberrylever.route_plan._rules import plan_problem
 
 __all__ = [
+    "MAX_KEY_BYTES",
     "CallerLimits",
     "Customer",
     "PlanChanges",
@@ -27,6 +29,8 @@
     "RoutedService",
     "apply_changes",
     "changes_between",
+    "key_digest",
     "plan_problem",
     "share_routes",
+    "text_key_digest",
 ]
--- a/cranberrylever/route_plan/_plan.py
+++ b/cranberrylever/route_plan/_plan.py
@@ -67,13 +67,14 @@
 class Customer:
     """A customer whose requests carry one of its API keys.
 
-    ``key_digests`` are the digests of its keys. ``priority`` goes before that of the route, ``None`` without
+    ``key_digests`` are the digests of its keys; an empty one stands for a key that no request can carry,
+    which makes the plan invalid. ``priority`` goes before that of the route, ``None`` without
     one. Its quota is ``rate`` requests per second and ``burst`` requests beyond that, over all entries
     together; ``rate`` is ``None`` without a quota.
     """
 
     name: str
-    key_digests: tuple[str, ...]
+    key_digests: tuple[str, ...] = attrs.field(repr=False)
     priority: int | None = None
     rate: float | None = None
     burst: float = 0.0
@@ -83,15 +84,15 @@
 class RoutePlan:
     """A numbered configuration that replaces the previous one completely.
 
-    ``source`` is the document as the operator sent it; ``digest`` identifies its content. In a plan with
-    ``customers`` a request needs an API key of one of them unless its route is public.
+    ``source`` is the document as the operator sent it, with the API keys; ``digest`` identifies its content.
+    In a plan with ``customers`` a request needs an API key of one of them unless its route is public.
     """
 
     number: int
     routes: tuple[Route, ...]
     services: tuple[RoutedService, ...]
     limits: CallerLimits = attrs.field(factory=CallerLimits)
-    source: bytes = b""
+    source: bytes = attrs.field(default=b"", repr=False)
     digest: str = ""
     customers: tuple[Customer, ...] = ()
 
--- a/cranberrylever/route_plan/_rules.py
+++ b/cranberrylever/route_plan/_rules.py
@@ -4,10 +4,12 @@
 from collections.abc import Iterator
 
 from cranberrylever.errors import TicketError
-from cranberrylever.route_plan._plan import Route, RoutePlan
+from cranberrylever.route_plan._api_keys import MAX_KEY_BYTES
+from cranberrylever.route_plan._plan import Customer, Route, RoutePlan
 
 MAX_ATTEMPTS = 100
 MAX_PRIORITY = 1_000
+MAX_CUSTOMER_NAME_BYTES = 256
 
 
 def plan_problem(plan: RoutePlan) -> TicketError | None:
@@ -30,6 +32,7 @@
             )
         seen.add(host_and_prefix)
         yield from _route_problems(route, set(names))
+    yield from _customers_problems(plan.customers)
 
 
 def _route_problems(route: Route, services: set[str]) -> Iterator[TicketError]:
@@ -55,5 +58,64 @@
         yield _route_error(route, f"priority {route.priority} is out of range", f"use 0 to {MAX_PRIORITY}")
 
 
+def _customers_problems(customers: tuple[Customer, ...]) -> Iterator[TicketError]:
+    seen: set[str] = set()
+    holders: dict[str, str] = {}
+    for customer in customers:
+        if customer.name in seen:
+            yield _customer_error(customer, "the name is declared twice", "declare each customer once")
+        seen.add(customer.name)
+        yield from _customer_problems(customer)
+        for number, digest in enumerate(customer.key_digests, 1):
+            holder = holders.setdefault(digest, customer.name)
+            if holder != customer.name:
+                yield _customer_error(
+                    customer,
+                    f"API key {number} also belongs to customer {holder!r:.80}",
+                    "give each key to one customer",
+                )
+
+
+def _customer_problems(customer: Customer) -> Iterator[TicketError]:
+    if not _is_header_value(customer.name):
+        yield _customer_error(
+            customer,
+            "the name cannot be sent in a header",
+            f"use 1 to {MAX_CUSTOMER_NAME_BYTES} visible ASCII characters",
+        )
+    for number, digest in enumerate(customer.key_digests, 1):
+        if not digest:
+            yield _customer_error(
+                customer,
+                f"API key {number} is empty, too long or has other than visible ASCII characters",
+                f"use a key of 1 to {MAX_KEY_BYTES} visible ASCII characters",
+            )
+    priority = customer.priority
+    if priority is not None and not 0 <= priority <= MAX_PRIORITY:
+        yield _customer_error(
+            customer, f"priority {priority} is out of range", f"use 0 to {MAX_PRIORITY} or leave it out"
+        )
+    rate, burst = customer.rate, customer.burst
+    if rate is not None and not (math.isfinite(rate) and rate > 0):
+        yield _customer_error(
+            customer, f"rate {rate} is not a number above 0", "use a rate above 0 or leave it out"
+        )
+    if not (math.isfinite(burst) and burst >= 0):
+        yield _customer_error(customer, f"burst {burst} is not a number of at least 0", "use 0 or more")
+    elif rate is None and burst > 0:
+        yield _customer_error(customer, f"burst {burst} stands without a rate", "add a rate or remove it")
+
+
+def _is_header_value(name: str) -> bool:
+    """Return whether a name can be sent in a header without being changed."""
+    return (
+        0 < len(name) <= MAX_CUSTOMER_NAME_BYTES and name.isascii() and name.isprintable() and " " not in name
+    )
+
+
+def _customer_error(customer: Customer, problem: str, remedy: str) -> TicketError:
+    return TicketError(f"customer {customer.name!r:.80}: {problem}", remedy)
+
+
 def _route_error(route: Route, problem: str, remedy: str) -> TicketError:
     return TicketError(f"route {route.name!r}: {problem}", remedy)
--- a/tests/consensus/test_disk.py
+++ b/tests/consensus/test_disk.py
@@ -331,6 +331,15 @@
         self.with_storage(self._identity)
         self.assertRaises(ClusterMismatchError, open_disk_storage, self.folder / "data", "other")
 
+    def test_only_the_owner_reads_what_is_stored(self):
+        """Guards against API keys, which the sources of plans hold, that other users of an instance read."""
+        snapshot = Snapshot(1, 1, Membership({"m1": "f"}), b"state")
+        self.write(batch(entries=[LogEntry(1, 1, 0, b"plan")]), batch(snapshot=snapshot))
+        files = [path for path in (self.folder / "data").rglob("*") if path.is_file()]
+        assert any(path.suffix == ".snapshot" for path in files), files
+        assert self.segments()
+        assert {path.stat().st_mode & 0o777 for path in files} == {0o600}
+
     def test_second_process_is_refused(self):
         """Guards against two processes that write the same log."""
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,6 +8,7 @@
 
 from cranberrylever.errors import SettingError
 from cranberrylever.route_entry import LoadSample
+from cranberrylever.route_plan import Customer, key_digest, plan_problem
 from tests.platform import ROOT
 from tests.platform.fakes import configuration
 
@@ -50,6 +51,40 @@
 FAILURE_DOMAINS = frozenset({"puget"})
 
 
+class CustomersTest(testtools.TestCase):
+    @staticmethod
+    def document(**tenant):
+        document = configuration(1, "ledger", "desk")
+        document["tenants"] = [{"name": "x", "api_keys": ["secret-1"], **tenant}]
+        document["routes"][1]["public"] = True
+        return document
+
+    def read(self, document):
+        return config_document.read_plan(json.dumps(document).encode())
+
+    def test_customers_are_read_with_digests_of_their_keys(self):
+        """Guards against a limit of 0 that refuses all, and against keys in the fields of a plan."""
+        digests = (key_digest(b"secret-1"),)
+        for fields, rest in (
+            ({}, (None, None, 0.0)),
+            ({"rate_per_s": 0}, (None, None, 0.0)),
+            ({"priority": 0, "rate_per_s": 2.5, "burst": 4}, (0, 2.5, 4.0)),
+        ):
+            plan = self.read(self.document(**fields))
+            assert plan.customers == (Customer("x", digests, *rest),)
+            assert [route.public for route in plan.routes] == [False, True]
+            assert plan_problem(plan) is None
+            assert "secret" not in repr(plan)
+
+    def test_unreadable_keys_are_rejected_without_naming_them(self):
+        """Guards against a key in an error, which the operator's tools log."""
+        for tenants in ("secret-1", ["secret-1"], [{"name": "x", "api_keys": "secret-1"}]):
+            error = self.assertRaises(
+                config_document.UnreadableError, self.read, {**self.document(), "tenants": tenants}
+            )
+            assert "secret" not in str(error)
+
+
 class RouteKindTest(testtools.TestCase):
     def test_plan_with_uploads_is_not_rejected(self):
         document = configuration(1, "ledger", "desk")
--- a/tests/route_control/test_default_interface.py
+++ b/tests/route_control/test_default_interface.py
@@ -113,6 +113,14 @@
         answer = await pool.call(http, "PUT", "/v1/plan", {**PLAN, "routes": 3}, 2.0)
         assert answer.status == 422
         assert b"routes" in answer.body
+        for keys in (["secret 1"], "secret 1", [7]):
+            customers = [{"name": "x", "api_keys": keys}]
+            answer = await pool.call(
+                http, "PUT", "/v1/plan?base=1", {**PLAN, "number": 2, "customers": customers}, 2.0
+            )
+            assert answer.status == 422
+            assert b"key" in answer.body
+            assert b"secret" not in answer.body
         answer = await pool.call(http, "GET", "/v1/plan", None, 2.0)
         assert json.loads(answer.body) == PLAN
         answer = await pool.call(http, "POST", "/v1/domains/mars/withdraw", {}, 2.0)
