Read requests of route entries in a module of their own

The code is moved; the times of a stop are one object that the application, the reader and the request log share, in place of a copy in each. No behaviour changes.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -4,14 +4,16 @@
 import json
 from collections.abc import Awaitable, Callable
 
-from cranberrylever.answer_memory import FULL_RETRY_AFTER_S, AnswerMemory
+from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.caller_http import CALLER_GONE, RequestGuard, RunningRequests, end_to_end_headers
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
+from cranberrylever.route_entry._answered import AnsweredError
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._format import HeaderFormat, Headers
 from cranberrylever.route_entry._peer_relay import CANNOT_SERVE_STATUS
 from cranberrylever.route_entry._reachability import TargetReachability
+from cranberrylever.route_entry._reader import RELAYED, RequestReader
 from cranberrylever.route_entry._request import (
     AttemptResult,
     OutcomeUnknownError,
@@ -24,59 +26,15 @@
 Receive = Callable[[], Awaitable[dict]]
 Send = Callable[[dict], Awaitable[None]]
 
-MAX_CONCURRENT_REQUESTS = 2_000
-"""Limit on requests in progress; with more of them an entry would run out of memory before it answers."""
-
 DISCONNECT_CHECK_DELAY_S = 0.01
 """Time after which an entry starts to check whether the caller of a request has disconnected."""
 
-MAX_VIEW_AGE_S = 2.0
-"""Age of the view from which requests are refused while a leader exists, which may have changed it."""
-
-OUTDATED_VIEW_RETRY_AFTER_S = 0.3
-
-NO_VIEW_RETRY_AFTER_S = 0.5
-"""Delay after which a caller may retry when the entry has not received a view."""
-
-FIRST_VIEW_TIMEOUT_S = 1.5
-"""Time after an entry's start for which requests wait for the first view.
-
-Control sends it within this time when all processes start together.
-"""
-
-FIRST_VIEW_WAIT_SHARE = 0.4
-"""Share of its time limit that a request waits for the first view; the rest is needed to serve it."""
-
-CALLER_RETRY_SHARE = 0.93
-"""A request with less than this share of its route's timeout left counts as a retry of the caller."""
-
 DEADLINE_MARGIN_S = 0.02
 """Time before the caller's deadline at which a request is ended, so that the answer arrives in time."""
 
-_RELAYED = "cranberrylever.relayed"
-"""Key in the scope of a request that another entry has passed on."""
-
 _STATUS_WITHOUT_BODY = frozenset({204, 304})
 
 
-class _AnsweredError(Exception):
-    """The entry answers a request itself with an error.
-
-    Args:
-        status: HTTP status.
-        outcome: Outcome for the log.
-        message: Description of the error, for the caller and the log.
-        retry_after: Seconds after which the caller may retry, ``None`` when a retry does not help.
-    """
-
-    def __init__(self, status: int, outcome: str, message: str, retry_after: float | None = None) -> None:
-        super().__init__(message)
-        self.status = status
-        self.outcome = outcome
-        self.message = message
-        self.retry_after = retry_after
-
-
 class RouteEntryApp:
     """ASGI application that reads a request, dispatches it and sends the answer to the caller.
 
@@ -103,25 +61,17 @@
         memory: AnswerMemory | None = None,
     ) -> None:
         self.memory = memory or AnswerMemory()
-        self.view = view
-        self.reachability = reachability
         self.dispatcher = dispatcher
         self.format = header_format
         self.log = log
-        self.request_log = RequestLog(log, metrics, view, header_format)
-        self.knows_leader = knows_leader
         self.draining = False
         self.stop = StopTimes()
+        self.request_log = RequestLog(log, metrics, view, header_format, self.stop)
+        self.reader = RequestReader(
+            view, dispatcher, header_format, reachability, knows_leader, self.memory, self.stop
+        )
         self.running = RunningRequests()
         self.requests = 0
-        self.started_at = asyncio.get_running_loop().time()
-
-    def is_view_outdated(self, now: float) -> bool:
-        """Return whether control may have changed the view without this entry knowing.
-
-        While no leader exists or control cannot be reached, the last view stays in force.
-        """
-        return now - self.view.confirmed_at > MAX_VIEW_AGE_S and self.knows_leader(now)
 
     def start_draining(self, accepts_until: float, stops_at: float) -> None:
         """Prepare for the stop.
@@ -135,8 +85,9 @@
             stops_at: Loop time of the limit for requests; those that still run are ended shortly before.
         """
         self.draining = True
-        self.stop = StopTimes(asyncio.get_running_loop().time(), accepts_until, stops_at)
-        self.request_log.stop = self.stop
+        self.stop.began_at = asyncio.get_running_loop().time()
+        self.stop.accepts_until = accepts_until
+        self.stop.stops_at = stops_at
         self.dispatcher.stops_at = stops_at
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -159,7 +110,7 @@
     async def _serve(self, scope: dict, receive: Receive, send: Send, record: RequestRecord) -> None:
         try:
             result = await self._run_until_end(scope, receive, record)
-        except _AnsweredError as error:
+        except AnsweredError as error:
             record.outcome = error.outcome
             record.status = error.status
             record.reason = error.message
@@ -179,128 +130,26 @@
         """Return the answer of a target, ``None`` when the caller disconnects.
 
         Raises:
-            _AnsweredError: The entry answers itself.
+            AnsweredError: The entry answers itself.
         """
         self.running.add_current()
         try:
-            record.request = await self._read_request(scope, receive, record)
+            record.request = await self.reader.read(scope, receive, record, self.requests)
             return None if record.request is None else await self._run_request(record.request, receive)
         except asyncio.CancelledError:
             if not self.running.suppress_cancellation():
                 raise
             self.request_log.record_ended(record)
             raise _end_of_stop_error(record.request) from None
-        except _AnsweredError:
+        except AnsweredError:
             raise
         except Exception as error:
             # The request may or may not have been sent to a target, so its outcome is unknown.
             self.log.failure("request_failed", error, request_id=record.request_id(self.format))
-            raise _AnsweredError(502, "failed", "internal error of the entry") from error
+            raise AnsweredError(502, "failed", "internal error of the entry") from error
         finally:
             self.running.remove_current()
 
-    # Reading ---------------------------------------------------------------------------------------
-
-    async def _read_request(
-        self, scope: dict, receive: Receive, record: RequestRecord
-    ) -> RoutedRequest | None:
-        now = record.started_at
-        headers: Headers = scope["headers"]
-        is_relayed = scope.get(_RELAYED, False)
-        if now >= self.stop.accepts_until:
-            raise _AnsweredError(503, "refused", "this entry accepts no more requests", 0.0)
-        if is_relayed and self.reachability.is_lost:
-            raise _AnsweredError(CANNOT_SERVE_STATUS, "refused", "this entry reaches no target either")
-        host = next((value for name, value in headers if name == b"host"), b"")
-        caller_headers = self.format.read_call(headers)
-        await self._wait_for_first_view(now, caller_headers.deadline)
-        if self.is_view_outdated(now):
-            raise _AnsweredError(
-                503, "refused", "this entry gets no changes of its routes", OUTDATED_VIEW_RETRY_AFTER_S
-            )
-        if self.requests > MAX_CONCURRENT_REQUESTS:
-            raise _AnsweredError(503, "refused", "too many requests in progress at this entry", 0.2)
-        if self.memory.is_full(self.requests):
-            raise _AnsweredError(503, "refused", self.memory.refusal(), FULL_RETRY_AFTER_S)
-        matcher = self.view.matcher
-        path = scope["raw_path"].decode("latin-1")
-        route = matcher.match(host.decode("latin-1"), path)
-        if route is None:
-            raise _AnsweredError(404, "invalid", "no route matches the host and path")
-        record.route = route.name
-        self._refuse_if_too_late(route.name)
-        time_limit = min(
-            route.timeout, caller_headers.deadline if caller_headers.deadline is not None else route.timeout
-        )
-        deadline = min(now + time_limit, self.stop.stops_at)
-        body = await self._read_body(headers, receive, deadline)
-        if body is None:
-            return None
-        self._refuse_if_too_late(route.name)
-        service = matcher.services[matcher.choose(route)]
-        if service.keyed and caller_headers.key is None:
-            raise _AnsweredError(
-                400, "invalid", "the key header, which the service requires, is missing or invalid"
-            )
-        query = scope["query_string"]
-        return RoutedRequest(
-            request_id=caller_headers.request_id,
-            method=scope["method"].encode(),
-            url=scope["raw_path"] + (b"?" + query if query else b""),
-            headers=end_to_end_headers(headers),
-            body=body,
-            route=route,
-            service=service,
-            key=caller_headers.key if service.keyed else None,
-            arrived_at=now,
-            deadline=deadline,
-            is_caller_retry=time_limit < CALLER_RETRY_SHARE * route.timeout,
-            is_relayed=is_relayed,
-        )
-
-    def _refuse_if_too_late(self, route: str) -> None:
-        """Refuse a request whose answer is not expected before this entry stops."""
-        if not self.draining:
-            return
-        answer_expected_at = asyncio.get_running_loop().time() + self.dispatcher.service_times.expected(route)
-        if answer_expected_at > self.stop.stops_at:
-            raise _AnsweredError(503, "refused", "this entry stops before an answer is expected", 0.0)
-
-    async def _wait_for_first_view(self, arrived_at: float, deadline: float | None) -> None:
-        """Wait for the first view shortly after the start; refuse the request if there is none by then."""
-        view_expected_at = self.started_at + FIRST_VIEW_TIMEOUT_S
-        wait_until = min(view_expected_at, arrived_at + FIRST_VIEW_WAIT_SHARE * (deadline or 0.0))
-        now = arrived_at
-        while not self.view.is_complete and now < wait_until:
-            await self.view.changed.wait(wait_until - now)
-            now = asyncio.get_running_loop().time()
-        if not self.view.is_complete:
-            raise _AnsweredError(
-                503, "refused", "this entry has not received its routes yet", NO_VIEW_RETRY_AFTER_S
-            )
-
-    async def _read_body(self, headers: Headers, receive: Receive, deadline: float) -> bytes | None:
-        """Return the complete body, ``None`` when the caller disconnects."""
-        if not any(name in (b"content-length", b"transfer-encoding") for name, _ in headers):
-            return b""
-        limit = self.view.matcher.plan.limits.max_body_bytes
-        parts: list[bytes] = []
-        size = 0
-        try:
-            async with asyncio.timeout_at(deadline):
-                while True:
-                    message = await receive()
-                    if message["type"] == "http.disconnect":
-                        return None
-                    parts.append(message["body"])
-                    size += len(message["body"])
-                    if size > limit:
-                        raise _AnsweredError(413, "invalid", f"the body exceeds {limit} bytes")
-                    if not message["more_body"]:
-                        return b"".join(parts)
-        except TimeoutError:
-            raise _AnsweredError(408, "refused", "the body did not arrive in time", 0.0) from None
-
     # Running ---------------------------------------------------------------------------------------
 
     async def _run_request(self, request: RoutedRequest, receive: Receive) -> AttemptResult | None:
@@ -315,21 +164,21 @@
                 return None
             raise self._timeout_error(request) from None
         except RefusedError as error:
-            raise _AnsweredError(503, "refused", error.reason, error.retry_after) from error
+            raise AnsweredError(503, "refused", error.reason, error.retry_after) from error
         except OutcomeUnknownError as error:
-            raise _AnsweredError(502, "unknown", error.reason) from error
+            raise AnsweredError(502, "unknown", error.reason) from error
         finally:
             guard.close()
 
     @staticmethod
-    def _timeout_error(request: RoutedRequest) -> _AnsweredError:
+    def _timeout_error(request: RoutedRequest) -> AnsweredError:
         if request.may_have_run:
-            return _AnsweredError(
+            return AnsweredError(
                 504,
                 "unknown",
                 f"no answer before the deadline; last result: {request.reason or request.tried_targets}",
             )
-        return _AnsweredError(
+        return AnsweredError(
             503, "refused", f"not sent before the deadline; last result: {request.reason}", 0.0
         )
 
@@ -343,7 +192,7 @@
             headers.append((b"content-length", str(len(answer.body)).encode()))
         await self._send_response(send, answer.status, headers, answer.body)
 
-    async def _send_error(self, send: Send, error: _AnsweredError) -> None:
+    async def _send_error(self, send: Send, error: AnsweredError) -> None:
         body = json.dumps({"error": error.message}).encode()
         headers = [
             (b"content-type", b"application/json"),
@@ -375,13 +224,13 @@
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        scope[_RELAYED] = True
+        scope[RELAYED] = True
         await self.app(scope, receive, send)
 
 
-def _end_of_stop_error(request: RoutedRequest | None) -> _AnsweredError:
+def _end_of_stop_error(request: RoutedRequest | None) -> AnsweredError:
     """Return the error for a request that still runs when its entry ends."""
     if request is not None and request.may_have_run:
         tried = ", ".join(request.tried_targets)
-        return _AnsweredError(504, "unknown", f"the entry stops; no answer yet from {tried}")
-    return _AnsweredError(503, "refused", "the entry stops; the request was not sent to a target", 0.0)
+        return AnsweredError(504, "unknown", f"the entry stops; no answer yet from {tried}")
+    return AnsweredError(503, "refused", "the entry stops; the request was not sent to a target", 0.0)
--- a/cranberrylever/route_entry/_request_log.py
+++ b/cranberrylever/route_entry/_request_log.py
@@ -57,19 +57,21 @@
         metrics: Metrics of the process.
         view: The view in force, whose versions the lines name.
         header_format: Reads headers.
+        stop: Times of the stop.
 
     Attributes:
-        stop: Times of the stop.
         ended_ids: Ids of requests that the entry answered itself at the end of its stop, not all if many.
         cut_off_ids: Ids of those that got no answer.
     """
 
-    def __init__(self, log: Log, metrics: Metrics, view: EntryView, header_format: HeaderFormat) -> None:
+    def __init__(
+        self, log: Log, metrics: Metrics, view: EntryView, header_format: HeaderFormat, stop: StopTimes
+    ) -> None:
         self.log = log
         self.metrics = metrics
         self.view = view
         self.format = header_format
-        self.stop = StopTimes()
+        self.stop = stop
         self.ended_ids: list[str] = []
         self.cut_off_ids: list[str] = []
 
--- a/tests/route_entry/test_feed.py
+++ b/tests/route_entry/test_feed.py
@@ -123,7 +123,7 @@
             view = EntryView(LimitSettings())
             view.confirmed_at = now - view_age
             app = RouteEntryApp(view, None, None, None, None, None, feed.knows_leader)
-            return app.is_view_outdated(now)
+            return app.reader.is_view_outdated(now)
 
         return run_in_simulated_time(scenario)
 
@@ -179,7 +179,7 @@
             app = RouteEntryApp(view, None, None, None, None, None, feed.knows_leader)
             feed.start()
             await asyncio.sleep(seconds)
-            is_outdated = app.is_view_outdated(asyncio.get_running_loop().time())
+            is_outdated = app.reader.is_view_outdated(asyncio.get_running_loop().time())
             await feed.close()
             return is_outdated
 
