Check API keys at entries and name customers to targets

An entry now authenticates a request on a private route before it reads its body: 401 with WWW-Authenticate at once without a usable key or for an unknown one, 503 while its view is too old to tell. The key is checked again at each send: the first, a retry, after a wait, and before the request is passed on. Targets get the customer's name from the entry only and never the key; without customers Authorization passes as before. A caller's customer header is dropped in each case, so that an old view passes no invented name on. The setting revocation_time (default: no bound) sets the bound; the adapter reads it where the platform is strict.

A request that is passed on carries the caller's key, and the other entry authenticates it by its own view. Ruled out: the name in a header between entries, which each caller who reaches that address could set. The other entry counts the request against the quota; this one gives its share back.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -6,6 +6,7 @@
 
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.caller_http import CALLER_GONE, RequestGuard, RunningRequests, end_to_end_headers
+from cranberrylever.customers import CustomerQuota, QuotaExceededError, RevocationGuard, UnlimitedQuota
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
 from cranberrylever.route_entry._answered import AnsweredError
@@ -16,6 +17,7 @@
 from cranberrylever.route_entry._reader import RELAYED, RequestReader
 from cranberrylever.route_entry._request import (
     AttemptResult,
+    KeyRevokedError,
     OutcomeUnknownError,
     RefusedError,
     RoutedRequest,
@@ -32,6 +34,8 @@
 DEADLINE_MARGIN_S = 0.02
 """Time before the caller's deadline at which a request is ended, so that the answer arrives in time."""
 
+UNAUTHORIZED_STATUS = 401
+
 _STATUS_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -47,6 +51,8 @@
         log: Program log.
         knows_leader: Returns whether a member has named a leader shortly before a loop time.
         memory: Limit on the memory of answers.
+        revocation: Bound on the age of the view for requests with an API key.
+        quota: Share of the customers' quotas that this entry may use.
     """
 
     def __init__(
@@ -59,16 +65,27 @@
         log: Log,
         knows_leader: Callable[[float], bool] = lambda now: False,
         memory: AnswerMemory | None = None,
+        revocation: RevocationGuard | None = None,
+        quota: CustomerQuota | None = None,
     ) -> None:
         self.memory = memory or AnswerMemory()
         self.dispatcher = dispatcher
+        self.view = view
+        self.quota = quota or UnlimitedQuota()
         self.format = header_format
         self.log = log
         self.draining = False
         self.stop = StopTimes()
         self.request_log = RequestLog(log, metrics, view, header_format, self.stop)
         self.reader = RequestReader(
-            view, dispatcher, header_format, reachability, knows_leader, self.memory, self.stop
+            view,
+            dispatcher,
+            header_format,
+            reachability,
+            knows_leader,
+            self.memory,
+            self.stop,
+            revocation or RevocationGuard(),
         )
         self.running = RunningRequests()
         self.requests = 0
@@ -156,13 +173,17 @@
         """Return the answer, ``None`` when the caller disconnects."""
         guard = RequestGuard(receive, request.deadline - DEADLINE_MARGIN_S, DISCONNECT_CHECK_DELAY_S)
         try:
-            return await self.dispatcher.run(request)
+            return await self._run_within_quota(request)
         except asyncio.CancelledError:
             if not guard.suppress_cancellation():
                 raise
             if guard.reason == CALLER_GONE:
                 return None
             raise self._timeout_error(request) from None
+        except QuotaExceededError as error:
+            raise AnsweredError(429, "refused", str(error), error.retry_after) from error
+        except KeyRevokedError as error:
+            raise AnsweredError(401, "unauthorized", error.reason) from error
         except RefusedError as error:
             raise AnsweredError(503, "refused", error.reason, error.retry_after) from error
         except OutcomeUnknownError as error:
@@ -170,6 +191,19 @@
         finally:
             guard.close()
 
+    async def _run_within_quota(self, request: RoutedRequest) -> AttemptResult:
+        """Run a request within the quota of its customer; one that has not run here gives its share back."""
+        customer = self.view.customers.find(request.key_digest)
+        if customer is None:
+            return await self.dispatcher.run(request)
+        await self.quota.acquire(customer, request.deadline - DEADLINE_MARGIN_S)
+        try:
+            return await self.dispatcher.run(request)
+        finally:
+            # The entry that a request was passed on to counts it.
+            if request.is_passed_on or not request.may_have_run:
+                self.quota.give_back(customer)
+
     @staticmethod
     def _timeout_error(request: RoutedRequest) -> AnsweredError:
         if request.may_have_run:
@@ -200,6 +234,8 @@
         ]
         if error.retry_after is not None:
             headers.append((b"retry-after", f"{error.retry_after:.3f}".encode()))
+        if error.status == UNAUTHORIZED_STATUS:
+            headers.append((b"www-authenticate", b"Bearer"))
         if error.status in (408, 413, CANNOT_SERVE_STATUS):
             # The rest of the body is still in transit and must not be parsed as the next request.
             headers.append((b"connection", b"close"))
--- a/cranberrylever/route_entry/_default_format.py
+++ b/cranberrylever/route_entry/_default_format.py
@@ -28,6 +28,7 @@
     deadline_header = b"cranberrylever-deadline-ms"
     key_header = b"cranberrylever-key"
     target_header = b"cranberrylever-target"
+    customer_header = b"cranberrylever-customer"
 
     def read_answer(self, status: int, headers: Headers) -> AnswerHeaders:
         """Parse the headers of a target's answer."""
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -5,12 +5,14 @@
 import random
 from collections.abc import Callable
 
+from cranberrylever.customers import RevocationGuard
 from cranberrylever.logs import Log
 from cranberrylever.route_entry._admission import MIN_RETRY_AFTER_S
 from cranberrylever.route_entry._choice import PooledChooser
 from cranberrylever.route_entry._dispatch_state import DispatchState
 from cranberrylever.route_entry._estimates import ServiceTimeEstimator
 from cranberrylever.route_entry._format import AnswerHeaders, HeaderFormat
+from cranberrylever.route_entry._key_check import KeyCheck
 from cranberrylever.route_entry._limits import AnsweredRequests, RetryBudget
 from cranberrylever.route_entry._peer_relay import PeerRelay
 from cranberrylever.route_entry._permit_gate import PermitGate
@@ -56,6 +58,7 @@
         relay: Sends requests to other entries while this one reaches no target.
         request_report: Called when control should learn something at once.
         record_send: Called when a request is sent to a target, with the loop time.
+        revocation: Bound on the age of the view for requests with an API key.
 
     Attributes:
         stops_at: Loop time at which this entry stops, infinite before its stop begins.
@@ -73,6 +76,7 @@
         relay: PeerRelay | None = None,
         request_report: Callable[[], None] = lambda: None,
         record_send: Callable[[RoutedRequest, TargetState, float], None] = lambda request, target, now: None,
+        revocation: RevocationGuard | None = None,
     ) -> None:
         self.view = view
         self.pool = pool
@@ -84,6 +88,7 @@
         self.request_report = request_report
         self.stops_at = math.inf
         self.record_send = record_send
+        self.key_check = KeyCheck(view, revocation or RevocationGuard())
         self.service_times = ServiceTimeEstimator()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answered = AnsweredRequests()
@@ -98,7 +103,7 @@
             OutcomeUnknownError: It may have run and there is no answer.
         """
         if self._needs_relay(request):
-            return await self.relay.run(request)
+            return await self._pass_on(request)
         now = self._now()
         self._retry_budget(request).record_request(now)
         if request.key is not None:
@@ -114,7 +119,7 @@
                 result = await self._send(request, target)
             except NotSentError as error:
                 if self._needs_relay(request):
-                    return await self.relay.run(request)
+                    return await self._pass_on(request)
                 await self._handle_connect_failure(request, target, state, error)
                 continue
             except AnswerLostError as error:
@@ -129,6 +134,10 @@
     def _needs_relay(self, request: RoutedRequest) -> bool:
         return self.relay is not None and self.relay.is_needed(request)
 
+    async def _pass_on(self, request: RoutedRequest) -> AttemptResult:
+        self.key_check.require(request, self._now())
+        return await self.relay.run(request)
+
     # Sending -------------------------------------------------------------------------------------
 
     async def _send(self, request: RoutedRequest, target: TargetState) -> AttemptResult:
@@ -137,12 +146,16 @@
         Raises:
             NotSentError: No byte of the request was sent.
             AnswerLostError: The request may have run.
+            RefusedError: Its API key is no longer in force or cannot be checked, and no attempt has run.
+            OutcomeUnknownError: The same, and an earlier attempt may have run.
         """
         estimate = target.estimate
         started_at = self._now()
         remaining = request.remaining(started_at)
+        self.key_check.require(request, started_at)
+        customer = None if self.view.customers.is_empty else request.customer
         request_bytes = request.encode(
-            self.format.target_headers(request.headers, target.info.target_id, remaining)
+            self.format.target_headers(request.headers, target.info.target_id, remaining, customer)
         )
         estimate.record_start(started_at)
         self.record_send(request, target, started_at)
--- a/cranberrylever/route_entry/_format.py
+++ b/cranberrylever/route_entry/_format.py
@@ -8,6 +8,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+AUTHORIZATION = b"authorization"
+
 _UNAVAILABLE_STATUS = 503
 
 MAX_DIGITS = 12
@@ -64,13 +66,15 @@
 
     ``id_header`` holds the request id, which targets repeat; ``deadline_header`` the number of milliseconds
     that the caller waits; ``key_header`` the number of the request's key; ``target_header`` the id of the
-    target that may run the request.
+    target that may run the request; ``customer_header`` the name of the customer that sends it, which only
+    entries set.
     """
 
     id_header: bytes
     deadline_header: bytes
     key_header: bytes
     target_header: bytes
+    customer_header: bytes
 
     def read_call(self, headers: Headers) -> CallerHeaders:
         """Parse a caller's headers; an invalid value counts as missing."""
@@ -83,21 +87,33 @@
             key if key is not None and key < KEY_SPACE_SIZE else None,
         )
 
-    def target_headers(self, headers: Headers, target_id: str, remaining: float) -> Headers:
+    def target_headers(
+        self, headers: Headers, target_id: str, remaining: float, customer: str | None = None
+    ) -> Headers:
         """Return a caller's headers as they are sent to a target.
 
         Args:
             headers: End-to-end headers of the caller.
             target_id: The target that may run the request; another target at its address must refuse it.
             remaining: Seconds until the caller's deadline.
+            customer: Name of the customer, empty without one; ``None`` if the plan has no customers, so that
+                an Authorization header is the target's own matter.
         """
         kept = self.peer_headers(headers, remaining)
+        if customer is not None:
+            kept = [pair for pair in kept if pair[0] != AUTHORIZATION]
+        if customer:
+            kept.append((self.customer_header, customer.encode("ascii")))
         kept.append((self.target_header, target_id.encode("latin-1", "replace")))
         return kept
 
     def peer_headers(self, headers: Headers, remaining: float) -> Headers:
-        """Return a caller's headers as they are sent to another entry, with the seconds that it has."""
-        kept = [pair for pair in headers if pair[0] not in (self.deadline_header, self.target_header)]
+        """Return a caller's headers as they are sent to another entry, with the seconds that it has.
+
+        The other entry authenticates the request again, by the caller's API key.
+        """
+        own_headers = (self.deadline_header, self.target_header, self.customer_header)
+        kept = [pair for pair in headers if pair[0] not in own_headers]
         kept.append((self.deadline_header, b"%d" % max(1, int(remaining * 1000))))
         return kept
 
--- a/cranberrylever/route_entry/_peer_relay.py
+++ b/cranberrylever/route_entry/_peer_relay.py
@@ -3,6 +3,9 @@
 The other entry serves such a request like one of its own caller: with its view, its permits and its budget
 for retries. It never passes it on again. This entry does not send it to a second entry unless the first
 certainly did not run it.
+
+It takes nobody's word for who sends a request: the API key goes with it, and the other entry authenticates it
+by its own view, so that a caller at the address for passed-on requests cannot choose its customer.
 """
 
 import asyncio
@@ -39,7 +42,7 @@
 CANNOT_SERVE_STATUS = 421
 """Status of an entry that reaches no target itself; the request has not run."""
 
-_REFUSED_STATUS_CODES = frozenset({400, 404, 408, 413, 429, 503})
+_REFUSED_STATUS_CODES = frozenset({400, 401, 404, 408, 413, 429, 503})
 
 
 class PeerRelay:
@@ -89,6 +92,7 @@
             RefusedError: The request has not run and will not run.
             OutcomeUnknownError: It may have run and there is no answer.
         """
+        request.is_passed_on = not request.may_have_run
         for address in self._candidates():
             try:
                 answer, is_genuine = await self._exchange(request, address)
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -10,6 +10,7 @@
 
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.caller_http import CallerServer, finish_requests
+from cranberrylever.customers import RevocationGuard
 from cranberrylever.http_server import HttpServer
 from cranberrylever.http_unsent import CutOffAnswers
 from cranberrylever.logs import Log, install_log
@@ -87,6 +88,7 @@
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         permit_gate = create_permit_gate(settings.rules, self.feed.request_report)
         self.permits, self.rate_limits = permit_gate.permits, permit_gate.rate_limits
+        revocation = RevocationGuard(settings.revocation_time)
         self.dispatcher = Dispatcher(
             self.view,
             self.pool,
@@ -98,6 +100,7 @@
             self.relay,
             self.feed.request_report,
             TargetShareGauge(self.metrics, self.view).record,
+            revocation,
         )
         self.app = RouteEntryApp(
             self.view,
@@ -108,6 +111,7 @@
             self.log,
             self.feed.knows_leader,
             self.memory,
+            revocation,
         )
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
--- a/cranberrylever/route_entry/_reader.py
+++ b/cranberrylever/route_entry/_reader.py
@@ -6,14 +6,18 @@
 
 from cranberrylever.answer_memory import FULL_RETRY_AFTER_S, AnswerMemory
 from cranberrylever.caller_http import end_to_end_headers
+from cranberrylever.customers import RevocationGuard, read_key_digest, unknown_key_error
+from cranberrylever.errors import UnauthorizedError
 from cranberrylever.route_entry._answered import AnsweredError
 from cranberrylever.route_entry._dispatcher import Dispatcher
-from cranberrylever.route_entry._format import HeaderFormat, Headers
+from cranberrylever.route_entry._format import AUTHORIZATION, HeaderFormat, Headers
+from cranberrylever.route_entry._key_check import VIEW_UNCONFIRMED, VIEW_UNCONFIRMED_RETRY_AFTER_S
 from cranberrylever.route_entry._peer_relay import CANNOT_SERVE_STATUS
 from cranberrylever.route_entry._reachability import TargetReachability
 from cranberrylever.route_entry._request import RoutedRequest
 from cranberrylever.route_entry._request_log import RequestRecord, StopTimes
 from cranberrylever.route_entry._view import EntryView
+from cranberrylever.route_plan import Customer, Route
 
 Receive = Callable[[], Awaitable[dict]]
 
@@ -55,6 +59,7 @@
         knows_leader: Returns whether a member has named a leader shortly before a loop time.
         memory: Limit on the memory of answers.
         stop: Times of the stop.
+        revocation: Bound on the age of the view for requests with an API key.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
         knows_leader: Callable[[float], bool],
         memory: AnswerMemory,
         stop: StopTimes,
+        revocation: RevocationGuard,
     ) -> None:
         self.view = view
         self.dispatcher = dispatcher
@@ -74,6 +80,7 @@
         self.knows_leader = knows_leader
         self.memory = memory
         self.stop = stop
+        self.revocation = revocation
         self.started_at = asyncio.get_running_loop().time()
 
     def is_view_outdated(self, now: float) -> bool:
@@ -121,6 +128,8 @@
         if route is None:
             raise AnsweredError(404, "invalid", "no route matches the host and path")
         record.route = route.name
+        digest, customer = self._authenticate(headers, route, now)
+        record.customer = customer.name if customer is not None else ""
         self._refuse_if_too_late(route.name)
         time_limit = min(
             route.timeout, caller_headers.deadline if caller_headers.deadline is not None else route.timeout
@@ -149,8 +158,28 @@
             deadline=deadline,
             is_caller_retry=time_limit < CALLER_RETRY_SHARE * route.timeout,
             is_relayed=is_relayed,
+            customer=record.customer,
+            key_digest=digest,
         )
 
+    def _authenticate(self, headers: Headers, route: Route, now: float) -> tuple[str, Customer | None]:
+        """Return the digest of a request's API key and its customer; none where no key is needed.
+
+        A key on a public route is not read, so that an old one does no harm there.
+        """
+        if self.view.customers.is_empty or route.public:
+            return "", None
+        try:
+            digest = read_key_digest([value for name, value in headers if name == AUTHORIZATION])
+        except UnauthorizedError as error:
+            raise AnsweredError(401, "unauthorized", str(error)) from None
+        if not self.revocation.is_confirmed(self.view.confirmed_at, now):
+            raise AnsweredError(503, "refused", VIEW_UNCONFIRMED, VIEW_UNCONFIRMED_RETRY_AFTER_S)
+        customer = self.view.customers.find(digest)
+        if customer is None:
+            raise AnsweredError(401, "unauthorized", str(unknown_key_error()))
+        return digest, customer
+
     def _refuse_if_too_late(self, route: str) -> None:
         """Refuse a request whose answer is not expected before this entry stops."""
         if self.stop.began_at == math.inf:
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -23,13 +23,15 @@
     sent the request and ``reason`` describes the last result for the log. ``estimate`` holds the estimates
     behind the last decision and ``rate_limit`` is the one that the last answer stated, in requests per
     second. ``is_caller_retry`` reports that the caller has waited before: it has less time left than the
-    timeout of the route. ``is_relayed`` reports that another entry has passed it on.
+    timeout of the route. ``is_relayed`` reports that another entry has passed it on, ``is_passed_on`` that
+    this one has before it may have run here. ``customer`` is the name of the customer that sends it and
+    ``key_digest`` the digest of its API key; both are empty without one.
     """
 
     request_id: bytes
     method: bytes
     url: bytes
-    headers: Headers
+    headers: Headers = attrs.field(repr=False)
     body: bytes
     route: Route
     service: RoutedService
@@ -46,6 +48,9 @@
     is_caller_retry: bool = False
     is_relayed: bool = False
     _fingerprint: str = ""
+    customer: str = ""
+    key_digest: str = attrs.field(default="", repr=False)
+    is_passed_on: bool = False
 
     @property
     def fingerprint(self) -> str:
@@ -92,6 +97,10 @@
         self.retry_after = retry_after
 
 
+class KeyRevokedError(RefusedError):
+    """The request has not run and will not run, because its API key is no longer in force."""
+
+
 class OutcomeUnknownError(Exception):
     """The request may have run and there is no answer to send to the caller."""
 
--- a/cranberrylever/route_entry/_request_log.py
+++ b/cranberrylever/route_entry/_request_log.py
@@ -41,6 +41,7 @@
         self.status = 0
         self.reason = ""
         self.target = ""
+        self.customer = ""
 
     def request_id(self, header_format: HeaderFormat) -> str:
         """Return the request id that the caller set."""
@@ -102,6 +103,7 @@
             "request",
             request_id=record.request_id(self.format),
             route=record.route,
+            customer=record.customer,
             service=request.service.name if request else "",
             key=request.key if request else None,
             tried=request.tried_targets if request else [],
--- a/cranberrylever/route_entry/_view.py
+++ b/cranberrylever/route_entry/_view.py
@@ -6,6 +6,7 @@
 import attrs
 
 from cranberrylever.change_signal import ChangeSignal
+from cranberrylever.customers import CustomerDirectory
 from cranberrylever.route_entry._estimates import TargetLoadEstimate
 from cranberrylever.route_plan import RouteMatcher, RoutePlan, apply_changes
 from cranberrylever.settings import LimitSettings
@@ -109,6 +110,7 @@
         self.fleet_version = -1
         self.ranges_version = -1
         self.matcher: RouteMatcher | None = None
+        self.customers = CustomerDirectory()
         self.targets: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
         self.owners: dict[str, KeyOwners] = {}
@@ -138,6 +140,7 @@
         if plan is not None:
             self.plan_version = reply.plan_version
             self.matcher = RouteMatcher(plan)
+            self.customers = CustomerDirectory(plan.customers)
             changed = True
         if self._is_applicable(reply.fleet, reply.fleet_version, self.fleet_version):
             self.fleet_version = reply.fleet_version
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -89,6 +89,13 @@
     )
     rules: LimitSettings = attrs.field(factory=LimitSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
+    revocation_time: float = setting(
+        "Seconds after the acknowledgement of a plan from which no request runs with an API key that it took "
+        "away, also at an entry without control. An entry whose view was not confirmed for 0.8 of this time "
+        "refuses requests with a key (503, not run); use at least 3 s (default: no bound).",
+        number(0.0, MAX_TIME_S),
+        0.0,
+    )
 
 
 @attrs.frozen
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -85,6 +85,20 @@
             assert "secret" not in str(error)
 
 
+class RevocationTimeTest(testtools.TestCase):
+    def test_bound_is_set_where_it_is_strict_only(self):
+        """Guards against removed keys in strict deployments, and against refusals in all others."""
+        for bounds, seconds in (
+            ("", 0.0),
+            (",revoke_s=5", 0.0),
+            (",strict_revoke=false,revoke_s=5", 0.0),
+            (",strict_revoke=true,revoke_s=5", 5.0),
+        ):
+            text = ENTRY_FILE.replace("grace_s=6", "grace_s=6" + bounds)
+            fields = dict(line.split("=", 1) for line in text.splitlines())
+            assert settings_file.entry_settings(fields).revocation_time == seconds, bounds
+
+
 class RouteKindTest(testtools.TestCase):
     def test_plan_with_uploads_is_not_rejected(self):
         document = configuration(1, "ledger", "desk")
