Count requests by customer and outcome

Entries now count requests by customer and outcome; the first 100 customers have labels of their own, the others share one, so that 100,000 customers cost no memory. Ruled out: labels for the busiest at each moment, as counters that come and go cannot be read as rates.

--- a/cranberrylever/metrics.py
+++ b/cranberrylever/metrics.py
@@ -1,6 +1,8 @@
 """Metrics interface with a statsd, a Prometheus and a no-op implementation."""
 
 import abc
+import re
+from collections.abc import Mapping
 
 import prometheus_client
 import statsd
@@ -12,6 +14,7 @@
 from cranberrylever.errors import SettingError
 
 _NAME_PREFIX = "cranberrylever"
+_UNSAFE_IN_NAME = re.compile(r"[^A-Za-z0-9_-]")
 
 
 class Metrics(abc.ABC):
@@ -21,6 +24,10 @@
     def count(self, name: str, value: int = 1) -> None:
         """Add ``value`` to the counter ``name``."""
 
+    @abc.abstractmethod
+    def count_labelled(self, name: str, labels: Mapping[str, str]) -> None:
+        """Add 1 to the counter ``name`` with these labels; the caller bounds the number of their values."""
+
     @abc.abstractmethod
     def gauge(self, name: str, value: float) -> None:
         """Set the gauge ``name``."""
@@ -40,6 +47,9 @@
     def count(self, name: str, value: int = 1) -> None:
         """Discard the value."""
 
+    def count_labelled(self, name: str, labels: Mapping[str, str]) -> None:
+        """Discard the value."""
+
     def gauge(self, name: str, value: float) -> None:
         """Discard the value."""
 
@@ -60,6 +70,11 @@
         """Add ``value`` to the counter ``name``."""
         self.client.incr(name, value)
 
+    def count_labelled(self, name: str, labels: Mapping[str, str]) -> None:
+        """Add 1 to a counter whose name ends with the values of the labels."""
+        values = (_UNSAFE_IN_NAME.sub("_", value) for value in labels.values())
+        self.client.incr(".".join((name, *values)))
+
     def gauge(self, name: str, value: float) -> None:
         """Set the gauge ``name``."""
         self.client.gauge(name, value)
@@ -86,6 +101,10 @@
         """Add ``value`` to the counter ``name``."""
         self._collector(name, prometheus_client.Counter).inc(value)
 
+    def count_labelled(self, name: str, labels: Mapping[str, str]) -> None:
+        """Add 1 to the counter ``name`` with these labels."""
+        self._collector(name, prometheus_client.Counter, labelnames=tuple(labels)).labels(**labels).inc()
+
     def gauge(self, name: str, value: float) -> None:
         """Set the gauge ``name``."""
         self._collector(name, prometheus_client.Gauge).set(value)
--- a/cranberrylever/route_entry/_request_log.py
+++ b/cranberrylever/route_entry/_request_log.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cranberrylever.customers import CustomerCounters
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
 from cranberrylever.route_entry._estimates import DispatchEstimate
@@ -43,6 +44,11 @@
         self.target = ""
         self.customer = ""
 
+    @property
+    def label(self) -> str:
+        """Outcome in the form that names of metrics have."""
+        return self.outcome.replace(" ", "_")
+
     def request_id(self, header_format: HeaderFormat) -> str:
         """Return the request id that the caller set."""
         request = self.request
@@ -70,6 +76,7 @@
     ) -> None:
         self.log = log
         self.metrics = metrics
+        self.customer_counters = CustomerCounters(metrics)
         self.view = view
         self.format = header_format
         self.stop = stop
@@ -94,7 +101,8 @@
         """Write the line of a request that has ended, and count it."""
         now = asyncio.get_running_loop().time()
         elapsed_ms = (now - record.started_at) * 1000
-        self.metrics.count(f"requests_{record.outcome.replace(' ', '_')}")
+        self.metrics.count(f"requests_{record.label}")
+        self.customer_counters.record(record.customer, record.label)
         self.metrics.timing("request_ms", elapsed_ms)
         request = record.request
         if request is not None and request.is_relayed:
