--- a/cranberrylever/route_entry/_answered.py
+++ b/cranberrylever/route_entry/_answered.py
@@ -1,4 +1,4 @@
-"""Error that an entry answers itself."""
+"""Answers that an entry gives itself."""
 
 
 class AnsweredError(Exception):
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -12,6 +12,7 @@
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.body_memory import BodyMemory
 from cranberrylever.caller_http import CallerServer, finish_requests
+from cranberrylever.customers import RevocationGuard
 from cranberrylever.http_server import HttpServer
 from cranberrylever.http_unsent import CutOffAnswers
 from cranberrylever.logs import Log, install_log
@@ -91,6 +92,7 @@
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         permit_gate = create_permit_gate(settings.rules, self.feed.request_report)
         self.permits, self.rate_limits = permit_gate.permits, permit_gate.rate_limits
+        revocation = RevocationGuard(settings.revocation_time)
         self.dispatcher = Dispatcher(
             self.view,
             self.pool,
@@ -103,6 +105,7 @@
             self.feed.request_report,
             TargetShareGauge(self.metrics, self.view).record,
             TargetBodies(settings.target_body_memory or math.inf),
+            revocation,
         )
         self.app = RouteEntryApp(
             self.view,
@@ -114,6 +117,7 @@
             self.feed.knows_leader,
             self.memory,
             BodyReader(BodyMemory(settings.body_memory), self.metrics),
+            revocation,
         )
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
--- a/cranberrylever/route_entry/_request_log.py
+++ b/cranberrylever/route_entry/_request_log.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cranberrylever.customers import CustomerCounters
 from cranberrylever.logs import Log
 from cranberrylever.memory_limit import MIN_COUNTED_BYTES
 from cranberrylever.metrics import Metrics
@@ -44,6 +45,12 @@
         self.status = 0
         self.reason = ""
         self.target = ""
+        self.customer = ""
+
+    @property
+    def label(self) -> str:
+        """Outcome in the form that names of metrics have."""
+        return self.outcome.replace(" ", "_")
 
     def request_id(self, header_format: HeaderFormat) -> str:
         """Return the request id that the caller set."""
@@ -60,19 +67,22 @@
         metrics: Metrics of the process.
         view: The view in force, whose versions the lines name.
         header_format: Reads headers.
+        stop: Times of the stop.
 
     Attributes:
-        stop: Times of the stop.
         ended_ids: Ids of requests that the entry answered itself at the end of its stop, not all if many.
         cut_off_ids: Ids of those that got no answer.
     """
 
-    def __init__(self, log: Log, metrics: Metrics, view: EntryView, header_format: HeaderFormat) -> None:
+    def __init__(
+        self, log: Log, metrics: Metrics, view: EntryView, header_format: HeaderFormat, stop: StopTimes
+    ) -> None:
         self.log = log
         self.metrics = metrics
+        self.customer_counters = CustomerCounters(metrics)
         self.view = view
         self.format = header_format
-        self.stop = StopTimes()
+        self.stop = stop
         self.ended_ids: list[str] = []
         self.cut_off_ids: list[str] = []
 
@@ -94,7 +104,8 @@
         """Write the line of a request that has ended, and count it."""
         now = asyncio.get_running_loop().time()
         elapsed_ms = (now - record.started_at) * 1000
-        self.metrics.count(f"requests_{record.outcome.replace(' ', '_')}")
+        self.metrics.count(f"requests_{record.label}")
+        self.customer_counters.record(record.customer, record.label)
         self.metrics.timing("request_ms", elapsed_ms)
         request = record.request
         if request is not None and request.is_relayed:
@@ -103,6 +114,7 @@
             "request",
             request_id=record.request_id(self.format),
             route=record.route,
+            customer=record.customer,
             service=request.service.name if request else "",
             key=request.key if request else None,
             tried=request.tried_targets if request else [],
--- a/tests/route_entry/test_body.py
+++ b/tests/route_entry/test_body.py
@@ -162,7 +162,7 @@
 
         async def scenario(loop):
             app = make_app()
-            app.knows_leader = lambda now: now > 1.0
+            app.reader.knows_leader = lambda now: now > 1.0
             caller = await Caller(app, rate=LINK_BYTES_PER_S / 2).run()
             return caller.status, app.dispatcher.requests
 
