Refuse a body that needs more memory than the instance has

Cause: a body larger than the limit on the memory of bodies was taken whenever there was no other, however large, so on an instance of 160 MB one caller with a body of 64 MiB, within the limits of the plan, could end the process.

Change: a body of more than twice the limit is refused at once by its stated length, or when it has grown so far (503, not run). Up to that it is taken alone as before, which with the default is any body of a plan.

Ruled out: refusing all above the limit, as a body of 64 MiB fits an instance of 300 MB.

The test of the refusal failed before (200); that of the largest body taken passed before as well.

--- a/cranberrylever/body_memory.py
+++ b/cranberrylever/body_memory.py
@@ -20,6 +20,9 @@
 READ_AHEAD_BYTES = 327_680
 """Bytes of a body that may arrive before its reading pauses: a buffer of 64 KiB and one read of 256 KiB."""
 
+LARGEST_BODY_FACTOR = 2
+"""Size of the largest body that is taken, as a multiple of the limit; larger ones would end the process."""
+
 WAITING_SHARE = 0.125
 """Limit on what waiting bodies hold in this way, as a share of the limit and beside it."""
 
@@ -56,6 +59,11 @@
         self._admitted = 0
         self._samples = 1
 
+    @property
+    def largest(self) -> float:
+        """Bytes of the largest body that is taken; it is alone if it exceeds the limit."""
+        return LARGEST_BODY_FACTOR * self.limit
+
     # Decisions ---------------------------------------------------------------------------------------
 
     def refusal_delay(self, size: int, remaining: float) -> float | None:
--- a/cranberrylever/route_entry/_body.py
+++ b/cranberrylever/route_entry/_body.py
@@ -115,10 +115,12 @@
         """Hold memory for at least ``size`` bytes; small bodies do not count."""
         if size < MIN_COUNTED_BYTES:
             return
+        if size > self.memory.largest:
+            raise self._too_large_error(size)
         if self.place is None:
             await self._reserve(size if self.arrival.length is not None else max(size, FIRST_GROWTH_BYTES))
         elif size > self.place.size:
-            await self._grow(max(size - self.place.size, self.place.size))
+            await self._grow(min(max(size, 2 * self.place.size), self.memory.largest) - self.place.size)
 
     async def _reserve(self, size: int) -> None:
         started_at = _now()
@@ -161,6 +163,11 @@
         self.metrics.count("bodies_refused")
         return AnsweredError(503, "refused", self.memory.refusal(), retry_after)
 
+    def _too_large_error(self, size: int) -> AnsweredError:
+        self.metrics.count("bodies_refused")
+        message = f"a body of {size} bytes needs more memory than this entry has; use one with more memory"
+        return AnsweredError(503, "refused", message)
+
     @staticmethod
     def _stop_error() -> AnsweredError:
         return AnsweredError(
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -95,7 +95,7 @@
         "Bytes of request bodies of 16 KiB or more that the entry holds at once, from a body's first byte to "
         "the answer. Beyond them bodies wait, unread, or are refused (503, not run, with Retry-After). A "
         "body takes up to twice its bytes while it is sent to a target. A larger one is taken only while "
-        "there is no other.",
+        "there is no other, and one of more than twice these bytes is refused (503, not run).",
         integer(MIN_BODY_MEMORY, MAX_BODY_MEMORY),
         DEFAULT_BODY_MEMORY,
     )
--- a/tests/route_entry/test_body.py
+++ b/tests/route_entry/test_body.py
@@ -256,6 +256,21 @@
         self.assertEqual([200] * 4, [caller.status for caller in callers])
         assert app.bodies.memory.held == 0
 
+    def test_body_that_the_instance_cannot_hold_is_refused(self):
+        """Guards against one caller whose body takes all memory of a small instance."""
+        for is_chunked in (False, True):
+            callers, app = self.play_callers(1, BODY_BYTES, size=4 * BODY_BYTES, is_chunked=is_chunked)
+            self.assertEqual([503], [caller.status for caller in callers])
+            self.assertEqual([], app.dispatcher.requests)
+            assert app.bodies.memory.peak <= 2 * BODY_BYTES, app.bodies.memory.peak
+            assert app.bodies.memory.held == 0
+
+    def test_body_that_only_an_idle_instance_can_hold_is_taken(self):
+        """Guards against a body within the limits of the plan that is never taken."""
+        for is_chunked in (False, True):
+            callers, _ = self.play_callers(1, BODY_BYTES, size=19 * BODY_BYTES // 10, is_chunked=is_chunked)
+            self.assertEqual([200], [caller.status for caller in callers])
+
     def test_small_bodies_do_not_count(self):
         """Guards against small requests that wait behind uploads."""
         callers, app = self.play_callers(50, BODY_BYTES, size=10_000)
