--- a/cranberrylever/customers/_directory.py
+++ b/cranberrylever/customers/_directory.py
@@ -1,7 +1,5 @@
 """Lookup of the customer that an API key belongs to."""
 
-from collections.abc import Iterable
-
 from cranberrylever.route_plan import Customer
 
 
@@ -12,14 +10,14 @@
         customers: Customers of the plan.
     """
 
-    def __init__(self, customers: Iterable[Customer] = ()) -> None:
+    def __init__(self, customers: tuple[Customer, ...] = ()) -> None:
         self.by_digest = {digest: customer for customer in customers for digest in customer.key_digests}
-        self.by_name = {customer.name: customer for customer in customers}
+        self.customers = customers
 
     @property
     def is_empty(self) -> bool:
         """Whether the plan has no customers, so that no request needs a key."""
-        return not self.by_name
+        return not self.customers
 
     def find(self, digest: str) -> Customer | None:
         """Return the customer whose key has a digest, ``None`` for an unknown key."""
