Share the quotas of customers between entries as tokens

A plan can give a customer a rate and a burst, but nothing counts its requests. An entry sees a request of a customer every few seconds only, so that equal shares would lie unused or round to nothing.

What an entry holds is stated in each report, so a lost report or answer changes nothing.

Ruled out: the times of grants as in PermitLedger, as a window in which tokens of earlier windows are used exceeds the bound by what they may be kept; shares of the rate for each entry, which refuse a customer at one entry only.

--- /dev/null
+++ b/cranberrylever/quota/__init__.py
@@ -0,0 +1,8 @@
+"""Quotas of customers over all entries: tokens that the leader grants and entries use."""
+
+from cranberrylever.quota._account import QuotaAccount
+from cranberrylever.quota._client import QuotaClient
+from cranberrylever.quota._ledger import QuotaLedger
+from cranberrylever.quota._stock import TokenStock
+
+__all__ = ["QuotaAccount", "QuotaClient", "QuotaLedger", "TokenStock"]
--- /dev/null
+++ b/cranberrylever/quota/_stock.py
@@ -0,0 +1,141 @@
+"""Tokens of one customer at an entry."""
+
+import math
+from collections import deque
+
+import attrs
+
+from cranberrylever.wire import AHEAD_TOKEN_LIFETIME_S, TOKEN_LIFETIME_S, QuotaGrant, QuotaNeed
+
+GIVE_BACK_S = 0.2
+"""Time within which the token of a request can be given back; until then it counts as held."""
+
+DEMAND_TIME_S = 2.0
+"""Time constant of the recent demand, so that one request alone asks for nothing ahead."""
+
+AHEAD_S = 0.5
+"""Time for which an entry holds tokens ahead by its recent demand: a little over one report interval."""
+
+RENEWAL_S = 1.0
+"""Remaining lifetime from which unused tokens are returned, so that they do not expire on the way."""
+
+MAX_ASK_DELAY_S = 1.0
+"""Longest time until the leader is asked again, as another one may lead by then."""
+
+
+@attrs.frozen
+class _TakenToken:
+    """Token of a request that has begun and may still give it back."""
+
+    expires_at: float
+    taken_at: float
+
+
+@attrs.frozen
+class _PendingRequest:
+    """Tokens that a report asked for and that have not been answered."""
+
+    count: int
+    sent_at: float
+
+
+@attrs.define
+class TokenStock:
+    """Tokens of one customer at an entry and what it asks the leader for; times are loop times in seconds.
+
+    ``free`` are the times at which the unused tokens expire, in order, and ``waiting`` is the number of
+    requests that wait for one. No token is expected before ``next_grant_at``.
+    """
+
+    free: list[float] = attrs.field(factory=list)
+    waiting: int = 0
+    next_grant_at: float = 0.0
+    ask_again_at: float = 0.0
+    demand: float = 0.0
+    demand_at: float = 0.0
+    taken: deque[_TakenToken] = attrs.field(factory=deque)
+    pending: dict[int, _PendingRequest] = attrs.field(factory=dict)
+
+    def record_request(self, now: float) -> None:
+        """Count a request in the recent demand."""
+        self._fade(now)
+        self.demand += 1 / DEMAND_TIME_S
+
+    def try_take(self, now: float) -> bool:
+        """Use the token that expires first; return whether there was one."""
+        self._drop_expired(now)
+        if not self.free:
+            return False
+        self.taken.append(_TakenToken(self.free.pop(0), now))
+        return True
+
+    def give_back(self, now: float) -> bool:
+        """Put back the token of a request that began shortly before; return whether it can still be used."""
+        self._drop_expired(now)
+        if not self.taken:
+            return False
+        self._add_free([self.taken.pop().expires_at])
+        return True
+
+    def may_ask(self, now: float) -> bool:
+        """Return whether requests wait without a pending report, and the leader may have tokens for them."""
+        self._drop_unanswered(now)
+        return now >= self.ask_again_at and self._unasked() > 0
+
+    def build_need(self, customer: str, sequence: int, now: float) -> QuotaNeed | None:
+        """Return the entry's need for the report ``sequence``, ``None`` without one."""
+        self._fade(now)
+        self._drop_expired(now)
+        self._drop_unanswered(now)
+        ahead = int(self.demand * AHEAD_S)
+        returned = self._return_unused(ahead, now)
+        waiting = self._unasked()
+        if waiting:
+            self.pending[sequence] = _PendingRequest(waiting, now)
+        need = QuotaNeed(customer, len(self.free) + len(self.taken), waiting, ahead, returned)
+        return need if need != QuotaNeed(customer) else None
+
+    def record(self, grant: QuotaGrant, sequence: int, sent_at: float, now: float) -> None:
+        """Record the answer to the report ``sequence``, which was sent at ``sent_at``."""
+        self.pending.pop(sequence, None)
+        self._add_free([sent_at + TOKEN_LIFETIME_S] * grant.count)
+        self._add_free([sent_at + AHEAD_TOKEN_LIFETIME_S] * grant.ahead)
+        self.next_grant_at = now + grant.next_in
+        self.ask_again_at = now + min(grant.next_in, MAX_ASK_DELAY_S)
+
+    def is_idle(self) -> bool:
+        """Return whether nothing is known that a new stock would not have."""
+        return not (self.free or self.taken or self.waiting or self.pending) and self.demand * AHEAD_S < 0.1
+
+    def _unasked(self) -> int:
+        return max(0, self.waiting - sum(request.count for request in self.pending.values()))
+
+    def _return_unused(self, ahead: int, now: float) -> int:
+        """Give up the tokens beyond those to hold ahead, and the ones that expire soon."""
+        if self.waiting:
+            return 0
+        lasting = [expires_at for expires_at in self.free if expires_at > now + RENEWAL_S]
+        kept = lasting[max(0, len(lasting) - ahead) :]
+        returned = len(self.free) - len(kept)
+        self.free = kept
+        return returned
+
+    def _add_free(self, expiries: list[float]) -> None:
+        self.free = sorted([*self.free, *expiries])
+
+    def _drop_expired(self, now: float) -> None:
+        self.free = [expires_at for expires_at in self.free if expires_at > now]
+        self.taken = deque(
+            token for token in self.taken if token.expires_at > now and token.taken_at > now - GIVE_BACK_S
+        )
+
+    def _drop_unanswered(self, now: float) -> None:
+        self.pending = {
+            sequence: request
+            for sequence, request in self.pending.items()
+            if now - request.sent_at < TOKEN_LIFETIME_S
+        }
+
+    def _fade(self, now: float) -> None:
+        self.demand *= math.exp(-max(0.0, now - self.demand_at) / DEMAND_TIME_S)
+        self.demand_at = now
--- a/cranberrylever/wire/__init__.py
+++ b/cranberrylever/wire/__init__.py
@@ -41,6 +41,13 @@
     TargetLoad,
     ViewAnswer,
 )
+from cranberrylever.wire._quota import (
+    AHEAD_TOKEN_LIFETIME_S,
+    TOKEN_LIFETIME_S,
+    QuotaGrant,
+    QuotaNeed,
+    QuotaReport,
+)
 from cranberrylever.wire._services import (
     EntryControlBase,
     EntryControlStub,
@@ -51,6 +58,11 @@
 from cranberrylever.wire._view_sections import ViewSections, compress_sections, fill_sections, unpack_sections
 
 __all__ = [
+    "AHEAD_TOKEN_LIFETIME_S",
+    "TOKEN_LIFETIME_S",
+    "QuotaGrant",
+    "QuotaNeed",
+    "QuotaReport",
     "COLD_PERMIT_WINDOW_S",
     "PERMIT_LIFETIME_S",
     "ClaimAnswer",
--- /dev/null
+++ b/cranberrylever/wire/_quota.py
@@ -0,0 +1,51 @@
+"""Messages about the tokens for the quotas of customers, as parts of the feed between entries and control."""
+
+import attrs
+
+TOKEN_LIFETIME_S = 0.3
+"""Time after an entry sends a report within which it uses the tokens that come for waiting requests."""
+
+AHEAD_TOKEN_LIFETIME_S = 2.0
+"""The same for tokens that it gets ahead of requests."""
+
+
+@attrs.frozen
+class QuotaNeed:
+    """Tokens of one customer at an entry.
+
+    ``held`` counts those that may still be used, ``waiting`` the requests that wait for one and have not been
+    reported as waiting since the last answer, ``ahead`` those that the entry wants to hold ahead of requests,
+    and ``returned`` those that it has given up since the last report.
+    """
+
+    customer: str
+    held: int = 0
+    waiting: int = 0
+    ahead: int = 0
+    returned: int = 0
+
+
+@attrs.frozen
+class QuotaReport:
+    """Tokens of all customers at an entry; it holds none of the customers without a need.
+
+    ``process`` identifies the process of the entry. ``received`` is the sequence of the last report whose
+    answer brought grants.
+    """
+
+    process: int
+    received: int
+    needs: tuple[QuotaNeed, ...] = ()
+
+
+@attrs.frozen
+class QuotaGrant:
+    """Tokens for the requests of a customer: ``count`` for those that wait and ``ahead`` for later ones.
+
+    ``next_in`` is the time in seconds until a token for the requests that still wait is expected.
+    """
+
+    customer: str
+    count: int
+    ahead: int
+    next_in: float
