Carry tokens for quotas in the feed

The ledger and the client for quotas were not connected. Reports and replies of the feed have a field for them at their end, which is empty in a plan without quotas; both are readable by the previous version, as the fields have defaults. The leader answers in the same reply as for permits, checks the counts of a report, sets gauges and logs a customer that has used up its quota, at most once in 10 s for each.

Evidence: tests/route_control and tests/wire pass (test_feed_load with the method that FakeLeader lacked).

--- a/cranberrylever/route_control/_feed.py
+++ b/cranberrylever/route_control/_feed.py
@@ -21,6 +21,7 @@
     FeedReply,
     FeedReport,
     GrantedPermits,
+    QuotaGrant,
     fill_sections,
 )
 
@@ -121,7 +122,8 @@
         self.view.refresh(now)
         peers = self._choose_peers(report, now) if report.wants_peers else None
         self._start_plan(entry)
-        await self._send(entry, self.leader.permits.grant(report.wishes, now), peers)
+        permits = self.leader.permits.grant(report.wishes, now)
+        await self._send(entry, permits, peers, self.leader.grant_quota(report, now))
 
     def _choose_peers(self, report: FeedReport, now: float) -> tuple[str, ...]:
         attached = (entry for entry in self.attached_entries if entry.entry_id != report.entry_id)
@@ -159,6 +161,7 @@
         entry: AttachedEntry,
         permits: tuple[GrantedPermits, ...] = (),
         peers: tuple[str, ...] | None = None,
+        quota: tuple[QuotaGrant, ...] = (),
     ) -> None:
         """Send the sections that an entry lacks; it counts as holding them once they are written."""
         async with entry.lock:
@@ -171,6 +174,7 @@
                 control=group if group != entry.group else (),
                 permits=permits,
                 peers=peers,
+                quota=quota,
                 is_plan_pending=self._needs_plan(entry),
             )
             if entry.reads_sections:
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -21,6 +21,7 @@
     plan_merges,
 )
 from cranberrylever.logs import Log
+from cranberrylever.quota import QuotaLedger
 from cranberrylever.route_control._announced_grants import AnnouncedGranter
 from cranberrylever.route_control._commands import (
     EditRanges,
@@ -39,7 +40,7 @@
 from cranberrylever.route_control._takeover import predecessor_lease, successor_assignments
 from cranberrylever.route_plan import RoutedService
 from cranberrylever.target_registry import RegisteredTarget, TargetAnnouncement
-from cranberrylever.wire import FeedReport, ObservedRateLimit
+from cranberrylever.wire import FeedReport, ObservedRateLimit, QuotaGrant
 
 STEP_INTERVAL_S = 0.05
 STEPPED_RANGES_PER_S = 6_000.0
@@ -108,6 +109,7 @@
     def _start_term(self, now: float) -> None:
         self.measurements = TargetMeasurements(now, self.overdue_after)
         self.permits = PermitLedger(now)
+        self.quotas = QuotaLedger(now)
         self.pending_edits: dict[str, _PendingEdits] = {}
         self.next_plan_at = now
         self.first_owner_at: dict[str, float] = {}
@@ -154,6 +156,14 @@
         for observed in report.rate_limits:
             self._record_rate_limit(observed, report.entry_id, now)
 
+    def grant_quota(self, report: FeedReport, now: float) -> tuple[QuotaGrant, ...]:
+        """Grant an entry tokens for the requests of customers, by the quotas of the plan in force."""
+        plan = self.state.plans.current
+        if report.quota is None or plan is None:
+            return ()
+        self.quotas.set_customers(plan.customers, now)
+        return self.quotas.answer(report.quota, report.sequence, now)
+
     def _record_departure(self, incarnation: tuple[str, int], entry_id: str, now: float) -> None:
         """Mark a target as leaving whose answers said so; announcements of it have no effect any more."""
         target = self.state.fleet.targets.get(incarnation[0])
@@ -230,6 +240,8 @@
             self.lease_manager.drop_removed_ranges(range_keys, now)
             self.granter.drop_removed_ranges(range_keys)
             self._clean_up(targets, now)
+            for customer in self.quotas.take_notices():
+                self.log.info("quota_used_up", customer=customer)
 
     def service(self, name: str) -> RoutedService | None:
         """Return a service of the plan in force, ``None`` for another name."""
--- a/cranberrylever/route_control/_metrics.py
+++ b/cranberrylever/route_control/_metrics.py
@@ -77,6 +77,9 @@
                 for target in targets
             ),
         )
+        self.metrics.gauge("quota_tokens_outstanding", self.leader.quotas.outstanding())
+        self.metrics.gauge("quota_tokens_granted", self.leader.quotas.granted)
+        self.metrics.gauge("quota_tokens_delayed", self.leader.quotas.unmet)
         phases = Counter(item.phase for table in self.state.tables.values() for item in table.ranges)
         for phase in (HELD, RELEASING, FREE):
             self.metrics.gauge(f"ranges_{phase}", phases[phase])
--- a/cranberrylever/route_control/_report_check.py
+++ b/cranberrylever/route_control/_report_check.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from cranberrylever.wire import FeedReport, PermitRequest
+from cranberrylever.wire import FeedReport, PermitRequest, QuotaNeed
 
 MAX_SECONDS = 3_600.0
 """Longest work or elapsed time in one report."""
@@ -45,6 +45,7 @@
         loads=_keep(report.loads, lambda item: 0 <= item.total <= MAX_COUNT and 0 < item.count <= MAX_COUNT),
         rate_limits=_keep(report.rate_limits, lambda item: item.rate > 0 and _is_within(item.age, math.inf)),
         leaving=report.leaving[:MAX_ITEMS],
+        quota=report.quota and attrs.evolve(report.quota, needs=_keep(report.quota.needs, _is_quota_need)),
     )
     return checked, _count_items(report) - _count_items(checked)
 
@@ -65,6 +66,10 @@
     )
 
 
+def _is_quota_need(need: QuotaNeed) -> bool:
+    return all(0 <= count <= MAX_COUNT for count in (need.held, need.waiting, need.ahead, need.returned))
+
+
 def _count_items(report: FeedReport) -> int:
     lists = (
         report.paces,
@@ -74,5 +79,6 @@
         report.loads,
         report.rate_limits,
         report.leaving,
+        report.quota.needs if report.quota else (),
     )
     return sum(len(service.parts) for service in report.work) + sum(map(len, lists))
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -14,6 +14,7 @@
 from cranberrylever.http_unsent import CutOffAnswers
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
+from cranberrylever.quota import QuotaClient
 from cranberrylever.route_entry._app import PeerRequestApp, RouteEntryApp
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._feed import FeedClient
@@ -86,6 +87,7 @@
         self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record, memory=self.memory)
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         permit_gate = create_permit_gate(settings.rules, self.feed.request_report)
+        self.quota = QuotaClient(self.feed.request_report, self.metrics)
         self.permits, self.rate_limits = permit_gate.permits, permit_gate.rate_limits
         self.dispatcher = Dispatcher(
             self.view,
@@ -220,6 +222,7 @@
             self.reports.departures.build_report(),
             reads_sections=True,
             reads_parts=True,
+            quota=self.quota.build_report(sequence, is_first, now),
         )
 
     def _on_reply(self, reply: FeedReply, confirmed_at: float) -> None:
@@ -227,6 +230,8 @@
         if reply.permits:
             self.permits.record(reply.permits, reply.sequence, now)
             self.view.changed.notify()
+        if reply.quota:
+            self.quota.record(reply.quota, reply.sequence, now)
         if reply.peers is not None:
             self.relay.set_peers(reply.peers, now)
         addresses_before = {target.info.address for target in self.view.targets.values()}
@@ -239,6 +244,8 @@
         if not is_changed:
             return
         self.permits.keep_only({target.info.incarnation for target in self.view.targets.values()})
+        if self.view.matcher is not None:
+            self.quota.set_customers(self.view.matcher.plan.customers)
         self.feed.set_entry_count(self.view.entries)
         self.pool.max_idle_connections = self.view.idle_connections()
         addresses_after = {target.info.address for target in self.view.targets.values()}
--- a/cranberrylever/wire/_feed.py
+++ b/cranberrylever/wire/_feed.py
@@ -8,6 +8,7 @@
 import grpclib.server
 
 from cranberrylever.route_plan import PlanChanges, RoutePlan
+from cranberrylever.wire._quota import QuotaGrant, QuotaReport
 
 _FEED_ATTACH_PATH = "/cranberrylever.Feed/Attach"
 
@@ -124,7 +125,7 @@
     entries, empty while it takes none, and ``wants_peers`` asks for entries that take its own. ``leaving``
     are the ids and start times of targets whose answers said that they leave. ``reads_sections`` reports that
     the entry reads ``FeedReply.sections``, ``reads_parts`` that it joins parts of them and reads changes of a
-    plan.
+    plan. ``quota`` are its tokens for the quotas of customers, ``None`` without customers that have one.
     """
 
     cluster_id: str
@@ -145,6 +146,7 @@
     leaving: tuple[tuple[str, int], ...] = ()
     reads_sections: bool = False
     reads_parts: bool = False
+    quota: QuotaReport | None = None
 
 
 UNKNOWN = -1.0
@@ -240,7 +242,8 @@
     An entry that joins parts gets the plan apart from other sections, so that a large one does not delay
     them: ``plan_part`` is a part of its compressed section. ``sections_left`` and ``plan_left`` are the bytes
     that later replies bring. ``is_plan_pending`` is set while the entry lacks the plan in force.
-    ``plan_changes`` are relative to a plan that the entry holds.
+    ``plan_changes`` are relative to a plan that the entry holds. ``quota`` are the tokens that the report
+    ``sequence`` asked for.
     """
 
     cluster_id: str
@@ -262,6 +265,7 @@
     plan_left: int = 0
     is_plan_pending: bool = False
     plan_changes: PlanChanges | None = None
+    quota: tuple[QuotaGrant, ...] = ()
 
 
 class FeedBase(abc.ABC):
--- a/tests/route_control/fake_leader.py
+++ b/tests/route_control/fake_leader.py
@@ -39,6 +39,9 @@
     def record_report(self, report):
         pass
 
+    def grant_quota(self, report, now):
+        return ()
+
     def published_owner(self, item, service):
         return ""
 
