Let entries tell a new leader which tokens they hold

After the loss of a leader, requests below the quota were refused: accounts of the new leader began empty, and nothing was granted for the lifetime of a token, as the predecessor might have granted a whole burst.

The first report of an entry on a stream states the tokens that it holds and the requests of the last second. Once those of all recorded entries are in, the accounts continue from there. Entries ask in the order of their arrival and are told to come back soon while such reports are outstanding. A request waits for up to three quarters of its time, 1 s at most. The model of the entries looks for a leader as often as the client of the feed does.

--- a/cranberrylever/quota/_account.py
+++ b/cranberrylever/quota/_account.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cranberrylever.wire import AHEAD_TOKEN_LIFETIME_S, TOKEN_LIFETIME_S
+from cranberrylever.wire import AHEAD_TOKEN_LIFETIME_S, RECENT_S, TOKEN_LIFETIME_S
 
 AHEAD_SHARE = 0.25
 """Largest share of the burst that entries hold ahead of requests; the rest is held back for bursts."""
@@ -65,6 +65,7 @@
         self.pool = 0.0
         self.outstanding = 0.0
         self.outstanding_ahead = 0.0
+        self.granted = 0.0
         self.refilled_at = now
         self.batches: dict[int, list[_Batch]] = {}
         self.demands: dict[int, _Demand] = {}
@@ -92,6 +93,27 @@
             self._reduce(batch, batch.count)
         self._refill(now)
 
+    def take_over(self, recent: int, held: dict[int, int], term_began_at: float) -> None:
+        """Replace what an earlier leader may have granted by what all entries state.
+
+        Before the recent requests the account had no less than nothing, and it has been refilled since. All
+        tokens of this term count as used, since they may be.
+
+        Args:
+            recent: Requests that began in the last ``RECENT_S`` seconds.
+            held: Tokens of the predecessor that each process may still use.
+            term_began_at: Time until which the predecessor may have granted them.
+        """
+        level = min(self.burst, self.rate * RECENT_S) - recent
+        pool = level - sum(held.values()) - self.granted
+        if pool < self.pool:
+            return
+        for batch in self.batches.pop(PREDECESSOR, ()):
+            self._reduce(batch, batch.count)
+        for process, count in held.items():
+            self._add(process, _Batch(0, count, term_began_at + AHEAD_TOKEN_LIFETIME_S, True))
+        self.pool = min(pool, max(0.0, self.burst - self.outstanding))
+
     def confirm(self, process: int, received: int, held: int, returned: int) -> None:
         """Record what a process holds of the grants up to the one that it received last.
 
@@ -171,6 +193,7 @@
     def _grant(self, process: int, batch: _Batch) -> None:
         if batch.count:
             self.pool -= batch.count
+            self.granted += batch.count
             self._add(process, batch)
 
     def _add(self, process: int, batch: _Batch) -> None:
--- a/cranberrylever/quota/_client.py
+++ b/cranberrylever/quota/_client.py
@@ -14,7 +14,7 @@
 MAX_WAIT_S = 1.0
 """Longest time that a request waits for a token: another leader may have to be found."""
 
-MAX_WAIT_SHARE = 0.65
+MAX_WAIT_SHARE = 0.75
 """Limit on this wait as a share of the time that the request has left."""
 
 MIN_RETRY_AFTER_S = 0.05
@@ -38,6 +38,7 @@
         self.request_report = request_report
         self.metrics = metrics
         self.process = random.SystemRandom().randrange(MAX_PROCESS_NUMBER)
+        self.began_at = _now()
         self.customers: tuple[Customer, ...] = ()
         self.limited: set[str] = set()
         self.stocks: dict[str, TokenStock] = {}
@@ -89,8 +90,13 @@
             for stock in self.stocks.values():
                 stock.pending.clear()
                 stock.next_grant_at = stock.ask_again_at = 0.0
-        needs = (stock.build_need(name, sequence, now) for name, stock in self.stocks.items())
-        report = QuotaReport(self.process, self.received, tuple(need for need in needs if need is not None))
+        needs = (stock.build_need(name, sequence, now, is_first) for name, stock in self.stocks.items())
+        report = QuotaReport(
+            self.process,
+            self.received,
+            tuple(need for need in needs if need is not None),
+            now - self.began_at if is_first else -1.0,
+        )
         self.stocks = {name: stock for name, stock in self.stocks.items() if not stock.is_idle()}
         self.sent_at = {
             number: sent_at for number, sent_at in self.sent_at.items() if now - sent_at < TOKEN_LIFETIME_S
--- a/cranberrylever/quota/_ledger.py
+++ b/cranberrylever/quota/_ledger.py
@@ -1,11 +1,12 @@
 """Quotas of all customers at the leader, which grants tokens for requests to the entries that ask."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
 from cranberrylever.quota._account import QuotaAccount
+from cranberrylever.quota._takeover import TakeoverStatements
 from cranberrylever.route_plan import Customer
 from cranberrylever.wire import AHEAD_TOKEN_LIFETIME_S, QuotaGrant, QuotaNeed, QuotaReport
 
@@ -21,6 +22,12 @@
 MAX_NEXT_IN_S = 60.0
 """Longest time that an entry is told to wait for tokens."""
 
+TAKEOVER_DELAY_S = 0.1
+"""Longest time that an entry is told to wait while reports that say more are still expected."""
+
+TAKEOVER_S = 1.0
+"""Time of a term within which the reports of all entries are expected."""
+
 UNKNOWN_CUSTOMER_DELAY_S = 0.2
 """Time after which an entry asks again whose plan is newer or older than that of the leader."""
 
@@ -38,10 +45,11 @@
     """Grants tokens for requests so that the quotas hold over all entries; times are loop seconds.
 
     A new leader does not know what its predecessor has granted. It counts as much as that may have been,
-    until it has expired, and its accounts begin empty.
+    until it has expired or all entries have stated what they hold, and its accounts begin empty.
 
     Args:
         now: Time at which this member began to lead.
+        entries: Ids of all entries that an earlier leader may have granted tokens to; it follows changes.
 
     Attributes:
         notices: Customers whose requests had to wait for tokens, each at most once in a while, until they
@@ -50,8 +58,9 @@
         unmet: Tokens that reports asked for and that were not granted at once, in this term.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, entries: Collection[str]) -> None:
         self.term_began_at = now
+        self.statements = TakeoverStatements(entries)
         self.customers: tuple[Customer, ...] = ()
         self.accounts: dict[str, QuotaAccount] = {}
         self.limited: set[str] = set()
@@ -81,7 +90,9 @@
             elif (account.rate, account.burst) != (customer.rate, customer.burst):
                 account.set_quota(customer.rate, customer.burst, now)
 
-    def answer(self, report: QuotaReport | None, sequence: int, now: float) -> tuple[QuotaGrant, ...]:
+    def answer(
+        self, report: QuotaReport | None, entry_id: str, sequence: int, now: float
+    ) -> tuple[QuotaGrant, ...]:
         """Record the tokens of an entry and grant what it asks for in the report ``sequence``."""
         if report is None:
             return ()
@@ -90,6 +101,8 @@
             # A stream that the entry has given up delivers late; its answers would not arrive.
             return ()
         process.sequence, process.reported_at = sequence, now
+        if self.statements.record(entry_id, report):
+            self._take_over(now)
         needs = {need.customer: need for need in report.needs}
         for name in process.customers - needs.keys():
             self._record(report, QuotaNeed(name), now)
@@ -109,6 +122,14 @@
         """Return the number of tokens that entries may hold."""
         return sum(account.outstanding for account in self.accounts.values())
 
+    def _take_over(self, now: float) -> None:
+        """Replace what the predecessor may have granted by what the entries have stated."""
+        recent = self.statements.recent_requests()
+        held = self.statements.held_tokens()
+        for name, account in self.accounts.items():
+            account.advance(now)
+            account.take_over(recent.get(name, 0), held.get(name, {}), self.term_began_at)
+
     def _record(self, report: QuotaReport, need: QuotaNeed, now: float) -> QuotaAccount | None:
         account = self.accounts.get(need.customer)
         if account is not None:
@@ -129,8 +150,9 @@
             self._notice(need.customer, now)
         if not (need.waiting or ahead):
             return None
-        next_in = min(MAX_NEXT_IN_S, account.next_in(report.process, now)) if count < need.waiting else 0.0
-        return QuotaGrant(need.customer, count, ahead, next_in)
+        next_in = account.next_in(report.process, now) if count < need.waiting else 0.0
+        longest = TAKEOVER_DELAY_S if now < self.term_began_at + TAKEOVER_S else MAX_NEXT_IN_S
+        return QuotaGrant(need.customer, count, ahead, min(next_in, longest))
 
     def _notice(self, name: str, now: float) -> None:
         if now - self.noticed_at.get(name, -math.inf) >= NOTICE_INTERVAL_S:
--- a/cranberrylever/quota/_stock.py
+++ b/cranberrylever/quota/_stock.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cranberrylever.wire import AHEAD_TOKEN_LIFETIME_S, TOKEN_LIFETIME_S, QuotaGrant, QuotaNeed
+from cranberrylever.wire import AHEAD_TOKEN_LIFETIME_S, RECENT_S, TOKEN_LIFETIME_S, QuotaGrant, QuotaNeed
 
 GIVE_BACK_S = 0.2
 """Time within which the token of a request can be given back; until then it counts as held."""
@@ -44,7 +44,8 @@
     """Tokens of one customer at an entry and what it asks the leader for; times are loop times in seconds.
 
     ``free`` are the times at which the unused tokens expire, in order, and ``waiting`` is the number of
-    requests that wait for one. No token is expected before ``next_grant_at``.
+    requests that wait for one; ``recent`` are the times at which requests took one. No token is expected
+    before ``next_grant_at``.
     """
 
     free: list[float] = attrs.field(factory=list)
@@ -54,6 +55,7 @@
     demand: float = 0.0
     demand_at: float = 0.0
     taken: deque[_TakenToken] = attrs.field(factory=deque)
+    recent: deque[float] = attrs.field(factory=deque)
     pending: dict[int, _PendingRequest] = attrs.field(factory=dict)
 
     def record_request(self, now: float) -> None:
@@ -66,6 +68,7 @@
         self._drop_expired(now)
         if not self.free:
             return False
+        self.recent.append(now)
         self.taken.append(_TakenToken(self.free.pop(0), now))
         return True
 
@@ -82,8 +85,13 @@
         self._drop_unanswered(now)
         return now >= self.ask_again_at and self._unasked() > 0
 
-    def build_need(self, customer: str, sequence: int, now: float) -> QuotaNeed | None:
-        """Return the entry's need for the report ``sequence``, ``None`` without one."""
+    def build_need(
+        self, customer: str, sequence: int, now: float, is_first: bool = False
+    ) -> QuotaNeed | None:
+        """Return the entry's need for the report ``sequence``, ``None`` without one.
+
+        The first report on a stream also states the recent requests, for a leader that has just begun.
+        """
         self._fade(now)
         self._drop_expired(now)
         self._drop_unanswered(now)
@@ -92,7 +100,8 @@
         waiting = self._unasked()
         if waiting:
             self.pending[sequence] = _PendingRequest(waiting, now)
-        need = QuotaNeed(customer, len(self.free) + len(self.taken), waiting, ahead, returned)
+        recent = len(self.recent) if is_first else 0
+        need = QuotaNeed(customer, len(self.free) + len(self.taken), waiting, ahead, returned, recent)
         return need if need != QuotaNeed(customer) else None
 
     def record(self, grant: QuotaGrant, sequence: int, sent_at: float, now: float) -> None:
@@ -105,7 +114,10 @@
 
     def is_idle(self) -> bool:
         """Return whether nothing is known that a new stock would not have."""
-        return not (self.free or self.taken or self.waiting or self.pending) and self.demand * AHEAD_S < 0.1
+        return (
+            not (self.free or self.taken or self.recent or self.waiting or self.pending)
+            and self.demand * AHEAD_S < 0.1
+        )
 
     def _unasked(self) -> int:
         return max(0, self.waiting - sum(request.count for request in self.pending.values()))
@@ -128,6 +140,8 @@
         self.taken = deque(
             token for token in self.taken if token.expires_at > now and token.taken_at > now - GIVE_BACK_S
         )
+        while self.recent and self.recent[0] < now - RECENT_S:
+            self.recent.popleft()
 
     def _drop_unanswered(self, now: float) -> None:
         self.pending = {
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -109,7 +109,7 @@
     def _start_term(self, now: float) -> None:
         self.measurements = TargetMeasurements(now, self.overdue_after)
         self.permits = PermitLedger(now)
-        self.quotas = QuotaLedger(now)
+        self.quotas = QuotaLedger(now, self.state.entries)
         self.pending_edits: dict[str, _PendingEdits] = {}
         self.next_plan_at = now
         self.first_owner_at: dict[str, float] = {}
@@ -157,12 +157,15 @@
             self._record_rate_limit(observed, report.entry_id, now)
 
     def grant_quota(self, report: FeedReport, now: float) -> tuple[QuotaGrant, ...]:
-        """Grant an entry tokens for the requests of customers, by the quotas of the plan in force."""
+        """Grant an entry tokens for the requests of customers, by the quotas of the plan in force.
+
+        An entry gets none before it is recorded, so that a new leader knows all entries that may hold some.
+        """
         plan = self.state.plans.current
-        if report.quota is None or plan is None:
+        if plan is None or report.entry_id not in self.state.entries:
             return ()
         self.quotas.set_customers(plan.customers, now)
-        return self.quotas.answer(report.quota, report.sequence, now)
+        return self.quotas.answer(report.quota, report.entry_id, report.sequence, now)
 
     def _record_departure(self, incarnation: tuple[str, int], entry_id: str, now: float) -> None:
         """Mark a target as leaving whose answers said so; announcements of it have no effect any more."""
--- a/cranberrylever/route_control/_report_check.py
+++ b/cranberrylever/route_control/_report_check.py
@@ -67,7 +67,8 @@
 
 
 def _is_quota_need(need: QuotaNeed) -> bool:
-    return all(0 <= count <= MAX_COUNT for count in (need.held, need.waiting, need.ahead, need.returned))
+    counts = (need.held, need.waiting, need.ahead, need.returned, need.recent)
+    return all(0 <= count <= MAX_COUNT for count in counts)
 
 
 def _count_items(report: FeedReport) -> int:
--- a/cranberrylever/wire/__init__.py
+++ b/cranberrylever/wire/__init__.py
@@ -43,6 +43,7 @@
 )
 from cranberrylever.wire._quota import (
     AHEAD_TOKEN_LIFETIME_S,
+    RECENT_S,
     TOKEN_LIFETIME_S,
     QuotaGrant,
     QuotaNeed,
@@ -59,6 +60,7 @@
 
 __all__ = [
     "AHEAD_TOKEN_LIFETIME_S",
+    "RECENT_S",
     "TOKEN_LIFETIME_S",
     "QuotaGrant",
     "QuotaNeed",
--- a/cranberrylever/wire/_quota.py
+++ b/cranberrylever/wire/_quota.py
@@ -8,6 +8,9 @@
 AHEAD_TOKEN_LIFETIME_S = 2.0
 """The same for tokens that it gets ahead of requests."""
 
+RECENT_S = 1.0
+"""Length in seconds of the time for which an entry states how many requests of a customer began."""
+
 
 @attrs.frozen
 class QuotaNeed:
@@ -15,7 +18,8 @@
 
     ``held`` counts those that may still be used, ``waiting`` the requests that wait for one and have not been
     reported as waiting since the last answer, ``ahead`` those that the entry wants to hold ahead of requests,
-    and ``returned`` those that it has given up since the last report.
+    and ``returned`` those that it has given up since the last report. ``recent`` counts the requests that
+    began in the last ``RECENT_S`` seconds, only in the first report on a stream.
     """
 
     customer: str
@@ -23,6 +27,7 @@
     waiting: int = 0
     ahead: int = 0
     returned: int = 0
+    recent: int = 0
 
 
 @attrs.frozen
@@ -30,12 +35,14 @@
     """Tokens of all customers at an entry; it holds none of the customers without a need.
 
     ``process`` identifies the process of the entry. ``received`` is the sequence of the last report whose
-    answer brought grants.
+    answer brought grants. ``uptime`` is how long the process has run in seconds in the first report on a
+    stream, -1 in later ones.
     """
 
     process: int
     received: int
     needs: tuple[QuotaNeed, ...] = ()
+    uptime: float = -1.0
 
 
 @attrs.frozen
--- a/tests/quota/feed_model.py
+++ b/tests/quota/feed_model.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 
 from cranberrylever.customers import QuotaExceededError
 from cranberrylever.metrics import NullMetrics
@@ -10,6 +11,8 @@
 
 REPORT_INTERVAL_S = 0.34
 BATCH_DELAY_S = 0.055
+RECONNECT_DELAY_S = 0.1375
+"""Mean time between two tries to find the leader, as in the client of the feed with 55 entries."""
 LINK_DELAY_S = 0.005
 REQUEST_TIMEOUT_S = 1.4
 ROUNDING_ERROR = 1e-6
@@ -18,8 +21,9 @@
 class Entry:
     """Process of an entry with a stream to the leader."""
 
-    def __init__(self, cluster):
+    def __init__(self, cluster, entry_id):
         self.cluster = cluster
+        self.entry_id = entry_id
         self.requested = asyncio.Event()
         self.client = QuotaClient(self.requested.set, NullMetrics())
         self.is_connected = True
@@ -37,13 +41,13 @@
             except TimeoutError:
                 pass
             self.requested.clear()
+            while self.cluster.leader is None or not self.is_connected:
+                await asyncio.sleep(self.cluster.rng.uniform(0.5, 1.5) * RECONNECT_DELAY_S)
             self.send()
 
     def send(self):
         """Send a report, which the leader answers after a delay unless one of both is cut off."""
         loop, leader = asyncio.get_running_loop(), self.cluster.leader
-        if leader is None or not self.is_connected:
-            return
         self.client.set_customers(self.cluster.customers)
         self.sequence += 1
         report = self.client.build_report(self.sequence, leader is not self.leader, loop.time())
@@ -56,7 +60,7 @@
         if leader is not self.cluster.leader or not self.is_connected:
             return
         leader.set_customers(self.cluster.customers, loop.time())
-        grants = leader.answer(report, sequence, loop.time())
+        grants = leader.answer(report, self.entry_id, sequence, loop.time())
         if grants:
             loop.call_later(LINK_DELAY_S, self.receive, leader, grants, sequence)
 
@@ -71,8 +75,10 @@
 
     def __init__(self, entries, *customers):
         self.customers = customers
-        self.leader = QuotaLedger(asyncio.get_running_loop().time())
-        self.entries = [Entry(self) for _ in range(entries)]
+        self.rng = random.Random(1)
+        self.entry_ids = [f"e{number}" for number in range(entries)]
+        self.entries = [Entry(self, entry_id) for entry_id in self.entry_ids]
+        self.start_leader()
         self.ran = []
         self.refused = []
         self.waits = []
@@ -83,11 +89,21 @@
         self.entries[number].task.cancel()
         for waiter in itertools.chain(*self.entries[number].client.waiters.values()):
             waiter.cancel()
-        self.entries[number] = Entry(self)
+        self.entries[number] = Entry(self, self.entry_ids[number])
+
+    def lose_leader(self):
+        """End the process of the leader and with it all streams, which the entries notice."""
+        self.leader = None
+        for entry in self.entries:
+            entry.requested.set()
+
+    def start_leader(self):
+        """Let another leader begin that knows nothing of the tokens of its predecessor."""
+        self.leader = QuotaLedger(asyncio.get_running_loop().time(), self.entry_ids)
 
     def request(self, number, customer, give_back=False):
         """Send a request to an entry."""
-        coroutine = self._request(self.entries[number].client, customer, give_back)
+        coroutine = self._request(number, customer, give_back)
         self.requests.append(asyncio.get_running_loop().create_task(coroutine))
 
     async def request_evenly(self, rate, seconds, choose):
@@ -104,7 +120,8 @@
         for entry in self.entries:
             entry.task.cancel()
 
-    async def _request(self, client, customer, give_back):
+    async def _request(self, number, customer, give_back):
+        client = self.entries[number].client
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         try:
--- a/tests/quota/test_quota.py
+++ b/tests/quota/test_quota.py
@@ -105,9 +105,9 @@
             load = asyncio.create_task(cluster.request_evenly(load, 10, lambda count: rng.randrange(20)))
             await asyncio.sleep(3.0)
             for _ in range(2):
-                cluster.leader = None
+                cluster.lose_leader()
                 await asyncio.sleep(0.4)
-                cluster.leader = type(cluster.entries[0].leader)(asyncio.get_running_loop().time())
+                cluster.start_leader()
                 await asyncio.sleep(2.5)
             await load
 
@@ -121,7 +121,7 @@
             for number in range(200):
                 cluster.request(number % 8, cluster.customers[0])
             await asyncio.sleep(0.065)
-            cluster.leader = type(cluster.entries[0].leader)(asyncio.get_running_loop().time())
+            cluster.start_leader()
             for _ in range(20):
                 for number in range(20):
                     cluster.request(number % 8, cluster.customers[0])
@@ -159,6 +159,37 @@
         assert excess(cluster.ran, RATE, BURST) <= 0
         assert len(cluster.ran) > BELOW * RATE * 9
 
+    def test_any_order_of_faults(self):
+        """Guards against an order of faults in which more runs than the quota, under three times the load."""
+        for seed in range(12):
+            rng = random.Random(seed)
+
+            async def main(cluster, rng=rng):
+                task = asyncio.create_task(
+                    cluster.request_evenly(3 * RATE, 9, lambda count: rng.randrange(8))
+                )
+                while not task.done():
+                    await asyncio.sleep(rng.uniform(0.0, 1.0))
+                    number = rng.randrange(8)
+                    fault = rng.choice(["leader", "restart", "cut", "burst", "rest"])
+                    if fault == "leader":
+                        cluster.lose_leader()
+                        await asyncio.sleep(rng.uniform(0.0, 0.5))
+                        cluster.start_leader()
+                    elif fault == "restart":
+                        cluster.restart(number)
+                    elif fault == "cut":
+                        entry = cluster.entries[number]
+                        entry.is_connected = not entry.is_connected
+                    elif fault == "burst":
+                        for count in range(60):
+                            cluster.request((number + count) % 8, cluster.customers[0])
+                    else:
+                        await asyncio.sleep(2.0)
+
+            cluster = replay(8, main)
+            assert excess(cluster.ran, RATE, BURST) <= 0, (seed, excess(cluster.ran, RATE, BURST))
+
     def test_quota_lowered_and_raised(self):
         """Guards against tokens of a larger quota, and against a small one that stays in force."""
 
