--- a/cranberrylever/quota/_account.py
+++ b/cranberrylever/quota/_account.py
@@ -153,14 +153,13 @@
         return count
 
     def grant_ahead(self, process: int, sequence: int, now: float) -> int:
-        """Grant tokens to hold ahead, in proportion to what all processes want to hold."""
+        """Grant tokens to hold ahead, in proportion to what all processes lack at present."""
         demand = self.demands.get(process)
         if demand is None or demand.ahead == 0 or self.unmet:
             return 0
         limit = AHEAD_SHARE * self.burst
         share = min(demand.ahead, limit * demand.ahead / self.wanted_ahead)
-        held = sum(batch.count for batch in self.batches.get(process, ()))
-        room = min(share - held, limit - self.outstanding_ahead, self.pool)
+        room = min(share, limit - self.outstanding_ahead, self.pool)
         count = max(0, int(room))
         self._grant(process, _Batch(sequence, count, now + AHEAD_TOKEN_LIFETIME_S, True))
         return count
--- a/cranberrylever/quota/_stock.py
+++ b/cranberrylever/quota/_stock.py
@@ -95,8 +95,9 @@
         self._fade(now)
         self._drop_expired(now)
         self._drop_unanswered(now)
-        ahead = int(self.demand * AHEAD_S)
-        returned = self._return_unused(ahead, now)
+        wanted = int(self.demand * AHEAD_S)
+        returned = self._return_unused(wanted, now)
+        ahead = max(0, wanted - len(self.free))
         waiting = self._unasked()
         if waiting:
             self.pending[sequence] = _PendingRequest(waiting, now)
@@ -122,12 +123,12 @@
     def _unasked(self) -> int:
         return max(0, self.waiting - sum(request.count for request in self.pending.values()))
 
-    def _return_unused(self, ahead: int, now: float) -> int:
-        """Give up the tokens beyond those to hold ahead, and the ones that expire soon."""
+    def _return_unused(self, wanted: int, now: float) -> int:
+        """Give up the tokens beyond those wanted ahead, and the ones that expire soon."""
         if self.waiting:
             return 0
         lasting = [expires_at for expires_at in self.free if expires_at > now + RENEWAL_S]
-        kept = lasting[max(0, len(lasting) - ahead) :]
+        kept = lasting[max(0, len(lasting) - wanted) :]
         returned = len(self.free) - len(kept)
         self.free = kept
         return returned
--- a/cranberrylever/wire/_quota.py
+++ b/cranberrylever/wire/_quota.py
@@ -17,7 +17,7 @@
     """Tokens of one customer at an entry.
 
     ``held`` counts those that may still be used, ``waiting`` the requests that wait for one and have not been
-    reported as waiting since the last answer, ``ahead`` those that the entry wants to hold ahead of requests,
+    reported as waiting since the last answer, ``ahead`` those that the entry lacks to hold ahead of requests,
     and ``returned`` those that it has given up since the last report. ``recent`` counts the requests that
     began in the last ``RECENT_S`` seconds, only in the first report on a stream.
     """
--- a/tests/quota/feed_model.py
+++ b/tests/quota/feed_model.py
@@ -52,7 +52,7 @@
         self.sequence += 1
         report = self.client.build_report(self.sequence, leader is not self.leader, loop.time())
         self.leader = leader
-        loop.call_later(LINK_DELAY_S, self.deliver, leader, report, self.sequence)
+        loop.call_later(self.cluster.link_delay, self.deliver, leader, report, self.sequence)
 
     def deliver(self, leader, report, sequence):
         """Hand a report to the leader and its answer back."""
@@ -62,7 +62,7 @@
         leader.set_customers(self.cluster.customers, loop.time())
         grants = leader.answer(report, self.entry_id, sequence, loop.time())
         if grants:
-            loop.call_later(LINK_DELAY_S, self.receive, leader, grants, sequence)
+            loop.call_later(self.cluster.link_delay, self.receive, leader, grants, sequence)
 
     def receive(self, leader, grants, sequence):
         """Take an answer that has not been lost with its stream."""
@@ -76,6 +76,7 @@
     def __init__(self, entries, *customers):
         self.customers = customers
         self.rng = random.Random(1)
+        self.link_delay = LINK_DELAY_S
         self.entry_ids = [f"e{number}" for number in range(entries)]
         self.entries = [Entry(self, entry_id) for entry_id in self.entry_ids]
         self.start_leader()
--- a/tests/quota/test_quota.py
+++ b/tests/quota/test_quota.py
@@ -159,6 +159,36 @@
         assert excess(cluster.ran, RATE, BURST) <= 0
         assert len(cluster.ran) > BELOW * RATE * 9
 
+    def test_burst_beside_held_tokens(self):
+        """Guards against an account that is full while entries still hold tokens, which a burst then uses."""
+        for link_delay in (0.005, 0.06):
+
+            async def main(cluster, link_delay=link_delay):
+                cluster.link_delay = link_delay
+                for count in range(12):
+                    await cluster.request_evenly(0.5 * RATE, 0.8, lambda number: number % 2)
+                    await asyncio.sleep(0.05 * count)
+                    for number in range(120):
+                        cluster.request(number % 2, cluster.customers[0])
+                    await asyncio.sleep(2.0)
+
+            cluster = replay(2, main)
+            assert excess(cluster.ran, RATE, BURST) <= 0, excess(cluster.ran, RATE, BURST)
+
+    def test_tokens_held_beyond_a_takeover(self):
+        """Guards against a full account of a new leader beside tokens at an entry that it can't reach."""
+
+        async def main(cluster):
+            await cluster.request_evenly(0.7 * RATE, 3.0, lambda number: 0)
+            cluster.entries[0].is_connected = False
+            cluster.start_leader()
+            await asyncio.sleep(1.5)
+            for number in range(200):
+                cluster.request(number % 2, cluster.customers[0])
+
+        cluster = replay(2, main)
+        assert excess(cluster.ran, RATE, BURST) <= 0, excess(cluster.ran, RATE, BURST)
+
     def test_any_order_of_faults(self):
         """Guards against an order of faults in which more runs than the quota, under three times the load."""
         for seed in range(12):
