--- a/tests/quota/test_quota.py
+++ b/tests/quota/test_quota.py
@@ -189,6 +189,15 @@
         cluster = replay(2, main)
         assert excess(cluster.ran, RATE, BURST) <= 0, excess(cluster.ran, RATE, BURST)
 
+    def test_busy_entry_holds_tokens_ahead(self):
+        """Guards against requests that each wait for the leader at an entry that sees many of a customer."""
+
+        async def main(cluster):
+            await cluster.request_evenly(BELOW * RATE, 12, lambda count: count % 4)
+
+        waits = replay(4, main).waits
+        assert sum(wait == 0 for wait in waits) > 0.5 * len(waits)
+
     def test_any_order_of_faults(self):
         """Guards against an order of faults in which more runs than the quota, under three times the load."""
         for seed in range(12):
