Give back only the token of the request itself

A request that had waited for over 0.2 s and was refused then returned the token of another request of its customer that was running: CustomerQuota.give_back names the customer only, and the newest token was taken. Two requests then ran on one token. Found by reading the caller, before it was connected.

acquire returns when it took the share, and give_back gets it; a share that counts as used already is lost. The two callers' lines change with it. Ruled out: to keep each token until its request ends, which would hold up the refill of an account by the whole duration of requests.

Evidence: test_late_request_gives_back_no_token_of_another; with the earlier method, which took the newest token, its first give_back returns True (read from the code, as the signature has changed).

--- a/cranberrylever/quota/_client.py
+++ b/cranberrylever/quota/_client.py
@@ -42,7 +42,7 @@
         self.customers: tuple[Customer, ...] = ()
         self.limited: set[str] = set()
         self.stocks: dict[str, TokenStock] = {}
-        self.waiters: dict[str, deque[asyncio.Future[None]]] = {}
+        self.waiters: dict[str, deque[asyncio.Future[float]]] = {}
         self.sent_at: dict[int, float] = {}
         self.received = 0
 
@@ -55,28 +55,31 @@
         for stock in self.stocks.values():
             stock.next_grant_at = stock.ask_again_at = 0.0
 
-    async def acquire(self, customer: Customer, deadline: float) -> None:
+    async def acquire(self, customer: Customer, deadline: float) -> float:
         """Take a token, wait for one if there is none.
 
+        Returns:
+            Loop time at which it was taken.
+
         Raises:
             QuotaExceededError: No token is expected in time, or none has come.
         """
-        if customer.rate is None:
-            return
         now = _now()
+        if customer.rate is None:
+            return now
         stock = self.stocks.setdefault(customer.name, TokenStock())
         stock.record_request(now)
         if not stock.waiting and stock.try_take(now):
-            return
+            return now
         wait_until = now + min(MAX_WAIT_S, MAX_WAIT_SHARE * (deadline - now))
         if stock.next_grant_at > wait_until:
             raise self._refusal(stock, now)
-        await self._wait(customer.name, stock, wait_until)
+        return await self._wait(customer.name, stock, wait_until)
 
-    def give_back(self, customer: Customer) -> None:
+    def give_back(self, customer: Customer, taken_at: float) -> None:
         """Return the token of a request that was refused for other reasons, if its lifetime allows it."""
         stock = self.stocks.get(customer.name)
-        if stock is not None and stock.give_back(_now()):
+        if stock is not None and stock.give_back(taken_at, _now()):
             self._serve(customer.name, stock, _now())
 
     def build_report(self, sequence: int, is_first: bool, now: float) -> QuotaReport | None:
@@ -120,7 +123,7 @@
                 asyncio.get_running_loop().call_later(delay, self._ask, grant.customer)
         self.metrics.count("quota_tokens_received", sum(grant.count + grant.ahead for grant in grants))
 
-    async def _wait(self, name: str, stock: TokenStock, wait_until: float) -> None:
+    async def _wait(self, name: str, stock: TokenStock, wait_until: float) -> float:
         """Wait for a token in the order of arrival."""
         waiter = asyncio.get_running_loop().create_future()
         waiters = self.waiters.setdefault(name, deque())
@@ -129,14 +132,14 @@
         self._ask(name)
         try:
             async with asyncio.timeout_at(wait_until):
-                await waiter
+                return await waiter
         except TimeoutError:
             if _has_token(waiter):
-                return
+                return waiter.result()
             raise self._refusal(stock, _now()) from None
         except asyncio.CancelledError:
             if _has_token(waiter):
-                stock.give_back(_now())
+                stock.give_back(waiter.result(), _now())
             raise
         finally:
             if waiter in waiters:
@@ -158,16 +161,16 @@
             waiter = waiters.popleft()
             stock.waiting -= 1
             if waiter.done():
-                stock.give_back(now)
+                stock.give_back(now, now)
             else:
-                waiter.set_result(None)
+                waiter.set_result(now)
 
     def _refusal(self, stock: TokenStock, now: float) -> QuotaExceededError:
         self.metrics.count("quota_refusals")
         return QuotaExceededError(max(MIN_RETRY_AFTER_S, stock.next_grant_at - now))
 
 
-def _has_token(waiter: asyncio.Future[None]) -> bool:
+def _has_token(waiter: asyncio.Future[float]) -> bool:
     return waiter.done() and not waiter.cancelled()
 
 
--- a/cranberrylever/quota/_stock.py
+++ b/cranberrylever/quota/_stock.py
@@ -72,12 +72,17 @@
         self.taken.append(_TakenToken(self.free.pop(0), now))
         return True
 
-    def give_back(self, now: float) -> bool:
-        """Put back the token of a request that began shortly before; return whether it can still be used."""
+    def give_back(self, taken_at: float, now: float) -> bool:
+        """Put back the token that a request took at ``taken_at``; return whether it can still be used.
+
+        A token that counts as used already is lost: the tokens of other requests are not returned in its place.
+        """
         self._drop_expired(now)
-        if not self.taken:
+        token = next((token for token in self.taken if token.taken_at == taken_at), None)
+        if token is None:
             return False
-        self._add_free([self.taken.pop().expires_at])
+        self.taken.remove(token)
+        self._add_free([token.expires_at])
         return True
 
     def may_ask(self, now: float) -> bool:
--- a/tests/quota/feed_model.py
+++ b/tests/quota/feed_model.py
@@ -126,14 +126,14 @@
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         try:
-            await client.acquire(customer, arrived_at + REQUEST_TIMEOUT_S)
+            taken_at = await client.acquire(customer, arrived_at + REQUEST_TIMEOUT_S)
         except asyncio.CancelledError:
             return
         except QuotaExceededError as error:
             self.refused.append((loop.time(), error.retry_after))
             return
         if give_back:
-            client.give_back(customer)
+            client.give_back(customer, taken_at)
             return
         self.waits.append(loop.time() - arrived_at)
         self.ran.append(loop.time())
--- a/tests/quota/test_account.py
+++ b/tests/quota/test_account.py
@@ -3,7 +3,7 @@
 import testtools
 
 from cranberrylever.metrics import NullMetrics
-from cranberrylever.quota import QuotaAccount, QuotaClient, QuotaLedger
+from cranberrylever.quota import QuotaAccount, QuotaClient, QuotaLedger, TokenStock
 from cranberrylever.route_control._report_check import check_report
 from cranberrylever.route_plan import Customer
 from cranberrylever.wire import FeedReply, FeedReport, QuotaGrant, QuotaNeed, QuotaReport, decode, encode
@@ -73,6 +73,21 @@
         assert ledger.outstanding() == 1
 
 
+class TokenStockTest(testtools.TestCase):
+    """Tokens at an entry."""
+
+    def test_late_request_gives_back_no_token_of_another(self):
+        """Guards against two requests that run on one token."""
+        stock = TokenStock()
+        stock.record(QuotaGrant("bakery", 0, 2, 0.0), 1, 10.0, 10.0)
+        assert stock.try_take(10.0)
+        assert stock.try_take(10.5)
+        assert not stock.give_back(10.0, 10.6)
+        assert not stock.try_take(10.6)
+        assert stock.give_back(10.5, 10.6)
+        assert stock.try_take(10.6)
+
+
 class QuotaMessageTest(testtools.TestCase):
     """Reports with tokens on the feed."""
 
