--- a/cranberrylever/quota/_stock.py
+++ b/cranberrylever/quota/_stock.py
@@ -75,7 +75,7 @@
     def give_back(self, taken_at: float, now: float) -> bool:
         """Put back the token that a request took at ``taken_at``; return whether it can still be used.
 
-        A token that counts as used already is lost: the tokens of other requests are not returned in its place.
+        A token that counts as used already is lost, as the tokens of other requests are not returned for it.
         """
         self._drop_expired(now)
         token = next((token for token in self.taken if token.taken_at == taken_at), None)
