--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,6 +8,7 @@
 
 from cranberrylever.errors import SettingError
 from cranberrylever.route_entry import LoadSample
+from cranberrylever.route_plan import Customer, key_digest, plan_problem
 from tests.platform import ROOT
 from tests.platform.fakes import configuration
 
@@ -50,6 +51,54 @@
 FAILURE_DOMAINS = frozenset({"puget"})
 
 
+class CustomersTest(testtools.TestCase):
+    @staticmethod
+    def document(**tenant):
+        document = configuration(1, "ledger", "desk")
+        document["tenants"] = [{"name": "x", "api_keys": ["secret-1"], **tenant}]
+        document["routes"][1]["public"] = True
+        return document
+
+    def read(self, document):
+        return config_document.read_plan(json.dumps(document).encode())
+
+    def test_customers_are_read_with_digests_of_their_keys(self):
+        """Guards against a limit of 0 that refuses all, and against keys in the fields of a plan."""
+        digests = (key_digest(b"secret-1"),)
+        for fields, rest in (
+            ({}, (None, None, 0.0)),
+            ({"rate_per_s": 0}, (None, None, 0.0)),
+            ({"priority": 0, "rate_per_s": 2.5, "burst": 4}, (0, 2.5, 4.0)),
+        ):
+            plan = self.read(self.document(**fields))
+            assert plan.customers == (Customer("x", digests, *rest),)
+            assert [route.public for route in plan.routes] == [False, True]
+            assert plan_problem(plan) is None
+            assert "secret" not in repr(plan)
+
+    def test_unreadable_keys_are_rejected_without_naming_them(self):
+        """Guards against a key in an error, which the operator's tools log."""
+        for tenants in ("secret-1", ["secret-1"], [{"name": "x", "api_keys": "secret-1"}]):
+            error = self.assertRaises(
+                config_document.UnreadableError, self.read, {**self.document(), "tenants": tenants}
+            )
+            assert "secret" not in str(error)
+
+
+class RevocationTimeTest(testtools.TestCase):
+    def test_bound_is_set_where_it_is_strict_only(self):
+        """Guards against removed keys in strict deployments, and against refusals in all others."""
+        for bounds, seconds in (
+            ("", 0.0),
+            (",revoke_s=5", 0.0),
+            (",strict_revoke=false,revoke_s=5", 0.0),
+            (",strict_revoke=true,revoke_s=5", 5.0),
+        ):
+            text = ENTRY_FILE.replace("grace_s=6", "grace_s=6" + bounds)
+            fields = dict(line.split("=", 1) for line in text.splitlines())
+            assert settings_file.entry_settings(fields).revocation_time == seconds, bounds
+
+
 class RouteKindTest(testtools.TestCase):
     def test_plan_with_uploads_is_not_rejected(self):
         document = configuration(1, "ledger", "desk")
