Hold quotas and fair shares at entries

Customers are known at entries, but nothing took a share of their quotas, and a customer's priority had no effect.

A request takes a token before it is dispatched and gives it back if it has not run here. While targets are full, a customer that has had its fair share is refused at once, with the time until another request may come. Requests have one property for their priority, that of the customer before that of the route, which admission uses.

The share of a request is given back by the time at which it was taken; the fake quota of tests/platform/ test_customers.py follows and checks it.

Evidence: tests/quota pass.

--- a/cranberrylever/quota/_fairness.py
+++ b/cranberrylever/quota/_fairness.py
@@ -32,6 +32,9 @@
 DEFAULT_WEIGHT = 100.0
 """Weight in requests per second of a customer without a quota."""
 
+MAX_DELAY_S = 1.0
+"""Longest delay until a refused customer may try again, as room and shares change."""
+
 LEVEL_INTERVAL_S = 0.25
 """Time between two computations of the shares."""
 
@@ -104,8 +107,8 @@
         self.levels: dict[int, float] = {}
         self.levels_at = -math.inf
 
-    def admit(self, customer: str, priority: int, rate: float | None, now: float) -> bool:
-        """Record a request and return whether it may look for room.
+    def admission_delay(self, customer: str, priority: int, rate: float | None, now: float) -> float:
+        """Record a request and return 0 if it may look for room, else the seconds until another one may.
 
         Args:
             customer: Name of the customer.
@@ -118,20 +121,24 @@
         load.priority, load.weight = priority, weight
         load.asked.add(now)
         if now >= self.short_until:
-            return True
-        load.refill(self._level(priority, now) * weight, now)
-        return load.credit >= 1.0
-
-    def record_served(self, customer: str, now: float) -> None:
+            return 0.0
+        share = self._level(priority, now) * weight
+        load.refill(share, now)
+        if load.credit >= 1.0:
+            load.credit -= 1.0
+            return 0.0
+        return min(MAX_DELAY_S, (1.0 - load.credit) / share) if share > 0 else MAX_DELAY_S
+
+    def record_served(self, now: float) -> None:
         """Record that a request found room."""
         self.found_room.add(now)
         self.room_factor = min(MAX_ROOM_FACTOR, self.room_factor + SERVED_STEP)
+
+    def record_shortage(self, customer: str, now: float) -> None:
+        """Record that a request was refused for lack of room, which costs its customer no share."""
         load = self.loads.get(customer)
         if load is not None:
-            load.credit = max(0.0, load.credit - 1.0)
-
-    def record_shortage(self, now: float) -> None:
-        """Record that a request was refused for lack of room."""
+            load.credit = min(TOLERATED_REQUESTS, load.credit + 1.0)
         self.short_until = now + SHORTAGE_S
         self.room_factor = max(MIN_ROOM_FACTOR, self.room_factor - REFUSAL_STEP)
 
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -114,6 +114,7 @@
             self.feed.knows_leader,
             self.memory,
             revocation,
+            self.quota,
         )
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
--- a/cranberrylever/route_entry/_reader.py
+++ b/cranberrylever/route_entry/_reader.py
@@ -160,6 +160,7 @@
             is_relayed=is_relayed,
             customer=record.customer,
             key_digest=digest,
+            customer_priority=customer.priority if customer is not None else None,
         )
 
     def _authenticate(self, headers: Headers, route: Route, now: float) -> tuple[str, Customer | None]:
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -25,7 +25,8 @@
     second. ``is_caller_retry`` reports that the caller has waited before: it has less time left than the
     timeout of the route. ``is_relayed`` reports that another entry has passed it on, ``is_passed_on`` that
     this one has before it may have run here. ``customer`` is the name of the customer that sends it and
-    ``key_digest`` the digest of its API key; both are empty without one.
+    ``key_digest`` the digest of its API key; both are empty without one. ``customer_priority`` goes before
+    that of the route. ``found_no_room`` reports that it was refused because no target could take it in time.
     """
 
     request_id: bytes
@@ -51,6 +52,13 @@
     customer: str = ""
     key_digest: str = attrs.field(default="", repr=False)
     is_passed_on: bool = False
+    customer_priority: int | None = None
+    found_no_room: bool = False
+
+    @property
+    def priority(self) -> int:
+        """Priority of its customer if that has one, else of its route; 0 is the highest."""
+        return self.route.priority if self.customer_priority is None else self.customer_priority
 
     @property
     def fingerprint(self) -> str:
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -76,6 +76,7 @@
                     target, decision = other_target, AdmissionDecision(Verdict.SEND)
                     request.estimate = self._estimate(request, target, now)
             if decision.verdict is Verdict.REFUSE:
+                request.found_no_room = True
                 raise_failure(request, f"{decision.reason} ({target.info.target_id})", decision.delay)
             if decision.verdict is Verdict.SEND and self.permits.try_acquire(target, now):
                 return target
@@ -87,7 +88,7 @@
         """Decide on the request for a target by the estimates for it."""
         return admit(
             AdmissionRequest(
-                request.route.priority,
+                request.priority,
                 request.route.objective,
                 request.remaining(now),
                 estimate.queue_time,
--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -33,8 +33,10 @@
         if self.free == 0:
             raise QuotaExceededError(0.4)
         self.free -= 1
+        return float(self.free)
 
-    def give_back(self, customer):
+    def give_back(self, customer, taken_at):
+        assert taken_at == self.free
         self.free += 1
 
 
--- a/tests/quota/test_fairness.py
+++ b/tests/quota/test_fairness.py
@@ -35,14 +35,14 @@
         room, last = min(QUEUE, room + ROOM * (now - last)), now
         number = rng.choices(range(len(loads)), loads)[0]
         asked[number] += 1
-        if not shares.admit(str(number), priorities[number], 10.0 + number, now) and is_fair:
+        if shares.admission_delay(str(number), priorities[number], 10.0 + number, now) and is_fair:
             continue
         if room < 1.0:
-            shares.record_shortage(now)
+            shares.record_shortage(str(number), now)
             continue
         room -= 1.0
         served[number] += 1
-        shares.record_served(str(number), now)
+        shares.record_served(now)
     return [count / max(1, total) for count, total in zip(served, asked, strict=True)]
 
 
@@ -87,7 +87,7 @@
     def test_nobody_is_refused_while_there_is_room(self):
         """Guards against a share that applies although targets have room."""
         shares = FairShares()
-        assert all(shares.admit("a", 1, 1.0, number / 1000) for number in range(1000))
+        assert not any(shares.admission_delay("a", 1, 1.0, number / 1000) for number in range(1000))
 
     def test_level(self):
         """Guards against shares that are not used by some and not given to others."""
