State the rate of a customer that has used up its quota

Whether a customer that gets 429 is over its quota could not be seen from the logs. The line quota_used_up of the leader has the rate in force.

--- a/cranberrylever/quota/_ledger.py
+++ b/cranberrylever/quota/_ledger.py
@@ -63,11 +63,11 @@
         self.statements = TakeoverStatements(entries)
         self.customers: tuple[Customer, ...] = ()
         self.accounts: dict[str, QuotaAccount] = {}
-        self.limited: set[str] = set()
+        self.limited: dict[str, Customer] = {}
         self.processes: dict[int, _ReportingProcess] = {}
         self.checked_at = now
         self.noticed_at: dict[str, float] = {}
-        self.notices: list[str] = []
+        self.notices: list[Customer] = []
         self.granted = 0
         self.unmet = 0
 
@@ -81,7 +81,7 @@
             return
         self.customers = customers
         limited = [customer for customer in customers if customer.rate is not None]
-        self.limited = {customer.name for customer in limited}
+        self.limited = {customer.name: customer for customer in limited}
         for customer in limited:
             account = self.accounts.get(customer.name)
             if account is None:
@@ -113,7 +113,7 @@
         self._check(now)
         return tuple(grant for grant in grants if grant is not None)
 
-    def take_notices(self) -> list[str]:
+    def take_notices(self) -> list[Customer]:
         """Return the customers of the notices since the last call."""
         notices, self.notices = self.notices, []
         return notices
@@ -157,7 +157,7 @@
     def _notice(self, name: str, now: float) -> None:
         if now - self.noticed_at.get(name, -math.inf) >= NOTICE_INTERVAL_S:
             self.noticed_at[name] = now
-            self.notices.append(name)
+            self.notices.append(self.limited[name])
 
     def _is_in_use(self, name: str, process: int) -> bool:
         account = self.accounts.get(name)
--- a/cranberrylever/route_control/_leader.py
+++ b/cranberrylever/route_control/_leader.py
@@ -244,7 +244,7 @@
             self.granter.drop_removed_ranges(range_keys)
             self._clean_up(targets, now)
             for customer in self.quotas.take_notices():
-                self.log.info("quota_used_up", customer=customer)
+                self.log.info("quota_used_up", customer=customer.name, rate=customer.rate)
 
     def service(self, name: str) -> RoutedService | None:
         """Return a service of the plan in force, ``None`` for another name."""
