--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -17,6 +17,7 @@
 from cranberrylever.http_unsent import CutOffAnswers
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
+from cranberrylever.quota import QuotaClient
 from cranberrylever.route_entry._app import PeerRequestApp, RouteEntryApp
 from cranberrylever.route_entry._body import BodyReader
 from cranberrylever.route_entry._dispatcher import Dispatcher
@@ -91,6 +92,7 @@
         self.pool = TargetPool(self.format.id_header, on_connect=self.reachability.record, memory=self.memory)
         self.feed = FeedClient(settings.contacts, self._build_report, self._on_reply, self.log)
         permit_gate = create_permit_gate(settings.rules, self.feed.request_report)
+        self.quota = QuotaClient(self.feed.request_report, self.metrics)
         self.permits, self.rate_limits = permit_gate.permits, permit_gate.rate_limits
         revocation = RevocationGuard(settings.revocation_time)
         self.dispatcher = Dispatcher(
@@ -118,6 +120,7 @@
             self.memory,
             BodyReader(BodyMemory(settings.body_memory), self.metrics),
             revocation,
+            self.quota,
         )
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
@@ -230,6 +233,7 @@
             self.reports.departures.build_report(),
             reads_sections=True,
             reads_parts=True,
+            quota=self.quota.build_report(sequence, is_first, now),
         )
 
     def _on_reply(self, reply: FeedReply, confirmed_at: float) -> None:
@@ -237,6 +241,8 @@
         if reply.permits:
             self.permits.record(reply.permits, reply.sequence, now)
             self.view.changed.notify()
+        if reply.quota:
+            self.quota.record(reply.quota, reply.sequence, now)
         if reply.peers is not None:
             self.relay.set_peers(reply.peers, now)
         addresses_before = {target.info.address for target in self.view.targets.values()}
@@ -249,6 +255,8 @@
         if not is_changed:
             return
         self.permits.keep_only({target.info.incarnation for target in self.view.targets.values()})
+        if self.view.matcher is not None:
+            self.quota.set_customers(self.view.matcher.plan.customers)
         self.feed.set_entry_count(self.view.entries)
         self.pool.max_idle_connections = self.view.idle_connections()
         addresses_after = {target.info.address for target in self.view.targets.values()}
--- a/cranberrylever/route_entry/_reader.py
+++ b/cranberrylever/route_entry/_reader.py
@@ -18,7 +18,7 @@
 from cranberrylever.route_entry._request import RoutedRequest
 from cranberrylever.route_entry._request_log import RequestRecord, StopTimes
 from cranberrylever.route_entry._view import EntryView
-from cranberrylever.route_plan import Route
+from cranberrylever.route_plan import Customer, Route
 
 Receive = Callable[[], Awaitable[dict]]
 
@@ -115,7 +115,7 @@
         await self._check_entry(now, caller_headers.deadline, is_relayed, requests)
         matcher = self.view.matcher
         route = self._find_route(scope, record)
-        digest = self._authenticate(headers, route, record)
+        digest, customer = self._authenticate(headers, route, record)
         self._refuse_if_too_late(route.name)
         deadline = self._deadline(now, route, caller_headers.deadline)
         body = await self._read_body(record, receive, deadline)
@@ -127,7 +127,7 @@
         if self.view.matcher is not matcher:
             matcher = self.view.matcher
             route = self._find_route(scope, record)
-            digest = self._authenticate(headers, route, record)
+            digest, customer = self._authenticate(headers, route, record)
         self._refuse_if_too_late(route.name)
         service = matcher.services[matcher.choose(route)]
         if service.keyed and caller_headers.key is None:
@@ -150,6 +150,7 @@
             is_relayed=is_relayed,
             customer=record.customer,
             key_digest=digest,
+            customer_priority=customer.priority if customer is not None else None,
         )
 
     async def _check_entry(
@@ -186,14 +187,16 @@
                 503, "refused", "this entry gets no changes of its routes", OUTDATED_VIEW_RETRY_AFTER_S
             )
 
-    def _authenticate(self, headers: Headers, route: Route, record: RequestRecord) -> str:
-        """Return the digest of a request's API key, empty where no key is needed; record its customer.
+    def _authenticate(
+        self, headers: Headers, route: Route, record: RequestRecord
+    ) -> tuple[str, Customer | None]:
+        """Return the digest of a request's API key and its customer; none where no key is needed.
 
         A key on a public route is not read, so that an old one does no harm there.
         """
         record.customer = ""
         if self.view.customers.is_empty or route.public:
-            return ""
+            return "", None
         try:
             digest = read_key_digest([value for name, value in headers if name == AUTHORIZATION])
         except UnauthorizedError as error:
@@ -204,7 +207,7 @@
         if customer is None:
             raise AnsweredError(401, "unauthorized", str(unknown_key_error()))
         record.customer = customer.name
-        return digest
+        return digest, customer
 
     def _refuse_if_too_late(self, route: str) -> None:
         """Refuse a request whose answer is not expected before this entry stops."""
