Bound the head of a request at every listener, and its time

A head could also arrive byte by byte for good, as each byte restarted its time, and a refusal of invalid bytes overtook the answer to the request before it. What came behind a request with an Upgrade header in one read was lost.

Change: the limits move from the entry's protocol into the one of all listeners. Bytes are parsed in parts of 2 KiB, so those of a head are counted from the first one, empty lines included. An invalid request is refused like one without a Host header: after the answers before it. An upgrade is not taken up and the next request is served.

Ruled out: asking the parser for its position, which httptools does not tell.

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -9,7 +9,8 @@
 
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.errors import SettingError
-from cranberrylever.http_protocol import StrictHttpProtocol
+from cranberrylever.http_limits import ListenerLimits
+from cranberrylever.http_protocol import create_protocol_class
 from cranberrylever.http_server import format_address, server_config
 from cranberrylever.http_unsent import CutOffAnswers, find_unsent, method_and_path
 from cranberrylever.settings import split_address
@@ -27,10 +28,6 @@
 BACKLOG = 2048
 """Connections that the kernel queues until they are accepted, for a burst of reconnecting callers."""
 
-_HEADERS_TOO_LARGE_ANSWER = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\ncranberrylever-outcome: not-run\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
 _FINISH_POLL_INTERVAL_S = 0.02
 
 CUT_OFF_MESSAGE = "the time that an entry has to stop is over"
@@ -40,59 +37,6 @@
 """Time for cancelled requests to end, so that the log has their lines."""
 
 
-class EntryProtocol(StrictHttpProtocol):
-    """Connection of a caller, with limits on the number of connections, header bytes and header time."""
-
-    max_connections = 0
-    max_header_bytes = 0
-    header_timeout = 0.0
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Accept the connection unless the limit on connections is reached."""
-        super().connection_made(transport)
-        self.received_bytes = 0
-        self.is_reading_headers = True
-        if len(self.connections) > self.max_connections:
-            self.is_rejected = True
-            transport.close()
-            return
-        self._restart_header_timer()
-
-    def data_received(self, data: bytes) -> None:
-        """Parse data; reject headers that are too large before the parser has buffered all of them."""
-        if self.is_rejected or self.transport.is_ending:
-            super().data_received(data)
-            return
-        if self.is_reading_headers:
-            self.received_bytes += len(data)
-        super().data_received(data)
-        if self.is_reading_headers and self.received_bytes > self.max_header_bytes:
-            self.reject(_HEADERS_TOO_LARGE_ANSWER)
-        elif self.is_reading_headers and self.received_bytes:
-            self._restart_header_timer()
-
-    def on_headers_complete(self) -> None:
-        """Start the request unless its headers are too large."""
-        self.is_reading_headers = False
-        # The received bytes may include a part of the body, or leave out what came with an earlier request.
-        size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
-        if size > self.max_header_bytes:
-            self.reject(_HEADERS_TOO_LARGE_ANSWER)
-        super().on_headers_complete()
-
-    def on_message_complete(self) -> None:
-        """Prepare for the headers of the next request."""
-        self.is_reading_headers = True
-        self.received_bytes = 0
-        super().on_message_complete()
-
-    def _restart_header_timer(self) -> None:
-        """Restart the timer that closes the connection if no further bytes of the headers arrive in time."""
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.header_timeout, self.timeout_keep_alive_handler
-        )
-
-
 class CallerServer:
     """Listener of one entry.
 
@@ -120,13 +64,10 @@
         self.config.load()
         # Otherwise uvicorn logs each truncated answer as an error of the application.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
-        limits = {
-            "max_connections": tuning.max_connections,
-            "max_header_bytes": tuning.max_header_bytes,
-            "header_timeout": tuning.header_timeout,
-            "memory": memory or AnswerMemory(),
-        }
-        self.protocol_class = type("LimitedProtocol", (EntryProtocol,), limits)
+        limits = ListenerLimits(
+            tuning.max_connections, tuning.max_header_bytes, tuning.header_timeout, tuning.keep_alive
+        )
+        self.protocol_class = create_protocol_class(limits, memory or AnswerMemory())
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
--- a/cranberrylever/entry/_tuning.py
+++ b/cranberrylever/entry/_tuning.py
@@ -19,7 +19,7 @@
         max_connections: Number of connections of callers.
         max_requests: Number of concurrent requests of callers above which further ones are refused.
         keep_alive: Time after which an idle connection of a caller is closed.
-        header_timeout: Time without further bytes after which incomplete request headers are given up.
+        header_timeout: Time from the first byte of request headers to the last one.
         target_keep_alive: Time after which an idle connection to a target is closed.
         finish_timeout: Time in which requests may finish when the entry stops.
         disconnect_check_delay: Time after which the check whether the caller has disconnected starts.
--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -1,24 +1,39 @@
-"""HTTP/1.1 connection of a listener that refuses requests whose recipient is ambiguous."""
+"""HTTP/1.1 connection of a listener, which bounds what its caller sends and refuses what is ambiguous."""
 
 import asyncio
 from collections.abc import Callable
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from cranberrylever.answer_memory import AnswerMemory
+from cranberrylever.http_limits import ListenerLimits
 from cranberrylever.http_transport import AnswerTransport
 
 _HOST = b"host"
 
+_PARSED_BYTES = 2_048
+"""Bytes that are parsed at once; limits are checked between two such parts."""
+
+_HEAD_TOO_LARGE_ANSWER = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\ncranberrylever-outcome: not-run\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+
 
 class StrictHttpProtocol(HttpToolsProtocol):
     """Connection that answers a request without a Host header, or with two, by 400, and closes.
 
-    It ends in a way by which callers get each answer that was written before.
+    A head that is too large is answered by 431; one that arrives too slowly ends the connection. It ends in a
+    way by which callers get each answer that was written before.
     """
 
+    limits = ListenerLimits()
     memory = AnswerMemory()
     is_rejected = False
+    is_in_head = True
+    head_bytes = 0
+    arrival_timer: asyncio.TimerHandle | None = None
     answering: RequestResponseCycle | None = None
     answered_scope: dict | None = None
     """Scope of the last request whose answer is complete, though it may not have left the process yet."""
@@ -26,10 +41,16 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection."""
         super().connection_made(AnswerTransport(transport, self.loop, self.memory))
+        if len(self.connections) > self.limits.max_connections:
+            self.is_rejected = True
+            transport.close()
+            return
+        self._start_arrival_timer()
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the request that runs and release what the connection holds."""
         super().connection_lost(error)
+        self._stop_arrival_timer()
         self.transport.on_lost()
 
     def pause_writing(self) -> None:
@@ -46,13 +67,41 @@
         """Parse data; the rest of a rejected connection and of one that ends is dropped."""
         if self.transport.is_ending:
             self.transport.drop(data)
-        elif not self.is_rejected:
-            super().data_received(data)
+            return
+        self._unset_keepalive_if_required()
+        unparsed = memoryview(data)
+        while unparsed and not self.is_rejected:
+            unparsed = unparsed[self._parse(unparsed[:_PARSED_BYTES]) :]
+        if self.is_in_head and self.head_bytes:
+            self._start_arrival_timer()
+
+    def _parse(self, data: memoryview) -> int:
+        """Parse a part of what was received and return the number of bytes that were taken."""
+        size = len(data)
+        if self.is_in_head:
+            self.head_bytes += size
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            # The upgrade is not taken up, and the next request follows.
+            size = upgrade.args[0] or size
+        except httptools.HttpParserError:
+            self.reject(_INVALID_ANSWER)
+        if self.is_in_head and self.head_bytes > self.limits.max_head_bytes:
+            self.reject(_HEAD_TOO_LARGE_ANSWER)
+        return size
 
     def on_headers_complete(self) -> None:
         """Start the request unless it is rejected."""
         if self.is_rejected:
             return
+        self.is_in_head = False
+        self._stop_arrival_timer()
+        # The counted bytes may include a part of the body, or leave out what came with an earlier request.
+        size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+        if size > self.limits.max_head_bytes:
+            self.reject(_HEAD_TOO_LARGE_ANSWER)
+            return
         hosts = sum(name == _HOST for name, _ in self.headers)
         if hosts != 1 and self.parser.get_http_version() == "1.1":
             self.reject(_bad_host_answer(hosts))
@@ -65,9 +114,12 @@
             super().on_body(body)
 
     def on_message_complete(self) -> None:
-        """End the body of the request."""
-        if not self.is_rejected:
-            super().on_message_complete()
+        """End the body of the request and prepare for the head of the next one."""
+        if self.is_rejected:
+            return
+        self.is_in_head = True
+        self.head_bytes = 0
+        super().on_message_complete()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Callable) -> None:
         self.answering = cycle
@@ -92,9 +144,29 @@
         else:
             super().timeout_keep_alive_handler()
 
+    def _start_arrival_timer(self) -> None:
+        if self.arrival_timer is None and not self.is_rejected:
+            self.arrival_timer = self.loop.call_later(self.limits.arrival_time, self._on_slow_arrival)
+
+    def _stop_arrival_timer(self) -> None:
+        if self.arrival_timer is not None:
+            self.arrival_timer.cancel()
+            self.arrival_timer = None
+
+    def _on_slow_arrival(self) -> None:
+        """End a connection whose head does not arrive; one without an answer loses none by it."""
+        self.arrival_timer = None
+        if self.cycle is None:
+            self.transport.end()
+        else:
+            self.reject(b"")
+
     def reject(self, answer: bytes) -> None:
         """Send ``answer`` and close; while earlier requests wait for theirs, close after these instead."""
+        if self.is_rejected:
+            return
         self.is_rejected = True
+        self._stop_arrival_timer()
         if self.transport.is_closing():
             return
         if self.cycle is not None and not self.cycle.response_complete:
@@ -105,9 +177,27 @@
 
 
 def _bad_host_answer(hosts: int) -> bytes:
-    body = b'{"error": "%d Host headers", "remedy": "send exactly one"}' % hosts
+    return _bad_request_answer(b'{"error": "%d Host headers", "remedy": "send exactly one"}' % hosts)
+
+
+def _bad_request_answer(body: bytes) -> bytes:
     head = (
         "HTTP/1.1 400 Bad Request\r\ncranberrylever-outcome: not-run\r\ncontent-type: application/json\r\n"
         f"content-length: {len(body)}\r\nconnection: close\r\n\r\n"
     )
     return head.encode() + body
+
+
+_INVALID_ANSWER = _bad_request_answer(
+    b'{"error": "the request is not valid HTTP", "remedy": "send requests by RFC 9112"}'
+)
+
+
+def create_protocol_class(limits: ListenerLimits, memory: AnswerMemory) -> type[StrictHttpProtocol]:
+    """Return the class of the connections of one listener.
+
+    Args:
+        limits: Limits on what callers send.
+        memory: Limit on the memory of answers.
+    """
+    return type("LimitedProtocol", (StrictHttpProtocol,), {"limits": limits, "memory": memory})
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -40,8 +40,8 @@
 class RouteEntryTuning:
     """Limits of the listener for callers: counts, bytes and seconds.
 
-    An idle connection is closed after ``keep_alive``, and one whose headers are incomplete when no bytes of
-    them arrive for ``header_timeout``.
+    An idle connection is closed after ``keep_alive``, and one whose headers are incomplete after
+    ``header_timeout`` from their first byte.
     """
 
     max_connections: int = 2_000
--- a/tests/caller_http/test_http_protocol.py
+++ b/tests/caller_http/test_http_protocol.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import testtools
 
 from cranberrylever.caller_http import CallerServer
@@ -12,7 +13,9 @@
 WITHOUT_HOST = b"GET /b HTTP/1.1\r\naccept: */*\r\n\r\n"
 TWO_HOSTS = b"POST /c HTTP/1.1\r\nhost: x\r\nhost: y\r\ncontent-length: 3\r\n\r\nabc"
 LARGE = b"GET /d HTTP/1.1\r\nhost: x\r\nname: " + b"v" * 70_000 + b"\r\n\r\n"
+INVALID = b"no request\r\n\r\n"
 SLOW_S = 0.1
+ARRIVAL_S = 0.3
 
 
 class RecordingApp:
@@ -75,7 +78,7 @@
     def test_refusal_does_not_overtake_the_answer_to_an_earlier_request(self):
         """Guards against a caller that takes the refusal of its second request for the first one's answer."""
         for create_server in self.servers():
-            for data in (WITHOUT_HOST, TWO_HOSTS):
+            for data in (WITHOUT_HOST, TWO_HOSTS, INVALID):
                 answer, paths = self.exchange(create_server, GOOD + data)
                 assert answer.startswith(b"HTTP/1.1 200 "), answer
                 assert answer.endswith(b"/a")
@@ -90,3 +93,42 @@
         answer, paths = self.exchange(create_server, LARGE)
         assert answer.startswith(b"HTTP/1.1 431 "), answer
         assert paths == []
+
+    def test_refusal_of_large_headers_holds_at_the_listeners_of_all_programs(self):
+        """Guards against a listener that reads a head without a bound."""
+        for create_server in self.servers():
+            answer, paths = self.exchange(create_server, LARGE)
+            assert answer.startswith(b"HTTP/1.1 431 "), answer
+            assert paths == []
+
+    def test_request_behind_one_that_asks_for_an_upgrade_is_served(self):
+        """Guards against the rest of an upgrade that is read as the middle of a request."""
+        upgrade = GOOD.replace(b"\r\n\r\n", b"\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n")
+        last = b"GET /e HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+        answer, paths = self.exchange(next(self.servers()), upgrade + last)
+        assert paths == ["/a", "/e"], (paths, answer)
+
+
+class SlowHeadTest(testtools.TestCase):
+    def test_head_that_arrives_byte_by_byte_ends_its_connection(self):
+        """Guards against callers that hold descriptors by a byte from time to time."""
+
+        async def main():
+            tuning = attrs.evolve(RouteEntryTuning(), header_timeout=ARRIVAL_S)
+            server = CallerServer(RecordingApp(), "127.0.0.1:0", tuning)
+            await server.start()
+            host, _, port = server.bound_address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\n")
+            bytes_sent = 0
+            while not (reader.at_eof() or reader.exception()) and bytes_sent < 100:
+                writer.write(b"a")
+                bytes_sent += 1
+                await asyncio.sleep(ARRIVAL_S / 10)
+            writer.close()
+            server.stop_accepting()
+            await server.wait_finished(asyncio.get_running_loop().time() + 1.0)
+            await server.close()
+            return bytes_sent
+
+        assert asyncio.run(main()) < 100
