Drop trailers of requests, and bound what is between chunks

Trailers of a chunked body were added to the headers of the request, which may run already. An application could also take a trailer for a header.

Change: trailers are dropped. Chunk sizes, chunk extensions and trailers together may have the size of a head and eight bytes per byte of the body, as in answers of targets; beyond that the request is refused by 400, after the answers before it. The application learns that the rest of it will not come. An answer that has started is never followed by a refusal.

Ruled out: refusing trailers, which RFC 9112 lets a server drop.

Evidence: test_trailers_are_no_headers fails against the product of the commit before (the answer has the trailer's name) and passes now.

--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -11,10 +11,14 @@
 from cranberrylever.http_transport import AnswerTransport
 
 _HOST = b"host"
+_CONTENT_LENGTH = b"content-length"
 
 _PARSED_BYTES = 2_048
 """Bytes that are parsed at once; limits are checked between two such parts."""
 
+_MAX_FRAMING_RATIO = 8
+"""Limit on the bytes between chunks per byte of the body; chunks of one byte have five."""
+
 _HEAD_TOO_LARGE_ANSWER = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\ncranberrylever-outcome: not-run\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -33,6 +37,13 @@
     is_rejected = False
     is_in_head = True
     head_bytes = 0
+    framed_bytes = 0
+    """Bytes since the end of the head."""
+
+    body_bytes = 0
+    body_left = 0
+    """Bytes of the body that are known to come, as the head names its length."""
+
     arrival_timer: asyncio.TimerHandle | None = None
     answering: RequestResponseCycle | None = None
     answered_scope: dict | None = None
@@ -71,7 +82,7 @@
         self._unset_keepalive_if_required()
         unparsed = memoryview(data)
         while unparsed and not self.is_rejected:
-            unparsed = unparsed[self._parse(unparsed[:_PARSED_BYTES]) :]
+            unparsed = unparsed[self._parse(unparsed[: max(_PARSED_BYTES, self.body_left)]) :]
         if self.is_in_head and self.head_bytes:
             self._start_arrival_timer()
 
@@ -80,6 +91,8 @@
         size = len(data)
         if self.is_in_head:
             self.head_bytes += size
+        else:
+            self.framed_bytes += size
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
@@ -89,13 +102,24 @@
             self.reject(_INVALID_ANSWER)
         if self.is_in_head and self.head_bytes > self.limits.max_head_bytes:
             self.reject(_HEAD_TOO_LARGE_ANSWER)
+        elif not self.is_in_head and self._has_too_much_framing():
+            self.reject(_FRAMING_TOO_LARGE_ANSWER)
         return size
 
+    def _has_too_much_framing(self) -> bool:
+        """Return whether chunk sizes, chunk extensions and trailers are out of proportion."""
+        framing = self.framed_bytes - self.body_bytes
+        return framing > self.limits.max_head_bytes + _MAX_FRAMING_RATIO * self.body_bytes
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a header; a trailer, which comes after the request has started, is dropped."""
+        if self.is_in_head and not self.is_rejected:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Start the request unless it is rejected."""
         if self.is_rejected:
             return
-        self.is_in_head = False
         self._stop_arrival_timer()
         # The counted bytes may include a part of the body, or leave out what came with an earlier request.
         size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
@@ -106,10 +130,15 @@
         if hosts != 1 and self.parser.get_http_version() == "1.1":
             self.reject(_bad_host_answer(hosts))
             return
+        self.body_left = next((int(value) for name, value in self.headers if name == _CONTENT_LENGTH), 0)
         super().on_headers_complete()
+        self.is_in_head = False
+        self.framed_bytes = self.body_bytes = 0
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on to the application."""
+        self.body_bytes += len(body)
+        self.body_left = max(0, self.body_left - len(body))
         if not self.is_rejected:
             super().on_body(body)
 
@@ -118,7 +147,7 @@
         if self.is_rejected:
             return
         self.is_in_head = True
-        self.head_bytes = 0
+        self.head_bytes = self.body_left = 0
         super().on_message_complete()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Callable) -> None:
@@ -169,12 +198,31 @@
         self._stop_arrival_timer()
         if self.transport.is_closing():
             return
-        if self.cycle is not None and not self.cycle.response_complete:
-            self.cycle.keep_alive = False
+        last = self._last_complete_request()
+        if last is not None:
+            last.keep_alive = False
             return
-        self.transport.write(answer)
+        if self.cycle is not None and not self.cycle.response_complete:
+            self._abandon(self.cycle)
+        if self.is_in_head or not self.cycle.response_started:
+            self.transport.write(answer)
         self.transport.close()
 
+    def _last_complete_request(self) -> RequestResponseCycle | None:
+        """Return the last request that has arrived and waits for its answer; drop a later one."""
+        if self.cycle is None or self.cycle.response_complete:
+            return None
+        if self.cycle.more_body and self.pipeline:
+            self.pipeline.popleft()
+            self.cycle = self.pipeline[0][0] if self.pipeline else self.answering
+        return None if self.cycle.more_body else self.cycle
+
+    @staticmethod
+    def _abandon(cycle: RequestResponseCycle) -> None:
+        """Tell the application that the rest of a request will not arrive."""
+        cycle.disconnected = True
+        cycle.message_event.set()
+
 
 def _bad_host_answer(hosts: int) -> bytes:
     return _bad_request_answer(b'{"error": "%d Host headers", "remedy": "send exactly one"}' % hosts)
@@ -188,6 +236,9 @@
     return head.encode() + body
 
 
+_FRAMING_TOO_LARGE_ANSWER = _bad_request_answer(
+    b'{"error": "chunk extensions and trailers are too large", "remedy": "send fewer of them"}'
+)
 _INVALID_ANSWER = _bad_request_answer(
     b'{"error": "the request is not valid HTTP", "remedy": "send requests by RFC 9112"}'
 )
--- a/tests/caller_http/test_http_protocol.py
+++ b/tests/caller_http/test_http_protocol.py
@@ -29,7 +29,7 @@
         await receive()
         if scope["path"] == "/a":
             await asyncio.sleep(SLOW_S)
-        body = scope["path"].encode()
+        body = scope["path"].encode() + b"".join(name for name, _ in scope["headers"] if name == b"name")
         headers = [(b"content-length", str(len(body)).encode())]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         await send({"type": "http.response.body", "body": body, "more_body": False})
@@ -108,6 +108,18 @@
         answer, paths = self.exchange(next(self.servers()), upgrade + last)
         assert paths == ["/a", "/e"], (paths, answer)
 
+    def test_trailers_are_no_headers(self):
+        """Guards against a trailer that an application takes for a header, and trailers without an end."""
+        chunked = b"POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+        for create_server in self.servers():
+            last = b"name: 1\r\n\r\n" + GOOD.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+            answer, paths = self.exchange(create_server, chunked + last)
+            assert answer.count(b"HTTP/1.1 200 ") == 2, answer
+            assert b"name" not in answer
+            answer, _ = self.exchange(create_server, chunked + b"name: 1\r\n" * 10_000)
+            assert answer.startswith(b"HTTP/1.1 400 "), answer
+            assert answer.count(b"HTTP/1.1") == 1
+
 
 class SlowHeadTest(testtools.TestCase):
     def test_head_that_arrives_byte_by_byte_ends_its_connection(self):
