Stop reading while too many requests wait on a connection

Callers that sent many requests ahead without reading the answers filled an entry or a control member: 438 to 620 MB with eight of them in five tests. Each read of 256 KiB became thousands of queued requests. Reading did pause, but each answer, and the watch for a caller that has gone, resumed it.

Change: the protocol itself decides whether to read. It parses 2 KiB at a time and stops, with the rest unparsed, while 64 requests or 256 KiB wait behind the one that is answered (--listener-requests-ahead). All connections of a listener together hold 32 MiB (--listener-read-memory): from half of it on nothing is read ahead, and beyond it the connection that holds most closes after the answer to its first request; what it sent behind that has not run. The decisions are in http_requests_ahead.py without I/O; they allow several requests to be answered at once. A body whose turn has come is not held back.

Callers inside the limits see no refusal: what is sent beyond 64 requests ahead is read later. A caller that has gone is not noticed while its connection is not read.

Ruled out: raising from the parser's callbacks to stop it, after which it cannot go on.

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import attrs
 from uvicorn.server import ServerState
 
 from cranberrylever.answer_memory import AnswerMemory
@@ -46,6 +47,7 @@
         tuning: Limits of the listener.
         name_request: Returns the id of a request, for the log, from its scope.
         memory: Limit on the memory of answers, without one if ``None``.
+        limits: Limits beside those of ``tuning``.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         tuning: ServerTuning,
         name_request: Callable[[dict], str] = method_and_path,
         memory: AnswerMemory | None = None,
+        limits: ListenerLimits | None = None,
     ) -> None:
         self.listen = listen
         self.name_request = name_request
@@ -64,8 +67,12 @@
         self.config.load()
         # Otherwise uvicorn logs each truncated answer as an error of the application.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
-        limits = ListenerLimits(
-            tuning.max_connections, tuning.max_header_bytes, tuning.header_timeout, tuning.keep_alive
+        limits = attrs.evolve(
+            limits or ListenerLimits(),
+            max_connections=tuning.max_connections,
+            max_head_bytes=tuning.max_header_bytes,
+            arrival_time=tuning.header_timeout,
+            idle_time=tuning.keep_alive,
         )
         self.protocol_class = create_protocol_class(limits, memory or AnswerMemory())
         self.server: asyncio.Server | None = None
--- a/cranberrylever/http_limits.py
+++ b/cranberrylever/http_limits.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from cranberrylever.settings import ListenerSettings
+
 
 @attrs.frozen
 class ListenerLimits:
@@ -12,9 +14,20 @@
         max_head_bytes: Bytes of the head of a request, with empty lines before it.
         arrival_time: Time from the first byte of a head to its last.
         idle_time: Time after which a connection is closed that waits for its next request.
+        max_requests_ahead: Requests of a connection that are read while an earlier one is answered.
+        max_bytes_ahead: Bytes of them above which no more are read.
+        read_memory: Bytes of all requests that wait at the listener and of what was received behind them.
     """
 
     max_connections: int = 2_000
     max_head_bytes: int = 32_768
     arrival_time: float = 20.0
     idle_time: float = 20.0
+    max_requests_ahead: int = 64
+    max_bytes_ahead: int = 262_144
+    read_memory: int = 32 * 1_048_576
+
+
+def create_limits(settings: ListenerSettings) -> ListenerLimits:
+    """Return the limits of a listener by the settings of its program."""
+    return ListenerLimits(max_requests_ahead=settings.requests_ahead, read_memory=settings.read_memory)
--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 
 import httptools
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.http_limits import ListenerLimits
+from cranberrylever.http_requests_ahead import ReadBudget, RequestsAhead
 from cranberrylever.http_transport import AnswerTransport
 
 _HOST = b"host"
@@ -16,6 +18,8 @@
 _PARSED_BYTES = 2_048
 """Bytes that are parsed at once; limits are checked between two such parts."""
 
+_NOTHING = memoryview(b"")
+
 _MAX_FRAMING_RATIO = 8
 """Limit on the bytes between chunks per byte of the body; chunks of one byte have five."""
 
@@ -25,15 +29,39 @@
 )
 
 
+class _ReadingControl(FlowControl):
+    """Write side of uvicorn's flow control; the protocol itself decides whether to read.
+
+    Args:
+        transport: Transport of the connection.
+        on_wanted: Called when an application or the end of an answer makes room for more.
+    """
+
+    def __init__(self, transport: asyncio.Transport, on_wanted: Callable[[], None]) -> None:
+        super().__init__(transport)
+        self.on_wanted = on_wanted
+
+    def pause_reading(self) -> None:
+        """Leave the decision to the protocol."""
+
+    def resume_reading(self) -> None:
+        """Tell the protocol that there may be room."""
+        self.on_wanted()
+
+
 class StrictHttpProtocol(HttpToolsProtocol):
     """Connection that answers a request without a Host header, or with two, by 400, and closes.
 
-    A head that is too large is answered by 431; one that arrives too slowly ends the connection. It ends in a
-    way by which callers get each answer that was written before.
+    A head that is too large is answered by 431; one that arrives too slowly ends the connection. Reading
+    stops while too many requests wait behind the one that is answered. The connection ends in a way by which
+    callers get each answer that was written before.
     """
 
     limits = ListenerLimits()
     memory = AnswerMemory()
+    budget: ReadBudget["StrictHttpProtocol"] = ReadBudget(limits.read_memory)
+    unparsed = _NOTHING
+    is_paused = False
     is_rejected = False
     is_in_head = True
     head_bytes = 0
@@ -52,6 +80,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection."""
         super().connection_made(AnswerTransport(transport, self.loop, self.memory))
+        self.flow = _ReadingControl(self.transport, self._on_wanted)
+        self.ahead = RequestsAhead(self.limits, self.budget)
         if len(self.connections) > self.limits.max_connections:
             self.is_rejected = True
             transport.close()
@@ -62,6 +92,8 @@
         """End the request that runs and release what the connection holds."""
         super().connection_lost(error)
         self._stop_arrival_timer()
+        self._drop_waiting()
+        self.budget.forget(self)
         self.transport.on_lost()
 
     def pause_writing(self) -> None:
@@ -79,12 +111,70 @@
         if self.transport.is_ending:
             self.transport.drop(data)
             return
-        self._unset_keepalive_if_required()
-        unparsed = memoryview(data)
-        while unparsed and not self.is_rejected:
-            unparsed = unparsed[self._parse(unparsed[: max(_PARSED_BYTES, self.body_left)]) :]
+        if self.is_rejected:
+            return
+        self.unparsed = memoryview(data)
+        self._go_on()
+
+    def _on_wanted(self) -> None:
+        if self.is_paused:
+            self.loop.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        """Parse what was received as far as there is room, and read on if there is."""
+        if self.parser is None or self.is_rejected or self.transport.is_ending:
+            return
+        if self.unparsed:
+            self._unset_keepalive_if_required()
+        while self.unparsed and not self._must_wait() and not self.is_rejected:
+            part = self.unparsed[: max(_PARSED_BYTES, min(self.body_left, HIGH_WATER_LIMIT))]
+            self.unparsed = self.unparsed[self._parse(part) :]
+        if self.is_rejected:
+            return
+        self._set_paused(bool(self.unparsed) or self._must_wait())
         if self.is_in_head and self.head_bytes:
             self._start_arrival_timer()
+        self._count_waiting()
+
+    def _must_wait(self) -> bool:
+        """Return whether what follows has to wait for the application or for the end of an answer."""
+        if self.cycle is None or self.cycle.response_complete:
+            return False
+        if len(self.cycle.body) > HIGH_WATER_LIMIT:
+            return True
+        return not self._is_body_read() and self.ahead.is_full()
+
+    def _is_body_read(self) -> bool:
+        """Return whether the body of the request that runs is still arriving."""
+        return self.cycle is not None and self.cycle is self.answering and self.cycle.more_body
+
+    def _set_paused(self, is_paused: bool) -> None:
+        if is_paused == self.is_paused:
+            return
+        self.is_paused = is_paused
+        if is_paused:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def _count_waiting(self) -> None:
+        # A body that has its turn is not held here but by the application.
+        received = 0 if self._is_body_read() else len(self.unparsed)
+        excessive = self.budget.record(self, received + self.ahead.total)
+        while excessive is not None:
+            excessive.give_up_waiting()
+            excessive = self.budget.record(excessive, excessive.ahead.total)
+
+    def give_up_waiting(self) -> None:
+        """Drop the requests that wait for their turn, which have not run, and close after the answer."""
+        self._drop_waiting()
+        self.cycle = self.answering
+        self.reject(b"")
+
+    def _drop_waiting(self) -> None:
+        self.unparsed = _NOTHING
+        self.pipeline.clear()
+        self.ahead.keep_only(1)
 
     def _parse(self, data: memoryview) -> int:
         """Parse a part of what was received and return the number of bytes that were taken."""
@@ -132,6 +222,7 @@
             return
         self.body_left = next((int(value) for name, value in self.headers if name == _CONTENT_LENGTH), 0)
         super().on_headers_complete()
+        self.ahead.add(size)
         self.is_in_head = False
         self.framed_bytes = self.body_bytes = 0
 
@@ -139,8 +230,11 @@
         """Pass a part of the body on to the application."""
         self.body_bytes += len(body)
         self.body_left = max(0, self.body_left - len(body))
-        if not self.is_rejected:
-            super().on_body(body)
+        if self.is_rejected:
+            return
+        if self.cycle is not self.answering:
+            self.ahead.grow_last(len(body))
+        super().on_body(body)
 
     def on_message_complete(self) -> None:
         """End the body of the request and prepare for the head of the next one."""
@@ -157,7 +251,12 @@
     def on_response_complete(self) -> None:
         """Start the next request, if there is one."""
         self.answered_scope = self.answering.scope
+        self.ahead.remove_first()
         super().on_response_complete()
+        if self.transport.is_closing():
+            self._drop_waiting()
+        if self.budget.sizes:
+            self._count_waiting()
 
     def shutdown(self) -> None:
         """Close the connection once the requests that it has read are answered."""
@@ -195,7 +294,10 @@
         if self.is_rejected:
             return
         self.is_rejected = True
+        self.unparsed = _NOTHING
         self._stop_arrival_timer()
+        # The end of the connection has to be seen.
+        self._set_paused(False)
         if self.transport.is_closing():
             return
         last = self._last_complete_request()
@@ -214,6 +316,7 @@
             return None
         if self.cycle.more_body and self.pipeline:
             self.pipeline.popleft()
+            self.ahead.keep_only(len(self.pipeline) + 1)
             self.cycle = self.pipeline[0][0] if self.pipeline else self.answering
         return None if self.cycle.more_body else self.cycle
 
@@ -251,4 +354,5 @@
         limits: Limits on what callers send.
         memory: Limit on the memory of answers.
     """
-    return type("LimitedProtocol", (StrictHttpProtocol,), {"limits": limits, "memory": memory})
+    members = {"limits": limits, "memory": memory, "budget": ReadBudget(limits.read_memory)}
+    return type("LimitedProtocol", (StrictHttpProtocol,), members)
--- a/cranberrylever/http_server.py
+++ b/cranberrylever/http_server.py
@@ -8,7 +8,9 @@
 import uvicorn
 from starlette.types import ASGIApp
 
-from cranberrylever.http_protocol import StrictHttpProtocol
+from cranberrylever.answer_memory import AnswerMemory
+from cranberrylever.http_limits import ListenerLimits
+from cranberrylever.http_protocol import StrictHttpProtocol, create_protocol_class
 from cranberrylever.http_unsent import CutOffAnswers, find_unsent
 from cranberrylever.settings import split_address
 
@@ -17,11 +19,13 @@
 LISTEN_BACKLOG = 1024
 
 
-def server_config(app: object, **options: object) -> uvicorn.Config:
+def server_config(
+    app: object, protocol: type[StrictHttpProtocol] = StrictHttpProtocol, **options: object
+) -> uvicorn.Config:
     """Return the uvicorn configuration of a server that shares the event loop and writes no log."""
     return uvicorn.Config(
         app,
-        http=StrictHttpProtocol,
+        http=protocol,
         ws="none",
         lifespan="off",
         log_config=None,
@@ -55,14 +59,21 @@
         app: The ASGI application.
         listen: ``host:port``; port 0 lets the system choose a free port.
         finish_timeout: Seconds in which ``close`` waits until callers have their answers.
+        limits: Limits on what callers send.
     """
 
     def __init__(
-        self, app: ASGIApp, listen: str, finish_timeout: float = GRACEFUL_SHUTDOWN_TIMEOUT_S
+        self,
+        app: ASGIApp,
+        listen: str,
+        finish_timeout: float = GRACEFUL_SHUTDOWN_TIMEOUT_S,
+        limits: ListenerLimits | None = None,
     ) -> None:
         self.listen = listen
         self.bound_address = listen
-        self.server = EmbeddedServer(server_config(app, timeout_graceful_shutdown=finish_timeout))
+        protocol = create_protocol_class(limits or ListenerLimits(), AnswerMemory())
+        config = server_config(app, protocol, timeout_graceful_shutdown=finish_timeout)
+        self.server = EmbeddedServer(config)
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -15,6 +15,7 @@
 )
 from cranberrylever.control_member import LeaderForwarder, PeerTransport, RpcServer, StateMachineAdapter
 from cranberrylever.errors import CranberryleverError, StorageError
+from cranberrylever.http_limits import create_limits
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
 from cranberrylever.metrics import create_exposed_metrics
@@ -85,7 +86,10 @@
         await self._start_member()
         if self.settings.metrics_listen:
             self.metrics_server = HttpServer(
-                self.metrics.app(), self.settings.metrics_listen, METRICS_FINISH_TIMEOUT_S
+                self.metrics.app(),
+                self.settings.metrics_listen,
+                METRICS_FINISH_TIMEOUT_S,
+                create_limits(self.settings.listener),
             )
             await self.metrics_server.start()
         self.watcher = asyncio.get_running_loop().create_task(self._watch_driver())
@@ -158,7 +162,10 @@
             self.driver, self.leader, self.state, self.relay, self.metrics, self.log
         )
         self.http = HttpServer(
-            self.create_app(service, self.forwarder), settings.http, settings.finish_timeout
+            self.create_app(service, self.forwarder),
+            settings.http,
+            settings.finish_timeout,
+            create_limits(settings.listener),
         )
         self.rpc = RpcServer([self.transport, self.feed], RPC_CLOSE_TIMEOUT_S, self.log)
         # The data directory is read first, so that nothing else is open when that fails.
--- a/cranberrylever/settings/__init__.py
+++ b/cranberrylever/settings/__init__.py
@@ -13,6 +13,7 @@
 from cranberrylever.settings._routes import (
     MAX_TOLERATED_LOSSES,
     LimitSettings,
+    ListenerSettings,
     RouteControlSettings,
     RouteEntrySettings,
 )
@@ -30,6 +31,7 @@
     "EntrySettings",
     "RouteEntrySettings",
     "LimitSettings",
+    "ListenerSettings",
     "LogSettings",
     "OperatorSettings",
     "PeerAddress",
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -20,6 +20,7 @@
 MAX_TOLERATED_LOSSES = 4
 MIN_ANSWER_MEMORY = 16 * 1_048_576
 MAX_ANSWER_MEMORY = 1 << 40
+MIN_READ_MEMORY = 1_048_576
 
 
 @attrs.frozen
@@ -46,6 +47,25 @@
     retry_window: float = setting("Length of the retry window in s.", number(1.0, MAX_TIME_S), 10.0)
 
 
+@attrs.frozen
+class ListenerSettings:
+    """Limits of each listener on what its callers send; times are in seconds."""
+
+    requests_ahead: int = setting(
+        "Requests that a caller may send ahead on one connection; those beyond wait unread until an earlier "
+        "one is answered.",
+        integer(1, 10_000),
+        64,
+    )
+    read_memory: int = setting(
+        "Bytes of requests that wait for their turn, over all connections of one listener. While half of "
+        "them are taken, nothing is read ahead; beyond them, the connection that holds most is closed after "
+        "the answer to its first request. What it had sent behind that has not run.",
+        integer(MIN_READ_MEMORY, MAX_ANSWER_MEMORY),
+        32 * 1_048_576,
+    )
+
+
 @attrs.frozen
 class RouteEntrySettings:
     """Settings of an entry that serves routes; addresses are ``host:port``, times are in seconds."""
@@ -89,6 +109,7 @@
     )
     rules: LimitSettings = attrs.field(factory=LimitSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
+    listener: ListenerSettings = attrs.field(factory=ListenerSettings)
 
 
 @attrs.frozen
@@ -155,3 +176,4 @@
         5.0,
     )
     log: LogSettings = attrs.field(factory=LogSettings)
+    listener: ListenerSettings = attrs.field(factory=ListenerSettings)
