Bound bodies that nobody limits, and what follows on a connection that is given up

Bodies sent to control were gathered without a limit (438 MB with eight callers). Entries and control also read on for as long as a caller sent: a body after its answer, and whatever followed an invalid request while an earlier one ran. Neither had a limit in time, so a caller could hold a descriptor by a few bytes from time to time.

One that was rejected is read for 16 MiB more while its last answer is awaited, to see that its caller has gone, and then not at all.

--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -10,7 +10,7 @@
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.http_limits import ListenerLimits
 from cranberrylever.http_requests_ahead import ReadBudget, RequestsAhead
-from cranberrylever.http_transport import AnswerTransport
+from cranberrylever.http_transport import MAX_LINGER_BYTES, AnswerTransport
 
 _HOST = b"host"
 _CONTENT_LENGTH = b"content-length"
@@ -69,6 +69,9 @@
     """Bytes since the end of the head."""
 
     body_bytes = 0
+    dropped_bytes = 0
+    """Bytes that came after the connection was rejected, or of a body after its answer."""
+
     body_left = 0
     """Bytes of the body that are known to come, as the head names its length."""
 
@@ -112,10 +115,17 @@
             self.transport.drop(data)
             return
         if self.is_rejected:
+            self._drop(len(data))
             return
         self.unparsed = memoryview(data)
         self._go_on()
 
+    def _drop(self, size: int) -> None:
+        """Count bytes of a rejected connection that waits for its last answer; read on to see its end."""
+        self.dropped_bytes += size
+        if self.dropped_bytes > MAX_LINGER_BYTES:
+            self._set_paused(True)
+
     def _on_wanted(self) -> None:
         if self.is_paused:
             self.loop.call_soon(self._go_on)
@@ -132,10 +142,16 @@
         if self.is_rejected:
             return
         self._set_paused(bool(self.unparsed) or self._must_wait())
-        if self.is_in_head and self.head_bytes:
+        if self._is_arrival_limited():
             self._start_arrival_timer()
         self._count_waiting()
 
+    def _is_arrival_limited(self) -> bool:
+        """Return whether what is arriving now has a limit in time that no application sets."""
+        if self.is_in_head:
+            return self.head_bytes > 0
+        return self.cycle.response_complete or self.limits.max_body_bytes is not None
+
     def _must_wait(self) -> bool:
         """Return whether what follows has to wait for the application or for the end of an answer."""
         if self.cycle is None or self.cycle.response_complete:
@@ -169,7 +185,7 @@
         """Drop the requests that wait for their turn, which have not run, and close after the answer."""
         self._drop_waiting()
         self.cycle = self.answering
-        self.reject(b"")
+        self.reject(_BUSY_ANSWER)
 
     def _drop_waiting(self) -> None:
         self.unparsed = _NOTHING
@@ -232,16 +248,28 @@
         self.body_left = max(0, self.body_left - len(body))
         if self.is_rejected:
             return
-        if self.cycle is not self.answering:
+        if self.cycle.response_complete:
+            self._drop_body(len(body))
+            return
+        if self.cycle is not self.answering or self.limits.max_body_bytes is not None:
             self.ahead.grow_last(len(body))
+        if self.limits.max_body_bytes is not None and self.body_bytes > self.limits.max_body_bytes:
+            self.reject(_BODY_TOO_LARGE_ANSWER)
+            return
         super().on_body(body)
 
+    def _drop_body(self, size: int) -> None:
+        self.dropped_bytes += size
+        if self.dropped_bytes > self.limits.max_dropped_bytes:
+            self.reject(b"")
+
     def on_message_complete(self) -> None:
         """End the body of the request and prepare for the head of the next one."""
         if self.is_rejected:
             return
         self.is_in_head = True
-        self.head_bytes = self.body_left = 0
+        self.head_bytes = self.body_left = self.dropped_bytes = 0
+        self._stop_arrival_timer()
         super().on_message_complete()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Callable) -> None:
@@ -253,6 +281,8 @@
         self.answered_scope = self.answering.scope
         self.ahead.remove_first()
         super().on_response_complete()
+        if not self.is_in_head and self._is_arrival_limited():
+            self._start_arrival_timer()
         if self.transport.is_closing():
             self._drop_waiting()
         if self.budget.sizes:
@@ -339,6 +369,11 @@
     return head.encode() + body
 
 
+_BODY_TOO_LARGE_ANSWER = b"HTTP/1.1 413 Content Too Large\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+_BUSY_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\ncranberrylever-outcome: not-run\r\nretry-after: 1\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 _FRAMING_TOO_LARGE_ANSWER = _bad_request_answer(
     b'{"error": "chunk extensions and trailers are too large", "remedy": "send fewer of them"}'
 )
--- a/cranberrylever/route_control/_api.py
+++ b/cranberrylever/route_control/_api.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 from starlette.applications import Starlette
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.routing import Route as Endpoint
 
@@ -62,7 +62,11 @@
         """Return an endpoint that maps errors to status codes and forwards to the leader when needed."""
 
         async def answer(request: Request) -> Response:
-            body = await request.body()
+            try:
+                body = await request.body()
+            except ClientDisconnect:
+                # Nobody reads this answer.
+                return Response(status_code=400)
             try:
                 return await self._answer(handler, request, body)
             except tuple(self.status_codes) as error:
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import attrs
 from starlette.applications import Starlette
 
 from cranberrylever.consensus import (
@@ -165,7 +166,7 @@
             self.create_app(service, self.forwarder),
             settings.http,
             settings.finish_timeout,
-            create_limits(settings.listener),
+            attrs.evolve(create_limits(settings.listener), max_body_bytes=settings.max_body),
         )
         self.rpc = RpcServer([self.transport, self.feed], RPC_CLOSE_TIMEOUT_S, self.log)
         # The data directory is read first, so that nothing else is open when that fails.
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -64,6 +64,12 @@
         integer(MIN_READ_MEMORY, MAX_ANSWER_MEMORY),
         32 * 1_048_576,
     )
+    dropped_body: int = setting(
+        "Bytes of a request's body that are read and dropped after its answer, so that the connection can be "
+        "used again; beyond them it is closed.",
+        integer(0, MAX_ANSWER_MEMORY),
+        64 * 1_048_576,
+    )
 
 
 @attrs.frozen
@@ -175,5 +181,11 @@
         number(0.0, MAX_TIME_S),
         5.0,
     )
+    max_body: int = setting(
+        "Bytes of the body of a request of an operator or a target, 413 beyond them. Bodies count towards "
+        "--listener-read-memory until they are answered; beyond that the largest is refused (503, not run).",
+        integer(65_536, MAX_ANSWER_MEMORY),
+        16 * 1_048_576,
+    )
     log: LogSettings = attrs.field(factory=LogSettings)
     listener: ListenerSettings = attrs.field(factory=ListenerSettings)
--- a/tests/caller_http/test_requests_ahead.py
+++ b/tests/caller_http/test_requests_ahead.py
@@ -1,6 +1,7 @@
 """Tests of requests that callers send ahead on one connection, at the listeners of all programs."""
 
 import asyncio
+import contextlib
 
 import attrs
 import testtools
@@ -128,6 +129,63 @@
             assert len(paths) == sum(counts)
 
 
+class DroppedBytesTest(testtools.TestCase):
+    def test_body_that_goes_on_after_its_answer_ends_the_connection(self):
+        """Guards against a connection that is read for good though nobody waits for its bytes."""
+
+        async def main(create_server):
+            app = HeldApp()
+            app.may_answer.set()
+            server = create_server(app)
+            await server.start()
+            reader, writer, _ = await send(server, CHUNKED % 0 + CHUNK * 1_000)
+            with contextlib.suppress(ConnectionError):
+                async with asyncio.timeout(5.0):
+                    await reader.read()
+            await close(server, writer)
+
+        for create_server in servers(attrs.evolve(LIMITS, max_dropped_bytes=1_048_576)):
+            asyncio.run(main(create_server))
+
+    def test_rejected_connection_is_not_read_for_good_while_its_last_answer_is_awaited(self):
+        """Guards against the same behind an invalid request."""
+
+        async def main(create_server):
+            app = HeldApp()
+            server = create_server(app)
+            await server.start()
+            invalid = b"no request\r\n\r\n" + b"b" * 100_000_000
+            _, writer, connection = await send(server, REQUEST % 0 + invalid)
+            await asyncio.sleep(0.8)
+            unsent = writer.transport.get_write_buffer_size()
+            app.may_answer.set()
+            connection.transport.abort()
+            writer.transport.abort()
+            await close(server, writer)
+            return unsent
+
+        for create_server in servers():
+            # The kernel's buffers take some as well.
+            assert asyncio.run(main(create_server)) > 20_000_000
+
+    def test_body_over_the_limit_of_a_listener_is_refused(self):
+        """Guards against an application that gathers a body without a limit of its own."""
+
+        async def main():
+            app = HeldApp()
+            limits = attrs.evolve(LIMITS, max_body_bytes=100_000)
+            server = HttpServer(app, "127.0.0.1:0", limits=limits)
+            await server.start()
+            reader, writer, _ = await send(server, CHUNKED % 0 + CHUNK * 4)
+            async with asyncio.timeout(5.0):
+                answer = await reader.read()
+            app.may_answer.set()
+            await close(server, writer)
+            return answer
+
+        assert asyncio.run(main()).startswith(b"HTTP/1.1 413 ")
+
+
 async def read_until_end(reader, last):
     """Return what was received until the end of the connection, or the last answer."""
     data = b""
