Count and log the connections that listeners give up

Operators could not see that callers were refused or closed by a limit, nor by which one.

Ruled out: one line for each connection, which callers could fill the log with.

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -10,6 +10,7 @@
 
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.errors import SettingError
+from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import ListenerLimits
 from cranberrylever.http_protocol import create_protocol_class
 from cranberrylever.http_server import format_address, server_config
@@ -48,6 +49,7 @@
         name_request: Returns the id of a request, for the log, from its scope.
         memory: Limit on the memory of answers, without one if ``None``.
         limits: Limits beside those of ``tuning``.
+        given_up: Counts the connections that are given up.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         name_request: Callable[[dict], str] = method_and_path,
         memory: AnswerMemory | None = None,
         limits: ListenerLimits | None = None,
+        given_up: GivenUpConnections | None = None,
     ) -> None:
         self.listen = listen
         self.name_request = name_request
@@ -74,7 +77,7 @@
             arrival_time=tuning.header_timeout,
             idle_time=tuning.keep_alive,
         )
-        self.protocol_class = create_protocol_class(limits, memory or AnswerMemory())
+        self.protocol_class = create_protocol_class(limits, memory or AnswerMemory(), given_up)
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -7,7 +7,9 @@
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
+from cranberrylever import http_refusals
 from cranberrylever.answer_memory import AnswerMemory
+from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import ListenerLimits
 from cranberrylever.http_requests_ahead import ReadBudget, RequestsAhead
 from cranberrylever.http_transport import MAX_LINGER_BYTES, AnswerTransport
@@ -23,11 +25,6 @@
 _MAX_FRAMING_RATIO = 8
 """Limit on the bytes between chunks per byte of the body; chunks of one byte have five."""
 
-_HEAD_TOO_LARGE_ANSWER = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\ncranberrylever-outcome: not-run\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-
 
 class _ReadingControl(FlowControl):
     """Write side of uvicorn's flow control; the protocol itself decides whether to read.
@@ -60,6 +57,7 @@
     limits = ListenerLimits()
     memory = AnswerMemory()
     budget: ReadBudget["StrictHttpProtocol"] = ReadBudget(limits.read_memory)
+    given_up: GivenUpConnections | None = None
     unparsed = _NOTHING
     is_paused = False
     is_rejected = False
@@ -87,6 +85,7 @@
         self.ahead = RequestsAhead(self.limits, self.budget)
         if len(self.connections) > self.limits.max_connections:
             self.is_rejected = True
+            self._record_given_up("connections")
             transport.close()
             return
         self._start_arrival_timer()
@@ -185,7 +184,7 @@
         """Drop the requests that wait for their turn, which have not run, and close after the answer."""
         self._drop_waiting()
         self.cycle = self.answering
-        self.reject(_BUSY_ANSWER)
+        self.reject(http_refusals.BUSY, "memory")
 
     def _drop_waiting(self) -> None:
         self.unparsed = _NOTHING
@@ -205,11 +204,11 @@
             # The upgrade is not taken up, and the next request follows.
             size = upgrade.args[0] or size
         except httptools.HttpParserError:
-            self.reject(_INVALID_ANSWER)
+            self.reject(http_refusals.INVALID, "invalid")
         if self.is_in_head and self.head_bytes > self.limits.max_head_bytes:
-            self.reject(_HEAD_TOO_LARGE_ANSWER)
+            self.reject(http_refusals.HEAD_TOO_LARGE, "head")
         elif not self.is_in_head and self._has_too_much_framing():
-            self.reject(_FRAMING_TOO_LARGE_ANSWER)
+            self.reject(http_refusals.FRAMING_TOO_LARGE, "framing")
         return size
 
     def _has_too_much_framing(self) -> bool:
@@ -230,11 +229,11 @@
         # The counted bytes may include a part of the body, or leave out what came with an earlier request.
         size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
         if size > self.limits.max_head_bytes:
-            self.reject(_HEAD_TOO_LARGE_ANSWER)
+            self.reject(http_refusals.HEAD_TOO_LARGE, "head")
             return
         hosts = sum(name == _HOST for name, _ in self.headers)
         if hosts != 1 and self.parser.get_http_version() == "1.1":
-            self.reject(_bad_host_answer(hosts))
+            self.reject(http_refusals.bad_host(hosts), "host")
             return
         self.body_left = next((int(value) for name, value in self.headers if name == _CONTENT_LENGTH), 0)
         super().on_headers_complete()
@@ -254,14 +253,14 @@
         if self.cycle is not self.answering or self.limits.max_body_bytes is not None:
             self.ahead.grow_last(len(body))
         if self.limits.max_body_bytes is not None and self.body_bytes > self.limits.max_body_bytes:
-            self.reject(_BODY_TOO_LARGE_ANSWER)
+            self.reject(http_refusals.BODY_TOO_LARGE, "body")
             return
         super().on_body(body)
 
     def _drop_body(self, size: int) -> None:
         self.dropped_bytes += size
         if self.dropped_bytes > self.limits.max_dropped_bytes:
-            self.reject(b"")
+            self.reject(b"", "dropped_body")
 
     def on_message_complete(self) -> None:
         """End the body of the request and prepare for the head of the next one."""
@@ -315,15 +314,21 @@
         """End a connection whose head does not arrive; one without an answer loses none by it."""
         self.arrival_timer = None
         if self.cycle is None:
+            self._record_given_up("slow")
             self.transport.end()
         else:
-            self.reject(b"")
+            self.reject(b"", "slow")
+
+    def _record_given_up(self, reason: str) -> None:
+        if self.given_up is not None:
+            self.given_up.record(reason, self.loop.time())
 
-    def reject(self, answer: bytes) -> None:
+    def reject(self, answer: bytes, reason: str) -> None:
         """Send ``answer`` and close; while earlier requests wait for theirs, close after these instead."""
         if self.is_rejected:
             return
         self.is_rejected = True
+        self._record_given_up(reason)
         self.unparsed = _NOTHING
         self._stop_arrival_timer()
         # The end of the connection has to be seen.
@@ -357,37 +362,16 @@
         cycle.message_event.set()
 
 
-def _bad_host_answer(hosts: int) -> bytes:
-    return _bad_request_answer(b'{"error": "%d Host headers", "remedy": "send exactly one"}' % hosts)
-
-
-def _bad_request_answer(body: bytes) -> bytes:
-    head = (
-        "HTTP/1.1 400 Bad Request\r\ncranberrylever-outcome: not-run\r\ncontent-type: application/json\r\n"
-        f"content-length: {len(body)}\r\nconnection: close\r\n\r\n"
-    )
-    return head.encode() + body
-
-
-_BODY_TOO_LARGE_ANSWER = b"HTTP/1.1 413 Content Too Large\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-_BUSY_ANSWER = (
-    b"HTTP/1.1 503 Service Unavailable\r\ncranberrylever-outcome: not-run\r\nretry-after: 1\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_FRAMING_TOO_LARGE_ANSWER = _bad_request_answer(
-    b'{"error": "chunk extensions and trailers are too large", "remedy": "send fewer of them"}'
-)
-_INVALID_ANSWER = _bad_request_answer(
-    b'{"error": "the request is not valid HTTP", "remedy": "send requests by RFC 9112"}'
-)
-
-
-def create_protocol_class(limits: ListenerLimits, memory: AnswerMemory) -> type[StrictHttpProtocol]:
+def create_protocol_class(
+    limits: ListenerLimits, memory: AnswerMemory, given_up: GivenUpConnections | None = None
+) -> type[StrictHttpProtocol]:
     """Return the class of the connections of one listener.
 
     Args:
         limits: Limits on what callers send.
         memory: Limit on the memory of answers.
+        given_up: Counts the connections that are given up, ``None`` for no counts.
     """
-    members = {"limits": limits, "memory": memory, "budget": ReadBudget(limits.read_memory)}
+    budget = ReadBudget(limits.read_memory)
+    members = {"limits": limits, "memory": memory, "budget": budget, "given_up": given_up}
     return type("LimitedProtocol", (StrictHttpProtocol,), members)
--- a/cranberrylever/http_server.py
+++ b/cranberrylever/http_server.py
@@ -9,6 +9,7 @@
 from starlette.types import ASGIApp
 
 from cranberrylever.answer_memory import AnswerMemory
+from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import ListenerLimits
 from cranberrylever.http_protocol import StrictHttpProtocol, create_protocol_class
 from cranberrylever.http_unsent import CutOffAnswers, find_unsent
@@ -60,6 +61,7 @@
         listen: ``host:port``; port 0 lets the system choose a free port.
         finish_timeout: Seconds in which ``close`` waits until callers have their answers.
         limits: Limits on what callers send.
+        given_up: Counts the connections that are given up.
     """
 
     def __init__(
@@ -68,10 +70,11 @@
         listen: str,
         finish_timeout: float = GRACEFUL_SHUTDOWN_TIMEOUT_S,
         limits: ListenerLimits | None = None,
+        given_up: GivenUpConnections | None = None,
     ) -> None:
         self.listen = listen
         self.bound_address = listen
-        protocol = create_protocol_class(limits or ListenerLimits(), AnswerMemory())
+        protocol = create_protocol_class(limits or ListenerLimits(), AnswerMemory(), given_up)
         config = server_config(app, protocol, timeout_graceful_shutdown=finish_timeout)
         self.server = EmbeddedServer(config)
         self.task: asyncio.Task[None] | None = None
--- a/cranberrylever/route_control/_program.py
+++ b/cranberrylever/route_control/_program.py
@@ -16,6 +16,7 @@
 )
 from cranberrylever.control_member import LeaderForwarder, PeerTransport, RpcServer, StateMachineAdapter
 from cranberrylever.errors import CranberryleverError, StorageError
+from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import create_limits
 from cranberrylever.http_server import HttpServer
 from cranberrylever.logs import Log, install_log
@@ -84,6 +85,7 @@
         self.installed_log = install_log(self.settings.log)
         self.metrics = create_exposed_metrics()
         log_task_errors(self.log, self.metrics)
+        self.given_up = GivenUpConnections(self.log, self.metrics)
         await self._start_member()
         if self.settings.metrics_listen:
             self.metrics_server = HttpServer(
@@ -91,6 +93,7 @@
                 self.settings.metrics_listen,
                 METRICS_FINISH_TIMEOUT_S,
                 create_limits(self.settings.listener),
+                self.given_up,
             )
             await self.metrics_server.start()
         self.watcher = asyncio.get_running_loop().create_task(self._watch_driver())
@@ -167,6 +170,7 @@
             settings.http,
             settings.finish_timeout,
             attrs.evolve(create_limits(settings.listener), max_body_bytes=settings.max_body),
+            self.given_up,
         )
         self.rpc = RpcServer([self.transport, self.feed], RPC_CLOSE_TIMEOUT_S, self.log)
         # The data directory is read first, so that nothing else is open when that fails.
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -10,6 +10,7 @@
 
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.caller_http import CallerServer, finish_requests
+from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import create_limits
 from cranberrylever.http_server import HttpServer
 from cranberrylever.http_unsent import CutOffAnswers
@@ -111,12 +112,21 @@
             self.memory,
         )
         self.limits = create_limits(settings.listener)
+        self.given_up = GivenUpConnections(self.log, self.metrics)
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
             self.servers.append(self._create_server(PeerRequestApp(self.app), settings.peer_listen))
-        self.ready = HttpServer(self._ready_app(), settings.ready_listen, CHECK_FINISH_TIMEOUT_S, self.limits)
+        self.ready = HttpServer(
+            self._ready_app(), settings.ready_listen, CHECK_FINISH_TIMEOUT_S, self.limits, self.given_up
+        )
         self.metrics_server = (
-            HttpServer(self.metrics.app(), settings.metrics_listen, CHECK_FINISH_TIMEOUT_S, self.limits)
+            HttpServer(
+                self.metrics.app(),
+                settings.metrics_listen,
+                CHECK_FINISH_TIMEOUT_S,
+                self.limits,
+                self.given_up,
+            )
             if settings.metrics_listen
             else None
         )
@@ -172,7 +182,9 @@
         self.log.info("settings_reloaded", contacts=contacts)
 
     def _create_server(self, app: object, listen: str) -> CallerServer:
-        return CallerServer(app, listen, self.tuning, self._read_request_id, self.memory, self.limits)
+        return CallerServer(
+            app, listen, self.tuning, self._read_request_id, self.memory, self.limits, self.given_up
+        )
 
     def _read_request_id(self, scope: dict) -> str:
         return self.format.read_call(scope["headers"]).request_id.decode("latin-1")
