--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -16,6 +16,7 @@
 
 _HOST = b"host"
 _CONTENT_LENGTH = b"content-length"
+_TRANSFER_ENCODING = b"transfer-encoding"
 
 _PARSED_BYTES = 2_048
 """Bytes that are parsed at once; limits are checked between two such parts."""
@@ -236,11 +237,18 @@
             self.reject(http_refusals.bad_host(hosts), "host")
             return
         self.body_left = next((int(value) for name, value in self.headers if name == _CONTENT_LENGTH), 0)
+        if self.parser.should_upgrade() and (self.body_left or self._is_chunked()):
+            # The parser would take the body for the next request.
+            self.reject(http_refusals.BODY_BEFORE_UPGRADE, "upgrade")
+            return
         super().on_headers_complete()
         self.ahead.add(size)
         self.is_in_head = False
         self.framed_bytes = self.body_bytes = 0
 
+    def _is_chunked(self) -> bool:
+        return any(name == _TRANSFER_ENCODING for name, _ in self.headers)
+
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on to the application."""
         self.body_bytes += len(body)
--- a/cranberrylever/http_refusals.py
+++ b/cranberrylever/http_refusals.py
@@ -26,4 +26,7 @@
 FRAMING_TOO_LARGE = _bad_request(
     b'{"error": "chunk extensions and trailers are too large", "remedy": "send fewer of them"}'
 )
+BODY_BEFORE_UPGRADE = _bad_request(
+    b'{"error": "a body with an Upgrade header", "remedy": "send the body without that header"}'
+)
 INVALID = _bad_request(b'{"error": "the request is not valid HTTP", "remedy": "send requests by RFC 9112"}')
