Refuse requests of HTTP versions that no listener speaks

A request line with HTTP/2.0 or HTTP/0.9 was served like one of HTTP/1.1, but without the check of its Host header.

Change: versions other than 1.0 and 1.1 are refused by 400, not run.

--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -17,6 +17,7 @@
 _HOST = b"host"
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
+_VERSIONS = ("1.0", "1.1")
 
 _PARSED_BYTES = 2_048
 """Bytes that are parsed at once; limits are checked between two such parts."""
@@ -232,8 +233,12 @@
         if size > self.limits.max_head_bytes:
             self.reject(http_refusals.HEAD_TOO_LARGE, "head")
             return
+        version = self.parser.get_http_version()
+        if version not in _VERSIONS:
+            self.reject(http_refusals.BAD_VERSION, "version")
+            return
         hosts = sum(name == _HOST for name, _ in self.headers)
-        if hosts != 1 and self.parser.get_http_version() == "1.1":
+        if hosts != 1 and version == "1.1":
             self.reject(http_refusals.bad_host(hosts), "host")
             return
         self.body_left = next((int(value) for name, value in self.headers if name == _CONTENT_LENGTH), 0)
--- a/cranberrylever/http_refusals.py
+++ b/cranberrylever/http_refusals.py
@@ -26,6 +26,9 @@
 FRAMING_TOO_LARGE = _bad_request(
     b'{"error": "chunk extensions and trailers are too large", "remedy": "send fewer of them"}'
 )
+BAD_VERSION = _bad_request(
+    b'{"error": "the version is not HTTP/1.0 or HTTP/1.1", "remedy": "send one of these"}'
+)
 BODY_BEFORE_UPGRADE = _bad_request(
     b'{"error": "a body with an Upgrade header", "remedy": "send the body without that header"}'
 )
--- a/tests/caller_http/test_caller_bytes.py
+++ b/tests/caller_http/test_caller_bytes.py
@@ -84,6 +84,10 @@
     # A body beside an upgrade, which the parser takes for the next request.
     [PARTS[1] + HOST + b"content-length: 4\r\n" + UPGRADE + b"\r\n" + b"GET "],
     [PARTS[1] + HOST + UPGRADE + b"transfer-encoding: chunked\r\n\r\n" + PARTS[0] + HOST + b"\r\n"],
+    # Versions that no listener serves.
+    [b"PRI * HTTP/2.0\r\n" + HOST + b"\r\nSM\r\n\r\n"],
+    [b"GET / HTTP/2.0\r\n" + HOST + b"\r\n"],
+    [b"GET / HTTP/0.9\r\n\r\n"],
     # Many requests, and a body in large chunks.
     [(PARTS[0] + HOST + b"\r\n") * 2_000],
     [PARTS[1] + HOST + b"transfer-encoding: chunked\r\n\r\n" + b"1000\r\n" + b"b" * 4_096 + b"\r\n" * 9],
@@ -190,6 +194,7 @@
     assert outcome.held < MAX_HELD_BYTES, outcome.held
     for scope, body in outcome.requests:
         names = [name for name, _ in scope["headers"]]
+        assert scope["http_version"] in ("1.0", "1.1"), scope
         assert names.count(b"host") == 1 or scope["http_version"] == "1.0", scope
         assert all(TOKEN.fullmatch(name) for name in names), names
         assert not any(set(value) & set(b"\0\r\n") for _, value in scope["headers"]), scope
