Take an answer with a status that does not exist for a failure of its target

In the entry of tickets a 600 that claims to be "not run" was believed, so a caller got 503, not run, for a request that may have run.

Change: http_status.py decides for all paths: 200 to 599, and 100 to 199 but 101 for interim answers. Another status, or a version other than HTTP/1.0 and 1.1, is an invalid answer: seen at the head, a failure of the target, sent again only where that is allowed, 502 otherwise. In the entry of tickets it is an unknown outcome, without a second send.

Ruled out: refusing 101 there by another rule; no request asks for a change of protocol.

The way from AnswerLostError to 502 is that of other lost answers; no new test plays it through a whole entry.

--- a/cranberrylever/entry/_client.py
+++ b/cranberrylever/entry/_client.py
@@ -12,6 +12,7 @@
 from cranberrylever.entry._exchange import Attempt, Exchange
 from cranberrylever.entry._tuning import EntryTuning
 from cranberrylever.errors import NotRunError, UnknownOutcomeError
+from cranberrylever.http_status import is_final
 
 FORWARD_MARGIN_MS = 20
 """Milliseconds by which the deadline of a request forwarded to another entry is shortened."""
@@ -129,6 +130,12 @@
             raise ConnectionLostError(
                 f"lost the connection to {attempt.address}: {error!r}", "check the outcome before a resend"
             ) from error
+        if not is_final(response.status):
+            response.close()
+            raise UnknownOutcomeError(
+                f"{attempt.address} answered with the status {response.status:03d}, which does not exist",
+                "check the outcome before a resend",
+            )
         if response.status >= 400 and response.headers.get(_headers.OUTCOME) == _headers.NOT_RUN:
             attempt.refused = True
             exchange.possible_runs -= 1
--- /dev/null
+++ b/cranberrylever/http_status.py
@@ -0,0 +1,16 @@
+"""Which numbers are statuses of answers, for everything that reads one."""
+
+_SWITCHING_PROTOCOLS = 101
+
+
+def is_interim(status: int) -> bool:
+    """Return whether another answer follows the one with this status."""
+    return 100 <= status < 200 and status != _SWITCHING_PROTOCOLS
+
+
+def is_final(status: int) -> bool:
+    """Return whether an answer with this status is the answer to a request.
+
+    No request asks for another protocol, so a switch to one is no answer.
+    """
+    return 200 <= status < 600
--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -8,6 +8,7 @@
 import httptools
 
 from cranberrylever.answer_memory import MIN_COUNTED_BYTES, AnswerMemory, AnswerPlace
+from cranberrylever.http_status import is_final, is_interim
 from cranberrylever.target_http._budget import BufferBudget, BufferingConnection
 
 MAX_ANSWER_BYTES = 16 * 1_048_576
@@ -28,9 +29,7 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time for which sent bytes may stay unacknowledged before the kernel closes the connection."""
 
-_FINAL_STATUS = 200
-"""Lowest status of an answer that is not an interim one."""
-
+_VERSIONS = ("1.0", "1.1")
 _STATUS_WITHOUT_BODY = frozenset({204, 304})
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: enabled, 0 s
@@ -237,11 +236,19 @@
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Record whether the connection may be used again."""
+        """Record whether the connection may be used again; give up an answer whose first line is invalid."""
         self._has_headers = True
+        status = self._parser.get_status_code()
+        if not (is_interim(status) or is_final(status)):
+            self.give_up_answer(f"the answer has the status {status:03d}, which does not exist")
+            return
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            self.give_up_answer(f"the answer has the HTTP version {version}")
+            return
         if not self._parser.should_keep_alive():
             self.is_closed = True
-        if self._method == b"HEAD" and self._parser.get_status_code() >= _FINAL_STATUS:
+        if self._method == b"HEAD" and is_final(status):
             # The parser does not know the request and waits for the body that the length names. The
             # connection ends with this answer.
             self.is_closed = True
@@ -249,7 +256,7 @@
         elif (
             self.memory is not None
             and MIN_COUNTED_BYTES <= self._length <= MAX_ANSWER_BYTES
-            and self._parser.get_status_code() not in _STATUS_WITHOUT_BODY
+            and status not in _STATUS_WITHOUT_BODY
         ):
             self._place = self.memory.reserve(self._length, self.transport.resume_reading)
             if not self._place.is_reserved:
@@ -269,6 +276,8 @@
 
     def on_message_complete(self) -> None:
         """Deliver an answer to the pending request, unless it answers another one."""
+        if self._has_failed:
+            return
         status = self._parser.get_status_code()
         if self._place is not None and not self._place.is_reserved:
             self.memory.admit_complete(self._place)
@@ -276,7 +285,7 @@
         answer = TargetAnswer(status, self._headers, b"".join(self._body), self._place)
         self._place = None
         self._reset_message()
-        if status < _FINAL_STATUS or self._is_for_other_request(answer):
+        if is_interim(status) or self._is_for_other_request(answer):
             self._skip_answer()
             return
         self.keep_alive_s = _parse_keep_alive(answer.header(b"keep-alive"))
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -47,6 +47,20 @@
 
         run_entry(scenario, targets=2, version=5, owner=1, fence=7)
 
+    def test_status_that_does_not_exist_is_an_unknown_outcome(self):
+        """Guards against a status 600 that reaches a caller, or that counts as not run."""
+
+        async def refuse_strangely(request, writer):
+            return answer(b"no", 600, **{"Cranberrylever_Outcome": "not-run"})
+
+        async def scenario(cluster, entry):
+            cluster.targets[0].handler = refuse_strangely
+            status, headers, _ = await cluster.call("/ledger/build-1", "POST", data=b"abc")
+            self.assertEqual((502, "unknown"), (status, headers[OUTCOME_HEADER]))
+            self.assertEqual(1, len(cluster.targets[0].requests))
+
+        run_entry(scenario, targets=1)
+
     def test_pooled_request_reaches_a_target(self):
         """Guards against pooled requests that reach no target or carry a fence."""
 
--- a/tests/target_http/test_connection.py
+++ b/tests/target_http/test_connection.py
@@ -276,3 +276,73 @@
             return False
 
         assert asyncio.run(main())
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-id: 1\r\n"
+LENGTH = b"content-length: 2\r\n"
+OPEN_S = 0.5
+
+NONSENSE = {
+    "no version": b"200 OK\r\nx-id: 1\r\n" + LENGTH + b"\r\nok",
+    "version 2.0": b"HTTP/2.0 200 OK\r\nx-id: 1\r\n" + LENGTH + b"\r\nok",
+    "version 0.9": b"HTTP/0.9 200 OK\r\nx-id: 1\r\n" + LENGTH + b"\r\nok",
+    "two first lines": b"HTTP/1.1 200 OK\r\n" + HEAD + LENGTH + b"\r\nok",
+    "two lengths": HEAD + LENGTH + b"content-length: 3\r\n\r\nok",
+    "negative length": HEAD + b"content-length: -2\r\n\r\nok",
+    "length with a sign": HEAD + b"content-length: +2\r\n\r\nok",
+    "length and chunks": HEAD + LENGTH + b"transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "chunks and length": HEAD + b"transfer-encoding: chunked\r\n" + LENGTH + b"\r\n2\r\nok\r\n0\r\n\r\n",
+    "NUL": HEAD + b"name: a\0b\r\n" + LENGTH + b"\r\nok",
+    "folded line": HEAD + b"name: a\r\n b\r\n" + LENGTH + b"\r\nok",
+    "bare CR": HEAD + b"name: a\rb\r\n" + LENGTH + b"\r\nok",
+    "bare LF": HEAD.replace(b"\r", b"") + LENGTH + b"\r\nok",
+    "space before a colon": HEAD + b"content-length : 2\r\n\r\nok",
+}
+
+
+def exchange_while_open(head):
+    """Return the body of an answer, or whether its failure is that of the answer itself.
+
+    The connection stays open after the answer.
+    """
+
+    async def step(writer):
+        writer.write(head)
+        await asyncio.sleep(OPEN_S)
+        return False
+
+    async def main():
+        async with ScriptedServer(step) as server:
+            pool = TargetPool(b"x-id")
+            try:
+                async with asyncio.timeout(2.0):
+                    return (await pool.exchange(server.address, b"GET", REQUEST, b"1")).body
+            except AnswerLostError as error:
+                return not error.is_disconnect
+            finally:
+                pool.close()
+
+    return asyncio.run(main())
+
+
+class NonsenseTest(testtools.TestCase):
+    """Each of these is a failure of the target at once: the request may have run, and there is no answer."""
+
+    def test_status_that_does_not_exist_is_a_failure_of_the_target(self):
+        """Guards against a caller that waits for the end of an interim answer, or gets a status 600."""
+        statuses = (b"000", b"099", b"600", b"777", b"0", b"20", b"1000", b"101")
+        for status in statuses:
+            head = b"HTTP/1.1 " + status + b" X\r\nx-id: 1\r\n" + LENGTH + b"\r\nok"
+            assert exchange_while_open(head) is True, status
+
+    def test_statuses_at_the_bounds_are_answers(self):
+        """Guards against an answer that is refused by mistake."""
+        for status in (b"200", b"599"):
+            head = b"HTTP/1.1 " + status + b" X\r\nx-id: 1\r\n" + LENGTH + b"\r\nok"
+            interim = b"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 199 X\r\n\r\n"
+            assert exchange_while_open(interim + head) == b"ok", status
+
+    def test_head_that_makes_no_sense_is_a_failure_of_the_target(self):
+        """Guards against an answer of which two programs read different bodies."""
+        for name, head in NONSENSE.items():
+            assert exchange_while_open(head) is True, name
