Keep connections for callers that send requests

Callers that opened connections and sent nothing, or a part of a head, took all of a listener's for 20 s each; an ordinary caller's new connection was closed at once. Where a process may have fewer than 4,000 descriptors, they also took those for control and targets.

Change: at the limit, the connection that has been open longest without any request makes room for a new one. A listener uses at most half of the descriptors of its process. The choice is in http_connections.py without I/O.

Ruled out: closing connections that are idle between requests, which callers may just use again; a limit for each address, as callers may come through one load balancer.

Evidence: the test of ConnectionsTest fails against the product of the commit before (no answer, all silent connections kept) and passes now. The cap by descriptors has no test of its own. At the limit, a new connection costs a pass over all of them.

--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
 import httptools
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from cranberrylever import http_refusals
 from cranberrylever.answer_memory import AnswerMemory
+from cranberrylever.http_connections import find_longest_without_request, limit_to_descriptors
 from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import ListenerLimits
 from cranberrylever.http_requests_ahead import ReadBudget, RequestsAhead
@@ -85,12 +87,15 @@
         super().connection_made(AnswerTransport(transport, self.loop, self.memory))
         self.flow = _ReadingControl(self.transport, self._on_wanted)
         self.ahead = RequestsAhead(self.limits, self.budget)
-        if len(self.connections) > self.limits.max_connections:
-            self.is_rejected = True
-            self._record_given_up("connections")
-            transport.close()
-            return
+        self.accepted_at = self.loop.time()
         self._start_arrival_timer()
+        if len(self.connections) > self.limits.max_connections:
+            surplus = find_longest_without_request(self.connections - {self}) or self
+            surplus._end_without_answer("connections")
+
+    def is_without_request(self) -> bool:
+        """Return whether this connection is open and no request has arrived on it."""
+        return self.cycle is None and not self.is_rejected and not self.transport.is_closing()
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the request that runs and release what the connection holds."""
@@ -242,7 +247,8 @@
             self.reject(http_refusals.bad_host(hosts), "host")
             return
         self.body_left = next((int(value) for name, value in self.headers if name == _CONTENT_LENGTH), 0)
-        if self.parser.should_upgrade() and (self.body_left or self._is_chunked()):
+        has_body = self.body_left or any(name == _TRANSFER_ENCODING for name, _ in self.headers)
+        if has_body and self.parser.should_upgrade():
             # The parser would take the body for the next request.
             self.reject(http_refusals.BODY_BEFORE_UPGRADE, "upgrade")
             return
@@ -251,9 +257,6 @@
         self.is_in_head = False
         self.framed_bytes = self.body_bytes = 0
 
-    def _is_chunked(self) -> bool:
-        return any(name == _TRANSFER_ENCODING for name, _ in self.headers)
-
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on to the application."""
         self.body_bytes += len(body)
@@ -325,13 +328,17 @@
 
     def _on_slow_arrival(self) -> None:
         """End a connection whose head does not arrive; one without an answer loses none by it."""
-        self.arrival_timer = None
         if self.cycle is None:
-            self._record_given_up("slow")
-            self.transport.end()
+            self._end_without_answer("slow")
         else:
             self.reject(b"", "slow")
 
+    def _end_without_answer(self, reason: str) -> None:
+        self.is_rejected = True
+        self._stop_arrival_timer()
+        self._record_given_up(reason)
+        self.transport.end()
+
     def _record_given_up(self, reason: str) -> None:
         if self.given_up is not None:
             self.given_up.record(reason, self.loop.time())
@@ -385,6 +392,7 @@
         memory: Limit on the memory of answers.
         given_up: Counts the connections that are given up, ``None`` for no counts.
     """
+    limits = attrs.evolve(limits, max_connections=limit_to_descriptors(limits.max_connections))
     budget = ReadBudget(limits.read_memory)
     members = {"limits": limits, "memory": memory, "budget": budget, "given_up": given_up}
     return type("LimitedProtocol", (StrictHttpProtocol,), members)
--- a/tests/caller_http/test_http_protocol.py
+++ b/tests/caller_http/test_http_protocol.py
@@ -144,3 +144,31 @@
             return bytes_sent
 
         assert asyncio.run(main()) < 100
+
+
+class ConnectionsTest(testtools.TestCase):
+    def test_connections_without_a_request_make_room_for_an_ordinary_caller(self):
+        """Guards against callers that take all connections and send nothing, or a part of a head."""
+
+        async def main():
+            tuning = attrs.evolve(RouteEntryTuning(), max_connections=4)
+            server = CallerServer(RecordingApp(), "127.0.0.1:0", tuning)
+            await server.start()
+            host, _, port = server.bound_address.rpartition(":")
+            silent = [await asyncio.open_connection(host, int(port)) for _ in range(20)]
+            for _, writer in silent:
+                writer.write(b"GET / HTTP/1.1\r\n")
+            await asyncio.sleep(0.1)
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(GOOD)
+            async with asyncio.timeout(3.0):
+                answer = await reader.read(12)
+            kept = sum(not (reader.at_eof() or reader.exception()) for reader, _ in silent)
+            for _, silent_writer in [*silent, (reader, writer)]:
+                silent_writer.close()
+            server.stop_accepting()
+            await server.wait_finished(asyncio.get_running_loop().time() + 1.0)
+            await server.close()
+            return answer, kept
+
+        assert asyncio.run(main()) == (b"HTTP/1.1 200", 3)
