--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -13,6 +13,8 @@
 from cranberrylever.body_memory import BodyMemory
 from cranberrylever.caller_http import CallerServer, finish_requests
 from cranberrylever.customers import RevocationGuard
+from cranberrylever.http_given_up import GivenUpConnections
+from cranberrylever.http_limits import create_limits
 from cranberrylever.http_server import HttpServer
 from cranberrylever.http_unsent import CutOffAnswers
 from cranberrylever.logs import Log, install_log
@@ -46,8 +48,8 @@
 class RouteEntryTuning:
     """Limits of the listener for callers: counts, bytes and seconds.
 
-    An idle connection is closed after ``keep_alive``, and one whose headers are incomplete when no bytes of
-    them arrive for ``header_timeout``.
+    An idle connection is closed after ``keep_alive``, and one whose headers are incomplete after
+    ``header_timeout`` from their first byte.
     """
 
     max_connections: int = 2_000
@@ -122,12 +124,22 @@
             revocation,
             self.quota,
         )
+        self.limits = create_limits(settings.listener)
+        self.given_up = GivenUpConnections(self.log, self.metrics)
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
             self.servers.append(self._create_server(PeerRequestApp(self.app), settings.peer_listen))
-        self.ready = HttpServer(self._ready_app(), settings.ready_listen, CHECK_FINISH_TIMEOUT_S)
+        self.ready = HttpServer(
+            self._ready_app(), settings.ready_listen, CHECK_FINISH_TIMEOUT_S, self.limits, self.given_up
+        )
         self.metrics_server = (
-            HttpServer(self.metrics.app(), settings.metrics_listen, CHECK_FINISH_TIMEOUT_S)
+            HttpServer(
+                self.metrics.app(),
+                settings.metrics_listen,
+                CHECK_FINISH_TIMEOUT_S,
+                self.limits,
+                self.given_up,
+            )
             if settings.metrics_listen
             else None
         )
@@ -183,7 +195,9 @@
         self.log.info("settings_reloaded", contacts=contacts)
 
     def _create_server(self, app: object, listen: str) -> CallerServer:
-        return CallerServer(app, listen, self.tuning, self._read_request_id, self.memory)
+        return CallerServer(
+            app, listen, self.tuning, self._read_request_id, self.memory, self.limits, self.given_up
+        )
 
     def _read_request_id(self, scope: dict) -> str:
         return self.format.read_call(scope["headers"]).request_id.decode("latin-1")
--- a/cranberrylever/settings/__init__.py
+++ b/cranberrylever/settings/__init__.py
@@ -17,6 +17,7 @@
     MIN_ANSWER_MEMORY,
     MIN_BODY_MEMORY,
     LimitSettings,
+    ListenerSettings,
     RouteControlSettings,
     RouteEntrySettings,
 )
@@ -38,6 +39,7 @@
     "EntrySettings",
     "RouteEntrySettings",
     "LimitSettings",
+    "ListenerSettings",
     "LogSettings",
     "OperatorSettings",
     "PeerAddress",
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -24,6 +24,7 @@
 MIN_BODY_MEMORY = 1_048_576
 MAX_BODY_MEMORY = 1 << 40
 DEFAULT_BODY_MEMORY = 96 * 1_048_576
+MIN_READ_MEMORY = 1_048_576
 
 
 @attrs.frozen
@@ -50,6 +51,31 @@
     retry_window: float = setting("Length of the retry window in s.", number(1.0, MAX_TIME_S), 10.0)
 
 
+@attrs.frozen
+class ListenerSettings:
+    """Limits of each listener on what its callers send; times are in seconds."""
+
+    requests_ahead: int = setting(
+        "Requests that a caller may send ahead on one connection; those beyond wait unread until an earlier "
+        "one is answered.",
+        integer(1, 10_000),
+        64,
+    )
+    read_memory: int = setting(
+        "Bytes of requests that wait for their turn, over all connections of one listener. While half of "
+        "them are taken, nothing is read ahead; beyond them, the connection that holds most is closed after "
+        "the answer to its first request. What it had sent behind that has not run.",
+        integer(MIN_READ_MEMORY, MAX_ANSWER_MEMORY),
+        32 * 1_048_576,
+    )
+    dropped_body: int = setting(
+        "Bytes of a request's body that are read and dropped after its answer, so that the connection can be "
+        "used again; beyond them it is closed.",
+        integer(0, MAX_ANSWER_MEMORY),
+        64 * 1_048_576,
+    )
+
+
 @attrs.frozen
 class RouteEntrySettings:
     """Settings of an entry that serves routes; addresses are ``host:port``, times are in seconds."""
@@ -114,6 +140,7 @@
         number(0.0, MAX_TIME_S),
         0.0,
     )
+    listener: ListenerSettings = attrs.field(factory=ListenerSettings)
 
 
 @attrs.frozen
@@ -179,4 +206,11 @@
         number(0.0, MAX_TIME_S),
         5.0,
     )
+    max_body: int = setting(
+        "Bytes of the body of a request of an operator or a target, 413 beyond them. Bodies count towards "
+        "--listener-read-memory until they are answered; beyond that the largest is refused (503, not run).",
+        integer(65_536, MAX_ANSWER_MEMORY),
+        16 * 1_048_576,
+    )
     log: LogSettings = attrs.field(factory=LogSettings)
+    listener: ListenerSettings = attrs.field(factory=ListenerSettings)
