Take the fair shares of customers out

Cause: the room was estimated by what was served, which the decision itself lowers by refusing, so it ran away; and a shortage at one target counted for all.

Priorities of customers stay.

--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -9,7 +9,6 @@
 from cranberrylever.customers import CustomerQuota, QuotaExceededError, RevocationGuard, UnlimitedQuota
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
-from cranberrylever.quota import FairShares
 from cranberrylever.route_entry._answered import AnsweredError
 from cranberrylever.route_entry._body import BodyReader
 from cranberrylever.route_entry._dispatcher import Dispatcher
@@ -26,7 +25,6 @@
 )
 from cranberrylever.route_entry._request_log import RequestLog, RequestRecord, StopTimes
 from cranberrylever.route_entry._view import EntryView
-from cranberrylever.route_plan import Customer
 
 Receive = Callable[[], Awaitable[dict]]
 Send = Callable[[dict], Awaitable[None]]
@@ -78,7 +76,6 @@
         self.dispatcher = dispatcher
         self.view = view
         self.quota = quota or UnlimitedQuota()
-        self.fair_shares = FairShares()
         self.format = header_format
         self.log = log
         self.draining = False
@@ -215,27 +212,12 @@
             return await self.dispatcher.run(request)
         taken_at = await self.quota.acquire(customer, request.deadline - DEADLINE_MARGIN_S)
         try:
-            return await self._run_in_fair_share(request, customer)
+            return await self.dispatcher.run(request)
         finally:
             # The entry that a request was passed on to counts it.
             if request.is_passed_on or not request.may_have_run:
                 self.quota.give_back(customer, taken_at)
 
-    async def _run_in_fair_share(self, request: RoutedRequest, customer: Customer) -> AttemptResult:
-        """Run a request unless room is short and its customer has had its share."""
-        now = asyncio.get_running_loop().time()
-        delay = self.fair_shares.admission_delay(customer.name, request.priority, customer.rate, now)
-        if delay > 0:
-            raise RefusedError("targets are full, and the customer has had its share", delay)
-        try:
-            return await self.dispatcher.run(request)
-        finally:
-            now = asyncio.get_running_loop().time()
-            if request.found_no_room:
-                self.fair_shares.record_shortage(customer.name, now)
-            elif request.may_have_run:
-                self.fair_shares.record_served(now)
-
     @staticmethod
     def _timeout_error(request: RoutedRequest) -> AnsweredError:
         if request.may_have_run:
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -26,7 +26,7 @@
     timeout of the route. ``is_relayed`` reports that another entry has passed it on, ``is_passed_on`` that
     this one has before it may have run here. ``customer`` is the name of the customer that sends it and
     ``key_digest`` the digest of its API key; both are empty without one. ``customer_priority`` goes before
-    that of the route. ``found_no_room`` reports that it was refused because no target could take it in time.
+    that of the route.
     """
 
     request_id: bytes
@@ -53,7 +53,6 @@
     key_digest: str = attrs.field(default="", repr=False)
     is_passed_on: bool = False
     customer_priority: int | None = None
-    found_no_room: bool = False
 
     @property
     def priority(self) -> int:
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -83,7 +83,6 @@
                     target, decision = other_target, AdmissionDecision(Verdict.SEND)
                     request.estimate = self._estimate(request, target, now)
             if decision.verdict is Verdict.REFUSE:
-                request.found_no_room = True
                 raise_failure(request, f"{decision.reason} ({target.info.target_id})", decision.delay)
             if decision.verdict is Verdict.SEND and self.permits.try_acquire(target, now):
                 return target
