Refuse by a stated wait for tokens only while it is recent, and lose no tokens

A stated wait now counts for 0.25 s; then the entry asks again. - An answer that took longer than 0.3 s brought not even the tokens held ahead, which live 2 s. - The token of a caller that left while it waited lay unused beside the next request. - Requests that waited for a quota which a plan took away got 429; now they go on. A report of an impossible process (-1, or an uptime that is no number) is dropped: it could free at a new leader what its predecessor may have granted.

The test of a slow link is still red and listed: tokens for waiting requests end 0.3 s after their report.

--- a/cranberrylever/quota/_client.py
+++ b/cranberrylever/quota/_client.py
@@ -9,7 +9,7 @@
 from cranberrylever.metrics import Metrics
 from cranberrylever.quota._stock import TokenStock
 from cranberrylever.route_plan import Customer
-from cranberrylever.wire import TOKEN_LIFETIME_S, QuotaGrant, QuotaReport
+from cranberrylever.wire import AHEAD_TOKEN_LIFETIME_S, QuotaGrant, QuotaReport
 
 MAX_WAIT_S = 1.0
 """Longest time that a request waits for a token: another leader may have to be found."""
@@ -62,8 +62,10 @@
             return
         self.customers = customers
         self.limited = {customer.name for customer in customers if customer.rate is not None}
-        for stock in self.stocks.values():
+        for name, stock in self.stocks.items():
             stock.next_grant_at = stock.ask_again_at = 0.0
+            if name not in self.limited:
+                self._release(name, stock)
 
     async def acquire(self, customer: Customer, deadline: float) -> float:
         """Take a token, wait for one if there is none.
@@ -82,7 +84,7 @@
         if not stock.waiting and stock.try_take(now):
             return now
         wait_until = now + min(MAX_WAIT_S, MAX_WAIT_SHARE * (deadline - now))
-        if stock.next_grant_at > min(wait_until, now + MAX_QUEUE_S):
+        if stock.is_statement_recent(now) and stock.next_grant_at > min(wait_until, now + MAX_QUEUE_S):
             raise self._refusal(stock, now)
         return await self._wait(customer.name, stock, wait_until)
 
@@ -112,7 +114,9 @@
         )
         self.stocks = {name: stock for name, stock in self.stocks.items() if not stock.is_idle()}
         self.sent_at = {
-            number: sent_at for number, sent_at in self.sent_at.items() if now - sent_at < TOKEN_LIFETIME_S
+            number: sent_at
+            for number, sent_at in self.sent_at.items()
+            if now - sent_at < AHEAD_TOKEN_LIFETIME_S
         }
         self.sent_at[sequence] = now
         self.metrics.count("quota_tokens_asked", sum(need.waiting for need in report.needs))
@@ -152,8 +156,8 @@
                 return waiter.result()
             raise self._refusal(stock, _now()) from None
         except asyncio.CancelledError:
-            if _has_token(waiter):
-                stock.give_back(waiter.result(), _now())
+            if _has_token(waiter) and stock.give_back(waiter.result(), _now()):
+                self._serve(name, stock, _now())
             raise
         finally:
             if waiter in waiters:
@@ -179,6 +183,13 @@
             else:
                 waiter.set_result(now)
 
+    def _release(self, name: str, stock: TokenStock) -> None:
+        """Let the requests go on that wait for a quota which the customer no longer has."""
+        for waiter in self.waiters.pop(name, ()):
+            stock.waiting -= 1
+            if not waiter.done():
+                waiter.set_result(_now())
+
     def _refuse_newest(self, name: str, stock: TokenStock, kept: int, now: float) -> None:
         """Refuse the requests that wait but the ``kept`` oldest, as their tokens are too far away."""
         waiters = self.waiters.get(name, deque())
--- a/cranberrylever/quota/_stock.py
+++ b/cranberrylever/quota/_stock.py
@@ -19,6 +19,9 @@
 RENEWAL_S = 1.0
 """Remaining lifetime from which unused tokens are returned, so that they do not expire on the way."""
 
+STATEMENT_S = 0.25
+"""Time for which a wait that the leader stated counts; entries refuse most of a long queue meanwhile."""
+
 MAX_ASK_DELAY_S = 1.0
 """Longest time until the leader is asked again, as another one may lead by then."""
 
@@ -45,12 +48,13 @@
 
     ``free`` are the times at which the unused tokens expire, in order, and ``waiting`` is the number of
     requests that wait for one; ``recent`` are the times at which requests took one. No token for
-    another request is expected before ``next_grant_at``.
+    another request is expected before ``next_grant_at``, as the leader stated at ``stated_at``.
     """
 
     free: list[float] = attrs.field(factory=list)
     waiting: int = 0
     next_grant_at: float = 0.0
+    stated_at: float = -math.inf
     ask_again_at: float = 0.0
     demand: float = 0.0
     demand_at: float = 0.0
@@ -88,7 +92,12 @@
     def may_ask(self, now: float) -> bool:
         """Return whether requests wait without a pending report, and the leader may have tokens for them."""
         self._drop_unanswered(now)
-        return now >= self.ask_again_at and self._unasked() > 0
+        may_have_tokens = now >= self.ask_again_at or not self.is_statement_recent(now)
+        return may_have_tokens and self._unasked() > 0
+
+    def is_statement_recent(self, now: float) -> bool:
+        """Return whether the leader has stated shortly before when a token is expected."""
+        return now - self.stated_at < STATEMENT_S
 
     def build_need(
         self, customer: str, sequence: int, now: float, is_first: bool = False
@@ -117,6 +126,7 @@
         self._add_free([sent_at + AHEAD_TOKEN_LIFETIME_S] * grant.ahead)
         self.next_grant_at = now + max(grant.next_in, grant.queue)
         self.ask_again_at = now + min(grant.next_in, MAX_ASK_DELAY_S)
+        self.stated_at = now
 
     def is_idle(self) -> bool:
         """Return whether nothing is known that a new stock would not have."""
--- a/cranberrylever/route_control/_report_check.py
+++ b/cranberrylever/route_control/_report_check.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from cranberrylever.wire import FeedReport, PermitRequest, QuotaNeed
+from cranberrylever.wire import FeedReport, PermitRequest, QuotaNeed, QuotaReport
 
 MAX_SECONDS = 3_600.0
 """Longest work or elapsed time in one report."""
@@ -45,7 +45,7 @@
         loads=_keep(report.loads, lambda item: 0 <= item.total <= MAX_COUNT and 0 < item.count <= MAX_COUNT),
         rate_limits=_keep(report.rate_limits, lambda item: item.rate > 0 and _is_within(item.age, math.inf)),
         leaving=report.leaving[:MAX_ITEMS],
-        quota=report.quota and attrs.evolve(report.quota, needs=_keep(report.quota.needs, _is_quota_need)),
+        quota=_check_quota(report.quota),
     )
     return checked, _count_items(report) - _count_items(checked)
 
@@ -66,6 +66,13 @@
     )
 
 
+def _check_quota(report: QuotaReport | None) -> QuotaReport | None:
+    """Return the part about tokens without impossible items, ``None`` if it names no possible process."""
+    if report is None or report.process < 0 or not math.isfinite(report.uptime):
+        return None
+    return attrs.evolve(report, needs=_keep(report.needs, _is_quota_need))
+
+
 def _is_quota_need(need: QuotaNeed) -> bool:
     counts = (need.held, need.waiting, need.ahead, need.returned, need.recent)
     return all(0 <= count <= MAX_COUNT for count in counts)
--- a/tests/quota/test_account.py
+++ b/tests/quota/test_account.py
@@ -98,6 +98,14 @@
         assert checked.quota.needs == needs[2:]
         assert dropped == 2
 
+    def test_report_of_an_impossible_process_is_dropped(self):
+        """Guards against a report that frees what an earlier leader may have granted."""
+        for process, uptime in ((-1, 0.0), (1, float("nan")), (1, float("inf"))):
+            quota = QuotaReport(process, 5, (QuotaNeed("a", returned=40),), uptime)
+            checked, dropped = check_report(FeedReport("c", "e", 1, 0, 0, 0, quota=quota))
+            assert checked.quota is None
+            assert dropped == 1
+
     def test_no_bytes_without_quotas(self):
         """Guards against a part of each report in deployments whose customers have no quotas."""
 
