Keep no idle connection for good, and cut off no body that comes steadily

Five faults of the limits of listeners, found by an independent review; each has a test that failed before (tests/caller_http/test_listener_limits.py): - A connection whose body ended after its early answer had no timer any more and stayed for good; as many as the limit took the listener. - Requests before an invalid one were not counted: 106.7 MB waited beside a counted 0. - A rejected connection that was then given up for memory did not close after its answer, so its caller waited. - A body held back by the listener itself counted as slow and was dropped. - A body of an early answer was cut 20 s after its start, however steadily it came, so its caller lost the answer; the time now starts anew with each 64 KiB.

Not mended: two complete large bodies at control let small ones be refused (503, true).

--- a/cranberrylever/caller_http/_server.py
+++ b/cranberrylever/caller_http/_server.py
@@ -12,7 +12,7 @@
 from cranberrylever.errors import SettingError
 from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import ListenerLimits
-from cranberrylever.http_protocol import create_protocol_class
+from cranberrylever.http_listener import create_protocol_class
 from cranberrylever.http_server import format_address, server_config
 from cranberrylever.http_unsent import CutOffAnswers, find_unsent, method_and_path
 from cranberrylever.settings import split_address
--- a/cranberrylever/http_limits.py
+++ b/cranberrylever/http_limits.py
@@ -10,9 +10,10 @@
     """Limits of one listener: counts, bytes and times in seconds.
 
     Args:
-        max_connections: Connections above which further ones are closed at once.
+        max_connections: Connections above which one without a request is closed, or else the new one.
         max_head_bytes: Bytes of the head of a request, with empty lines before it.
-        arrival_time: Time from the first byte of a head to its last.
+        arrival_time: Time for the first byte of the first request, from the first byte of a head to its last,
+            and for each 64 KiB of a body that no application waits for.
         idle_time: Time after which a connection is closed that waits for its next request.
         max_requests_ahead: Requests of a connection that are read while an earlier one is answered.
         max_bytes_ahead: Bytes of them above which no more are read.
--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -3,14 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
-import attrs
 import httptools
-from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from cranberrylever import http_refusals
 from cranberrylever.answer_memory import AnswerMemory
-from cranberrylever.http_connections import find_longest_without_request, limit_to_descriptors
+from cranberrylever.http_connections import find_longest_without_request
+from cranberrylever.http_flow import ReadingControl
 from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import ListenerLimits
 from cranberrylever.http_requests_ahead import ReadBudget, RequestsAhead
@@ -24,32 +24,18 @@
 _PARSED_BYTES = 2_048
 """Bytes that are parsed at once; limits are checked between two such parts."""
 
+_PARSED_BODY_BYTES = 16_384
+"""The same within a body, where only the end of the part may hold further requests."""
+
+_PROGRESS_BYTES = 65_536
+"""Bytes of a body whose arrival restarts its limit in time."""
+
 _NOTHING = memoryview(b"")
 
 _MAX_FRAMING_RATIO = 8
 """Limit on the bytes between chunks per byte of the body; chunks of one byte have five."""
 
 
-class _ReadingControl(FlowControl):
-    """Write side of uvicorn's flow control; the protocol itself decides whether to read.
-
-    Args:
-        transport: Transport of the connection.
-        on_wanted: Called when an application or the end of an answer makes room for more.
-    """
-
-    def __init__(self, transport: asyncio.Transport, on_wanted: Callable[[], None]) -> None:
-        super().__init__(transport)
-        self.on_wanted = on_wanted
-
-    def pause_reading(self) -> None:
-        """Leave the decision to the protocol."""
-
-    def resume_reading(self) -> None:
-        """Tell the protocol that there may be room."""
-        self.on_wanted()
-
-
 class StrictHttpProtocol(HttpToolsProtocol):
     """Connection that answers a request without a Host header, or with two, by 400, and closes.
 
@@ -79,13 +65,15 @@
 
     arrival_timer: asyncio.TimerHandle | None = None
     answering: RequestResponseCycle | None = None
+    """The request that runs; ``cycle`` is the last one whose head has arrived."""
+
     answered_scope: dict | None = None
     """Scope of the last request whose answer is complete, though it may not have left the process yet."""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection."""
         super().connection_made(AnswerTransport(transport, self.loop, self.memory))
-        self.flow = _ReadingControl(self.transport, self._on_wanted)
+        self.flow = ReadingControl(self.transport, self._on_wanted)
         self.ahead = RequestsAhead(self.limits, self.budget)
         self.accepted_at = self.loop.time()
         self._start_arrival_timer()
@@ -143,15 +131,26 @@
         if self.unparsed:
             self._unset_keepalive_if_required()
         while self.unparsed and not self._must_wait() and not self.is_rejected:
-            part = self.unparsed[: max(_PARSED_BYTES, min(self.body_left, HIGH_WATER_LIMIT))]
-            self.unparsed = self.unparsed[self._parse(part) :]
+            self.unparsed = self.unparsed[self._parse(self.unparsed[: self._part_size()]) :]
         if self.is_rejected:
-            return
-        self._set_paused(bool(self.unparsed) or self._must_wait())
-        if self._is_arrival_limited():
-            self._start_arrival_timer()
+            self.unparsed = _NOTHING
+        else:
+            self._set_paused(bool(self.unparsed) or self._must_wait())
+            self._limit_arrival()
         self._count_waiting()
 
+    def _part_size(self) -> int:
+        if self.is_in_head:
+            return _PARSED_BYTES
+        return max(_PARSED_BODY_BYTES, min(self.body_left, HIGH_WATER_LIMIT))
+
+    def _limit_arrival(self) -> None:
+        """Limit the time for the rest of what is arriving, except while the listener itself does not read."""
+        if self.is_paused:
+            self._stop_arrival_timer()
+        elif self._is_arrival_limited():
+            self._start_arrival_timer()
+
     def _is_arrival_limited(self) -> bool:
         """Return whether what is arriving now has a limit in time that no application sets."""
         if self.is_in_head:
@@ -191,6 +190,8 @@
         """Drop the requests that wait for their turn, which have not run, and close after the answer."""
         self._drop_waiting()
         self.cycle = self.answering
+        if self.is_rejected and self.cycle is not None:
+            self.cycle.keep_alive = False
         self.reject(http_refusals.BUSY, "memory")
 
     def _drop_waiting(self) -> None:
@@ -259,6 +260,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on to the application."""
+        if self.body_bytes // _PROGRESS_BYTES < (self.body_bytes + len(body)) // _PROGRESS_BYTES:
+            self._stop_arrival_timer()
         self.body_bytes += len(body)
         self.body_left = max(0, self.body_left - len(body))
         if self.is_rejected:
@@ -286,6 +289,11 @@
         self.head_bytes = self.body_left = self.dropped_bytes = 0
         self._stop_arrival_timer()
         super().on_message_complete()
+        if self.cycle.response_complete and not self.transport.is_closing():
+            self._unset_keepalive_if_required()
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Callable) -> None:
         self.answering = cycle
@@ -296,10 +304,10 @@
         self.answered_scope = self.answering.scope
         self.ahead.remove_first()
         super().on_response_complete()
-        if not self.is_in_head and self._is_arrival_limited():
-            self._start_arrival_timer()
         if self.transport.is_closing():
             self._drop_waiting()
+        elif not self.is_in_head:
+            self._limit_arrival()
         if self.budget.sizes:
             self._count_waiting()
 
@@ -380,19 +388,3 @@
         """Tell the application that the rest of a request will not arrive."""
         cycle.disconnected = True
         cycle.message_event.set()
-
-
-def create_protocol_class(
-    limits: ListenerLimits, memory: AnswerMemory, given_up: GivenUpConnections | None = None
-) -> type[StrictHttpProtocol]:
-    """Return the class of the connections of one listener.
-
-    Args:
-        limits: Limits on what callers send.
-        memory: Limit on the memory of answers.
-        given_up: Counts the connections that are given up, ``None`` for no counts.
-    """
-    limits = attrs.evolve(limits, max_connections=limit_to_descriptors(limits.max_connections))
-    budget = ReadBudget(limits.read_memory)
-    members = {"limits": limits, "memory": memory, "budget": budget, "given_up": given_up}
-    return type("LimitedProtocol", (StrictHttpProtocol,), members)
--- a/tests/caller_http/test_caller_bytes.py
+++ b/tests/caller_http/test_caller_bytes.py
@@ -11,7 +11,7 @@
 
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.http_limits import ListenerLimits
-from cranberrylever.http_protocol import create_protocol_class
+from cranberrylever.http_listener import create_protocol_class
 from cranberrylever.http_server import server_config
 
 LIMITS = ListenerLimits(
