--- a/cranberrylever/route_entry/_estimates.py
+++ b/cranberrylever/route_entry/_estimates.py
@@ -29,9 +29,6 @@
 The average is multiplied by the number of entries, and so is its error, so more entries need more requests.
 """
 
-MIN_SERVICE_TIME_SHARE = 0.5
-"""Share of the expected service time that a request takes at least, for the least load since a report."""
-
 FAILURE_PENALTY_S = 0.15
 """Time added to the completion time for each recent failure."""
 
@@ -161,16 +158,6 @@
         evidence = EVIDENCE_REQUESTS_PER_ENTRY * self.entries
         return (evidence * other_load + self.recent_starts * own_estimate) / (evidence + self.recent_starts)
 
-    def least_load(self, service_time: float, now: float) -> float:
-        """Return the least number of requests at the target, if none has come since its last report.
-
-        Args:
-            service_time: Service time at an average target in seconds.
-            now: Loop time.
-        """
-        ended = (now - self.reported_at) * self.slots / (MIN_SERVICE_TIME_SHARE * service_time)
-        return self.outstanding + max(0.0, self.other_load - ended)
-
     def relative_service_time(self, now: float) -> float:
         """Return the service time at the target relative to an average target."""
         weight = math.exp(-(now - self.reported_at) / SLOWDOWN_DECAY_S)
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -33,9 +33,6 @@
 MAX_PERMIT_WAIT_S = 0.3
 """Longest time that a request waits for a permit."""
 
-MAX_OUTSTANDING_AT_EMPTIED = 1
-"""Own requests at a target that may have a free slot by now, up to which it gets one more."""
-
 PERMIT_CHECK_INTERVAL_S = 0.01
 """Shortest time between two checks of a waiting request for a permit."""
 
@@ -128,27 +125,7 @@
         )
         service_time = self.service_times.expected(request.route.name)
         candidates = list(found)
-        if not candidates:
-            return self._find_emptied_target(request, targets, service_time, now)
-        return self.chooser.choose(candidates, self.view.entries, service_time, now)
-
-    def _find_emptied_target(
-        self, request: RoutedRequest, targets: list[TargetState], service_time: float, now: float
-    ) -> TargetState | None:
-        """Return a target that may have a free slot by now, ``None`` without one.
-
-        All entries avoid a target that was full at its last report, so that no answer tells any of them that
-        its queue has gone. This entry then sends one request there before it refuses any.
-        """
-        emptied = [
-            target
-            for target in targets
-            if self.permits.delay(target, now) <= 0
-            and target.estimate.outstanding <= MAX_OUTSTANDING_AT_EMPTIED
-            and target.estimate.least_load(service_time, now) < target.estimate.slots
-            and service_time < request.remaining(now)
-        ]
-        return min(emptied, key=lambda target: target.estimate.least_load(service_time, now), default=None)
+        return self.chooser.choose(candidates, self.view.entries, service_time, now) if candidates else None
 
     def _can_serve(self, request: RoutedRequest, target: TargetState, now: float) -> bool:
         """Return whether a target has a free slot or admits the request, and answers it in time."""
--- a/tests/route_entry/test_decisions.py
+++ b/tests/route_entry/test_decisions.py
@@ -111,13 +111,6 @@
         assert naive > 100
         assert refused < 0.3 * naive, (refused, naive)
 
-    def test_target_that_was_full_may_have_a_free_slot_later(self):
-        """Guards against a target that all entries avoid after its queue has gone."""
-        estimate = TargetLoadEstimate(3, entries=13)
-        estimate.record_load(LoadSample(3, 9, 3, 1.0), 1.0)
-        assert estimate.least_load(0.1, 1.05) > 3
-        assert estimate.least_load(0.1, 1.3) == 0.0
-
     def test_work_of_long_ago_does_not_count(self):
         """Guards against a target that appears full because of one request long before."""
         estimate = TargetLoadEstimate(3, entries=71)
