Notice a caller that leaves while its body waits for memory

What callers saw: a caller that left while its body waited kept its place until its turn. Its bytes counted among those that may arrive of waiting bodies, so others were refused by 503 though there was room for them. The connection was read only once the body had its memory.

Change: a waiting body reads at most 64 KiB to notice a disconnect, keeps these parts for later, and then pauses. The parts count among the bytes that arrive of waiting bodies (MemoryPlace.received). A caller that has sent more and then leaves is still found gone only at its turn, since its connection is not read.

Ruled out: reading on without a limit (memory of waiting bodies without bound); one part only (a caller that sends small parts would not be watched after the first). With reads of 256 KiB, a body above 64 KiB may have up to 720,895 bytes here while it waits; what has been read is counted, the unread rest as before.

The test with a real listener bounds what was read as well as what is buffered.

--- a/cranberrylever/body_memory.py
+++ b/cranberrylever/body_memory.py
@@ -18,7 +18,7 @@
 from cranberrylever.memory_limit import MemoryLimit, MemoryPlace
 
 READ_AHEAD_BYTES = 327_680
-"""Bytes of a body that may arrive before its reading pauses: a buffer of 64 KiB and one read of 256 KiB."""
+"""Bytes of a body that arrive unread before its reading pauses: 64 KiB buffered and a read of 256 KiB."""
 
 LARGEST_BODY_FACTOR = 2
 """Size of the largest body that is taken, as a multiple of the limit; larger ones would end the process."""
@@ -104,7 +104,7 @@
 
     def _read_ahead(self) -> int:
         """Return the bytes that may have arrived of waiting bodies."""
-        return sum(min(place.size, READ_AHEAD_BYTES) for place in self.waiting)
+        return sum(min(place.size, place.received + READ_AHEAD_BYTES) for place in self.waiting)
 
     # Memory ------------------------------------------------------------------------------------------
 
--- a/cranberrylever/memory_limit.py
+++ b/cranberrylever/memory_limit.py
@@ -11,13 +11,15 @@
 class MemoryPlace:
     """Memory of one message; it is given back when the last reference is gone.
 
-    So it lasts exactly as long as the message, whoever drops it.
+    So it lasts exactly as long as the message, whoever drops it. ``received`` counts the bytes that were read
+    while it waited.
     """
 
     def __init__(self, memory: "MemoryLimit", size: int) -> None:
         self.memory = memory
         self.size = size
         self.is_reserved = False
+        self.received = 0
         self.start: Callable[[], None] | None = None
 
     def __del__(self) -> None:
--- a/cranberrylever/route_entry/_body.py
+++ b/cranberrylever/route_entry/_body.py
@@ -1,6 +1,7 @@
 """Reading of request bodies: within the memory for them, until a deadline, and until the entry stops."""
 
 import asyncio
+import collections
 import math
 from collections.abc import Awaitable, Callable
 
@@ -16,6 +17,13 @@
 FIRST_GROWTH_BYTES = 65_536
 """Memory that a body without a stated length takes first; it doubles when the body needs more."""
 
+WATCHED_BYTES = 65_536
+"""Bytes of a waiting body that are read to notice whether its caller leaves; its reading pauses then."""
+
+
+class CallerGoneError(Exception):
+    """The caller of a waiting body has disconnected."""
+
 
 class BodyRead:
     """The body of one request, and the memory that it holds until its request has ended.
@@ -41,6 +49,8 @@
         self.deadline = math.inf
         self.is_waiting = False
         self._timeout: asyncio.Timeout | None = None
+        self._receive: Receive | None = None
+        self._watched: collections.deque[dict] = collections.deque()
 
     async def run(self, receive: Receive, deadline: float, max_bytes: int) -> bytes | None:
         """Return the complete body, ``None`` when the caller disconnects.
@@ -55,9 +65,12 @@
         """
         started_at = _now()
         self.deadline = deadline
+        self._receive = receive
         try:
             async with asyncio.timeout_at(min(deadline, self.arrival.must_end_by)) as self._timeout:
-                return await self._read(receive, max_bytes)
+                return await self._read(max_bytes)
+        except CallerGoneError:
+            return None
         except TimeoutError:
             raise self._timeout_error() from None
         finally:
@@ -86,14 +99,14 @@
 
     # Reading -----------------------------------------------------------------------------------------
 
-    async def _read(self, receive: Receive, max_bytes: int) -> bytes | None:
+    async def _read(self, max_bytes: int) -> bytes | None:
         length = self.arrival.length
         if length is not None:
             _check_size(length, max_bytes)
             await self._hold(length)
         parts: list[bytes] = []
         while True:
-            message = await receive()
+            message = self._watched.popleft() if self._watched else await self._receive()
             if message["type"] == "http.disconnect":
                 return None
             parts.append(message["body"])
@@ -144,11 +157,28 @@
         started_at = _now()
         self.metrics.count("bodies_waited")
         self.is_waiting = True
+        watcher = asyncio.create_task(self._watch_caller(admitted))
         try:
             await admitted.wait()
         finally:
+            watcher.cancel()
             self.wait_time += _now() - started_at
         self.is_waiting = False
+        if self._is_caller_gone():
+            raise CallerGoneError
+
+    async def _watch_caller(self, admitted: asyncio.Event) -> None:
+        """End the wait when the caller disconnects; keep what it sends meanwhile, and stop at a limit."""
+        while self.place.received < WATCHED_BYTES:
+            message = await self._receive()
+            self._watched.append(message)
+            if self._is_caller_gone():
+                admitted.set()
+                return
+            self.place.received += len(message["body"])
+
+    def _is_caller_gone(self) -> bool:
+        return bool(self._watched) and self._watched[-1]["type"] == "http.disconnect"
 
     # Refusals ----------------------------------------------------------------------------------------
 
--- a/tests/route_entry/test_body.py
+++ b/tests/route_entry/test_body.py
@@ -9,7 +9,7 @@
 from cranberrylever.logs import Log
 from cranberrylever.metrics import NullMetrics
 from cranberrylever.route_entry._app import RouteEntryApp
-from cranberrylever.route_entry._body import BodyReader
+from cranberrylever.route_entry._body import WATCHED_BYTES, BodyReader
 from cranberrylever.route_entry._default_format import DefaultHeaderFormat
 from cranberrylever.route_entry._estimates import ServiceTimeEstimator
 from cranberrylever.route_entry._request import AttemptResult
@@ -271,6 +271,39 @@
             callers, _ = self.play_callers(1, BODY_BYTES, size=19 * BODY_BYTES // 10, is_chunked=is_chunked)
             self.assertEqual([200], [caller.status for caller in callers])
 
+    def play_wait(self, size, leaves_at=None, rate=LINK_BYTES_PER_S):
+        """Let a body wait behind four that fill the memory; return its caller and a later one."""
+
+        async def scenario(loop):
+            app = make_app(4_000_000, work=1.0)
+            holders = [asyncio.ensure_future(Caller(app, 1_000_000, 1e6).run()) for _ in range(4)]
+            await asyncio.sleep(0.1)
+            waiting = Caller(app, size, rate, leaves_at)
+            running = asyncio.ensure_future(waiting.run())
+            await asyncio.sleep(0.4)
+            is_running = not running.done()
+            sent = waiting.sent
+            later = await Caller(app, 200_000).run()
+            await asyncio.gather(running, *holders)
+            return waiting, later, is_running, sent, app
+
+        return play(scenario)
+
+    def test_caller_that_left_while_its_body_waits_refuses_nobody(self):
+        """Guards against callers who are refused because others have left."""
+        for leaves_at in (0, 2 * PART_BYTES):
+            waiting, later, is_running, _, app = self.play_wait(1_000_000, leaves_at)
+            self.assertEqual((False, None, 200), (is_running, waiting.status, later.status))
+            assert app.bodies.memory.held == 0
+
+    def test_body_that_waits_is_read_no_further_than_to_watch_its_caller(self):
+        """Guards against a waiting body that is read without memory, and against parts that are lost."""
+        for size, limit in ((30_000, 30_000), (300_000, WATCHED_BYTES + PART_BYTES)):
+            waiting, _, is_running, sent, app = self.play_wait(size, rate=1e6)
+            self.assertEqual((True, 200), (is_running, waiting.status))
+            assert 0 < sent <= limit, sent
+            assert size in [length for _, length, _ in app.dispatcher.requests]
+
     def test_small_bodies_do_not_count(self):
         """Guards against small requests that wait behind uploads."""
         callers, app = self.play_callers(50, BODY_BYTES, size=10_000)
--- a/tests/route_entry/test_body_listener.py
+++ b/tests/route_entry/test_body_listener.py
@@ -7,6 +7,7 @@
 
 from cranberrylever.body_memory import READ_AHEAD_BYTES
 from cranberrylever.caller_http import CallerServer
+from cranberrylever.route_entry._body import WATCHED_BYTES
 from cranberrylever.route_entry._program import RouteEntryTuning
 from tests.route_entry.test_body import make_app
 
@@ -69,14 +70,16 @@
             await until(lambda: app.bodies.memory.waiting)
             await asyncio.sleep(0.2)
             arrived = max(len(connection.cycle.body) for connection in server.state.connections)
+            read = app.bodies.memory.waiting[0].received
             for _, holder in holders:
                 holder.close()
             status = await read_status(reader)
             writer.close()
-            return arrived, status
+            return arrived, read, status
 
-        arrived, status = self.run_callers(scenario)
+        arrived, read, status = self.run_callers(scenario)
         assert 0 < arrived <= READ_AHEAD_BYTES, arrived
+        assert read < WATCHED_BYTES + READ_AHEAD_BYTES, read
         self.assertEqual(200, status)
 
     def test_caller_that_leaves_while_its_body_waits_or_comes_holds_nothing(self):
