Refuse a body that waits for memory while its caller can still go elsewhere

What callers saw: a body whose memory did not come in time got its 503 only at its deadline, too late to be sent to another entry. The wait that is expected at the arrival may be far too short, as when a body holds its memory for much longer than the mean.

Change: the wait ends at the deadline minus the mean time for which bodies hold their memory, the same time by which a body is refused at its arrival.

Ruled out: a fixed share of the time that is left, which knows nothing of how long the rest takes. A body that has begun and waits for more memory keeps its full time, since it would have to be sent again from the start.

--- a/cranberrylever/route_entry/_body.py
+++ b/cranberrylever/route_entry/_body.py
@@ -143,7 +143,7 @@
         admitted = asyncio.Event()
         self.place = self.memory.reserve(size, admitted.set)
         if not self.place.is_reserved:
-            await self._wait(admitted)
+            await self._wait_in_time(admitted)
         self.reserved_at = self.arrival.began_at = _now()
         self.metrics.gauge("body_bytes", self.memory.held)
 
@@ -153,6 +153,14 @@
             await self._wait(admitted)
         self.metrics.gauge("body_bytes", self.memory.held)
 
+    async def _wait_in_time(self, admitted: asyncio.Event) -> None:
+        """Wait for memory until the body and its answer are no longer expected before the deadline."""
+        try:
+            async with asyncio.timeout_at(self.deadline - self.memory.holding_time):
+                await self._wait(admitted)
+        except TimeoutError:
+            raise self._late_error() from None
+
     async def _wait(self, admitted: asyncio.Event) -> None:
         started_at = _now()
         self.metrics.count("bodies_waited")
@@ -184,11 +192,14 @@
 
     def _timeout_error(self) -> AnsweredError:
         if self.is_waiting:
-            return self._full_error(max(MIN_RETRY_AFTER_S, self.memory.expected_wait(self.place.size)))
+            return self._late_error()
         if _now() < self.deadline:
             return self._stop_error()
         return AnsweredError(408, "refused", "the body did not arrive in time", 0.0)
 
+    def _late_error(self) -> AnsweredError:
+        return self._full_error(max(MIN_RETRY_AFTER_S, self.memory.expected_wait(self.place.size)))
+
     def _full_error(self, retry_after: float) -> AnsweredError:
         self.metrics.count("bodies_refused")
         return AnsweredError(503, "refused", self.memory.refusal(), retry_after)
--- a/tests/route_entry/test_body.py
+++ b/tests/route_entry/test_body.py
@@ -304,6 +304,23 @@
             assert 0 < sent <= limit, sent
             assert size in [length for _, length, _ in app.dispatcher.requests]
 
+    def test_body_that_gets_no_memory_in_time_is_refused_before_its_deadline(self):
+        """Guards against a caller that has no time left to send its body elsewhere."""
+
+        async def scenario(loop):
+            app = make_app(1_000_000, work=20.0)
+            holder = asyncio.ensure_future(Caller(app, 1_000_000).run())
+            await asyncio.sleep(0.2)
+            holding_time = app.bodies.memory.holding_time
+            caller = await Caller(app, 100_000).run()
+            holder.cancel()
+            return caller, holding_time
+
+        caller, holding_time = play(scenario)
+        self.assertEqual(503, caller.status)
+        assert caller.ended_at - 0.2 <= TIMEOUT_S - holding_time + 0.001, caller.ended_at
+        assert float(caller.headers[b"retry-after"]) > 0
+
     def test_small_bodies_do_not_count(self):
         """Guards against small requests that wait behind uploads."""
         callers, app = self.play_callers(50, BODY_BYTES, size=10_000)
