Refuse a waiting body at once when a planned stop has no time for it

What callers saw: at a planned stop a body that waited for memory went on waiting, though neither it nor its answer could be expected before the stop, and got its 503 only then, with a Retry-After for an entry that ends.

Change: when the stop is announced, a waiting body ends at once if its expected wait and the mean holding time exceed the time until the stop, with the stop's error. The expected wait of a place counts only what is ahead of it in the queue; the Retry-After of a body that waited in vain uses it too, instead of counting the body twice. A timeout before the deadline is always the stop's.

Ruled out: ending all waiting bodies at a stop, which refuses those for which there is time (second test).

--- a/cranberrylever/body_memory.py
+++ b/cranberrylever/body_memory.py
@@ -9,6 +9,7 @@
 read meanwhile, which slows its caller down. It is refused at once if it cannot be taken in time.
 """
 
+import itertools
 import math
 from collections import deque
 from collections.abc import Callable
@@ -87,8 +88,17 @@
         """
         if self.has_room(size):
             return 0.0
-        queued = sum(place.size for place in self.waiting) + sum(growth.size for growth in self.growing)
-        return self.holding_time * max(0, self.held + queued + size - self.limit) / self.limit
+        return self._release_time(sum(place.size for place in self.waiting) + size)
+
+    def expected_wait_of(self, place: MemoryPlace) -> float:
+        """Return the seconds until a body that waits is expected to have its memory."""
+        ahead = itertools.takewhile(lambda other: other is not place, self.waiting)
+        return self._release_time(sum(other.size for other in ahead) + place.size)
+
+    def _release_time(self, queued: int) -> float:
+        """Return the seconds until the memory of bodies that have not begun is expected to be free."""
+        wanted = self.held + sum(growth.size for growth in self.growing) + queued
+        return self.holding_time * max(0, wanted - self.limit) / self.limit
 
     def refusal(self) -> str:
         """Return why a body is refused and what its caller can do."""
--- a/cranberrylever/route_entry/_body.py
+++ b/cranberrylever/route_entry/_body.py
@@ -83,8 +83,14 @@
         if self._timeout is None or self._timeout.expired():
             return
         now = _now()
-        is_too_slow = self.arrival.is_too_slow_for_stop(now)
-        self._timeout.reschedule(now if is_too_slow else min(self.deadline, self.arrival.must_end_by))
+        is_too_late = self._is_too_late_for_stop(now)
+        self._timeout.reschedule(now if is_too_late else min(self.deadline, self.arrival.must_end_by))
+
+    def _is_too_late_for_stop(self, now: float) -> bool:
+        if self.is_waiting and not self.place.is_reserved:
+            wait = self.memory.expected_wait_of(self.place)
+            return now + wait + self.memory.holding_time > self.arrival.stops_at
+        return self.arrival.is_too_slow_for_stop(now)
 
     def release(self) -> None:
         """Give the memory back once the request has ended."""
@@ -191,14 +197,14 @@
     # Refusals ----------------------------------------------------------------------------------------
 
     def _timeout_error(self) -> AnsweredError:
-        if self.is_waiting:
-            return self._late_error()
         if _now() < self.deadline:
             return self._stop_error()
+        if self.is_waiting:
+            return self._late_error()
         return AnsweredError(408, "refused", "the body did not arrive in time", 0.0)
 
     def _late_error(self) -> AnsweredError:
-        return self._full_error(max(MIN_RETRY_AFTER_S, self.memory.expected_wait(self.place.size)))
+        return self._full_error(max(MIN_RETRY_AFTER_S, self.memory.expected_wait_of(self.place)))
 
     def _full_error(self, retry_after: float) -> AnsweredError:
         self.metrics.count("bodies_refused")
--- a/tests/route_entry/test_body.py
+++ b/tests/route_entry/test_body.py
@@ -219,6 +219,31 @@
         self.assertEqual((503, b"close"), (caller.status, caller.headers[b"connection"]))
         assert caller.ended_at < 1.0, caller.ended_at
 
+    def play_stop_of_waiting(self, stops_in):
+        """Stop an entry while a body waits behind another one; return its caller."""
+
+        async def scenario(loop):
+            app = make_app(1_000_000, work=1.0)
+            holder = asyncio.ensure_future(Caller(app, 1_000_000, 1e6).run())
+            await asyncio.sleep(0.1)
+            caller = Caller(app, 120_000, 1e6)
+            loop.call_later(0.4, app.start_draining, 0.6, 0.5 + stops_in)
+            await caller.run()
+            await holder
+            return caller
+
+        return play(scenario)
+
+    def test_waiting_body_for_which_a_stop_has_no_time_is_refused_at_once(self):
+        """Guards against a caller that learns only at the stop that its body is not taken."""
+        caller = self.play_stop_of_waiting(1.05)
+        self.assertEqual((503, b"0.000"), (caller.status, caller.headers[b"retry-after"]))
+        assert caller.ended_at <= 0.51, caller.ended_at
+
+    def test_waiting_body_for_which_a_stop_has_the_time_is_served(self):
+        """Guards against a stop that refuses bodies that it could still serve."""
+        self.assertEqual(200, self.play_stop_of_waiting(6.0).status)
+
 
 class BodyMemoryUseTest(testtools.TestCase):
     """Callers of one entry whose memory for bodies is full."""
