Refuse a body above the limit at once when others have memory

What callers saw: a body of more than the limit, up to twice it, waited at the head of the queue until no other body held memory. All that came after it waited too, though there was memory for them.

Change: such a body is admitted at once or refused (503, not run); Retry-After is the mean holding time.

Ruled out: letting smaller ones pass for a bounded time, which needs a second order in the queue, and after that time still stops all others until the last admitted body has ended.

Evidence: the new test failed before (the body was not refused) and passes now; that of a large body at an idle instance still passes.

--- a/cranberrylever/body_memory.py
+++ b/cranberrylever/body_memory.py
@@ -74,6 +74,9 @@
             size: Bytes that it needs.
             remaining: Seconds until its deadline.
         """
+        if size > self.limit and not self.has_room(size):
+            # It would have to wait until there is no other, and hold up all that come after it.
+            return max(MIN_RETRY_AFTER_S, self.holding_time)
         wait = self.expected_wait(size)
         is_late = wait + self.holding_time > remaining
         is_crowded = self._read_ahead() + min(size, READ_AHEAD_BYTES) > WAITING_SHARE * self.limit
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -169,6 +169,15 @@
         self.assertEqual(["begun", "new"], order)
         memory.cancel(waiting)
 
+    def test_body_above_the_limit_holds_up_no_others(self):
+        """Guards against small bodies that wait behind a large one while there is memory for them."""
+        memory = BodyMemory(LIMIT)
+        self.assertIsNone(memory.refusal_delay(LIMIT + 1, DEADLINE_S))
+        held = memory.reserve(MAX_BYTES, lambda: None)
+        self.assertEqual(memory.holding_time, memory.refusal_delay(LIMIT + 1, DEADLINE_S))
+        assert memory.has_room(MIN_BYTES)
+        held.release()
+
     def test_body_that_leaves_the_queue_lets_the_next_one_in(self):
         """Guards against a queue that stands still behind a caller who has left."""
         memory = BodyMemory(100)
