Hold back only requests of routes with large bodies at targets

Change: a route has large_bodies (false by default, last field); the limit holds back only requests of such routes. Bodies of other routes still count at a target, since they take its memory, but are sent as before.

Ruled out: counting only the marked routes, by which a target could hold more than the limit states.

The tests of the limit mark their route and are otherwise unchanged.

--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -184,6 +184,8 @@
 
     def _has_room(self, request: RoutedRequest, target: TargetState) -> bool:
         """Return whether this entry may have the body of the request at the target beside others."""
+        if not request.route.large_bodies:
+            return True
         return self.bodies.has_room(target.info.incarnation, len(request.body), self.view.entries)
 
     async def _wait_for_room(self, request: RoutedRequest, state: DispatchState) -> None:
--- a/cranberrylever/route_plan/_plan.py
+++ b/cranberrylever/route_plan/_plan.py
@@ -18,7 +18,8 @@
     ``idempotent`` permits that a request runs more than once. ``timeout`` is the longest time that a caller
     waits, ``objective`` the time within which an answer has its full value. Priority 0 is the highest.
     ``attempts`` is the maximum number of targets that one request is sent to. A ``public`` route needs no
-    API key in a plan with customers.
+    API key in a plan with customers. With ``large_bodies`` a request waits while its target holds as many
+    bytes of bodies as it may.
     """
 
     name: str
@@ -31,6 +32,7 @@
     priority: int
     attempts: int
     public: bool = False
+    large_bodies: bool = False
 
 
 @attrs.frozen
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -127,7 +127,8 @@
     )
     target_body_memory: int = setting(
         "Bytes of request bodies of 16 KiB or more that one target may hold of all entries together, running "
-        "and queued; 0 for no limit. Each entry uses an equal share of it, or one request if that is less.",
+        "and queued; 0 for no limit. Each entry uses an equal share of it, or one request if that is less. "
+        "Only requests of routes with large_bodies in the plan are held back by it.",
         integer(0, MAX_BODY_MEMORY),
         0,
     )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -106,6 +106,13 @@
         plan = config_document.read_plan(json.dumps(document).encode())
         self.assertFalse(plan.routes[1].idempotent)
 
+    def test_only_uploads_are_marked_as_large(self):
+        """Guards against uploads that targets get without a limit, and other requests that are limited."""
+        document = configuration(1, "ledger", "desk")
+        document["routes"][1]["type"] = "upload"
+        plan = config_document.read_plan(json.dumps(document).encode())
+        self.assertEqual([False, True], [route.large_bodies for route in plan.routes])
+
 
 class SettingsFileTest(testtools.TestCase):
     def read(self, text):
--- a/tests/route_entry/test_target_bodies.py
+++ b/tests/route_entry/test_target_bodies.py
@@ -33,7 +33,7 @@
 SLOW_WORK_S = 2.0
 HEAD_BYTES = 10_000
 POOLED = attrs.evolve(SERVICE, keyed=False)
-UPLOADS = attrs.evolve(ROUTE, idempotent=False, timeout=9.0, objective=2.4)
+UPLOADS = attrs.evolve(ROUTE, idempotent=False, timeout=9.0, objective=2.4, large_bodies=True)
 
 
 class HoldingPool:
@@ -52,8 +52,8 @@
         return TargetAnswer(200, [(OUTCOME, b"done")])
 
 
-def upload(size, now):
-    return RoutedRequest(b"q", b"POST", b"/x", [], b"x" * size, UPLOADS, POOLED, None, now, now + 9.0)
+def upload(size, now, route=UPLOADS):
+    return RoutedRequest(b"q", b"POST", b"/x", [], b"x" * size, route, POOLED, None, now, now + 9.0)
 
 
 def make_dispatcher(pool, names, limit, entries=1):
@@ -68,13 +68,13 @@
 
 
 class TargetBodiesTest(testtools.TestCase):
-    def send(self, sizes, names=("a", "b"), work=0.5, limit=200_000):
+    def send(self, sizes, names=("a", "b"), work=0.5, limit=200_000, route=UPLOADS):
         """Send uploads at the same time; return the most bytes at each target, and the outcomes."""
 
         async def scenario():
             pool = HoldingPool(work)
             dispatcher = make_dispatcher(pool, names, limit)
-            requests = [upload(size, asyncio.get_running_loop().time()) for size in sizes]
+            requests = [upload(size, asyncio.get_running_loop().time(), route) for size in sizes]
             running = (dispatcher.run(request) for request in requests)
             results = await asyncio.gather(*running, return_exceptions=True)
             assert not dispatcher.bodies.held
@@ -100,6 +100,12 @@
         peak, results = self.send([250_000], limit=10_000)
         self.assertEqual(200, results[0].answer.status)
 
+    def test_requests_of_other_routes_are_not_held_back(self):
+        """Guards against a limit that refuses requests of routes for which none was asked."""
+        route = attrs.evolve(UPLOADS, large_bodies=False)
+        _, results = self.send([150_000] * 6, work=1.2, limit=10_000, route=route)
+        self.assertEqual([200] * 6, [getattr(result, "answer", result).status for result in results])
+
     def test_small_requests_are_sent_beside_uploads(self):
         """Guards against lookups that wait behind uploads."""
         _, results = self.send([150_000] * 2 + [1_000] * 4, names=("a", "b"), limit=160_000)
