Wake an upload that waits for a target when the view changes

What callers saw: a request that waited because its entry had its share of bytes at all targets woke only when one of these bodies had ended.

Change: the wait ends at a change of the view as well. wait_for_any waits for the next change of several signals without polling; it takes their events at once, so that no change falls between.

Ruled out: a short timeout in a loop (polling); one signal for both, which would wake all that wait for the view whenever a body ends.

--- a/cranberrylever/change_signal.py
+++ b/cranberrylever/change_signal.py
@@ -1,6 +1,7 @@
 """Signal that wakes all tasks which wait for the next change."""
 
 import asyncio
+from collections.abc import Iterable
 
 
 class ChangeSignal:
@@ -14,6 +15,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def next_change(self) -> asyncio.Event:
+        """Return the event that the next change sets."""
+        return self._changed
+
     async def wait(self, timeout: float) -> None:
         """Wait for the next change, at most ``timeout`` seconds."""
         try:
@@ -21,3 +26,14 @@
                 await self._changed.wait()
         except TimeoutError:
             return
+
+
+async def wait_for_any(signals: Iterable[ChangeSignal], timeout: float) -> None:
+    """Wait for the next change of any of the signals, at most ``timeout`` seconds."""
+    # The events are taken now, so that a change is not missed before the tasks run.
+    waiters = [asyncio.ensure_future(signal.next_change().wait()) for signal in signals]
+    try:
+        await asyncio.wait(waiters, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for waiter in waiters:
+            waiter.cancel()
--- a/cranberrylever/route_entry/_selection.py
+++ b/cranberrylever/route_entry/_selection.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+from cranberrylever.change_signal import wait_for_any
 from cranberrylever.route_entry._admission import (
     MIN_RETRY_AFTER_S,
     AdmissionDecision,
@@ -189,7 +190,7 @@
         return self.bodies.has_room(target.info.incarnation, len(request.body), self.view.entries)
 
     async def _wait_for_room(self, request: RoutedRequest, state: DispatchState) -> None:
-        """Wait until a request with a large body has ended; refuse this one if that takes too long."""
+        """Wait until a large body has ended or the view changes; refuse this request after too long."""
         now = _now()
         if state.room_deadline is None:
             state.room_deadline = now + min(MAX_ROOM_WAIT_S, MAX_WAIT_SHARE * request.remaining(now))
@@ -198,7 +199,7 @@
             reason = "this entry has as many bytes of request bodies at the service's targets as it may"
             retry_after = max(MIN_RETRY_AFTER_S, self.service_times.expected(request.route.name))
             raise_failure(request, reason, retry_after)
-        await self.bodies.released.wait(wait_time)
+        await wait_for_any((self.bodies.released, self.view.changed), wait_time)
 
     async def _wait_for_permit(
         self, request: RoutedRequest, target: TargetState, delay: float, state: DispatchState
--- a/tests/route_entry/test_target_bodies.py
+++ b/tests/route_entry/test_target_bodies.py
@@ -106,6 +106,27 @@
         _, results = self.send([150_000] * 6, work=1.2, limit=10_000, route=route)
         self.assertEqual([200] * 6, [getattr(result, "answer", result).status for result in results])
 
+    def test_upload_that_waits_goes_to_a_new_target_at_once(self):
+        """Guards against uploads that are refused though a target with room has joined."""
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            pool = HoldingPool(3.0)
+            dispatcher = make_dispatcher(pool, ("a",), 200_000)
+            first = asyncio.ensure_future(dispatcher.run(upload(150_000, loop.time())))
+            waiting = asyncio.ensure_future(dispatcher.run(upload(150_000, loop.time())))
+            await asyncio.sleep(0.3)
+            fleet = Section()
+            fleet.update(FleetView((target("a"), target("b")), 8), 2)
+            dispatcher.view.apply(reply(fleet), loop.time())
+            await waiting
+            await first
+            return loop.time(), sorted(pool.peak)
+
+        ended_at, targets = run_in_simulated_time(scenario)
+        self.assertEqual(["a:80", "b:80"], targets)
+        assert ended_at < 3.31, ended_at
+
     def test_small_requests_are_sent_beside_uploads(self):
         """Guards against lookups that wait behind uploads."""
         _, results = self.send([150_000] * 2 + [1_000] * 4, names=("a", "b"), limit=160_000)
