--- a/cranberrylever/body_memory.py
+++ b/cranberrylever/body_memory.py
@@ -5,8 +5,8 @@
 
 A body takes memory for its stated length before it is read, so a body that has begun can end. One without a
 stated length takes more as it comes, before bodies that have not begun. If all admitted bodies wait for more,
-the first of them gets it beyond the limit, since no other could give any back. A body that has to wait is not
-read meanwhile, which slows its caller down. It is refused at once if it cannot be taken in time.
+the first of them gets it beyond the limit, since no other could give any back. Little is read of
+a body that has to wait, which slows its caller down. It is refused at once if it cannot be taken in time.
 """
 
 import itertools
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -119,9 +119,10 @@
     )
     body_memory: int = setting(
         "Bytes of request bodies of 16 KiB or more that the entry holds at once, from a body's first byte to "
-        "the answer. Beyond them bodies wait, unread, or are refused (503, not run, with Retry-After). A "
-        "body takes up to twice its bytes while it is sent to a target. A larger one is taken only while "
-        "there is no other, and one of more than twice these bytes is refused (503, not run).",
+        "the answer. Beyond them bodies wait, of which little is read, or are refused (503, not run, with "
+        "Retry-After). A body takes twice its bytes while it is sent to a target, up to three times over a "
+        "slow link, and for a moment up to four times. One above the limit is taken only while there is no "
+        "other, one of more than twice the limit never; otherwise it is refused (503, not run).",
         integer(MIN_BODY_MEMORY, MAX_BODY_MEMORY),
         DEFAULT_BODY_MEMORY,
     )
