Test with a real listener that a waiting caller who leaves gives its place up

Cause: the test that was there closes all callers at once, and so passes also when a waiting body is not watched.

Change: the fifth of five callers leaves while the other four keep the memory; its place must be free.

Ruled out: replacing the older test, which guards the callers whose body comes.

Evidence: fails (timeout of 5 s) with the watch switched off, passes with it.

--- a/tests/route_entry/test_body_listener.py
+++ b/tests/route_entry/test_body_listener.py
@@ -96,6 +96,24 @@
 
         self.assertEqual((0, 0, []), self.run_callers(scenario))
 
+    def test_place_of_a_caller_that_leaves_is_free_while_others_hold_the_memory(self):
+        """Guards against a queue of callers who have left."""
+
+        async def scenario(app, server):
+            address = server.bound_address.split(":")
+            holders = [await begin(address) for _ in range(4)]
+            await until(lambda: app.bodies.memory.held == MEMORY_BYTES)
+            _, writer = await begin(address, 20_000)
+            await until(lambda: app.bodies.memory.waiting)
+            writer.close()
+            await until(lambda: not app.bodies.memory.waiting)
+            held = app.bodies.memory.held
+            for _, holder in holders:
+                holder.close()
+            return held
+
+        self.assertEqual(MEMORY_BYTES, self.run_callers(scenario))
+
     def test_refusal_before_the_body_leaves_the_connection_usable(self):
         """Guards against a body that is parsed as the next request, or a refusal that never arrives."""
 
