--- a/cranberrylever/body_memory.py
+++ b/cranberrylever/body_memory.py
@@ -5,10 +5,11 @@
 
 A body takes memory for its stated length before it is read, so a body that has begun can end. One without a
 stated length takes more as it comes, before bodies that have not begun. If all admitted bodies wait for more,
-the first of them gets it beyond the limit, since no other could give any back. A body that has to wait is not
-read meanwhile, which slows its caller down. It is refused at once if it cannot be taken in time.
+the first of them gets it beyond the limit, since no other could give any back. Little is read of
+a body that has to wait, which slows its caller down. It is refused at once if it cannot be taken in time.
 """
 
+import itertools
 import math
 from collections import deque
 from collections.abc import Callable
@@ -18,7 +19,7 @@
 from cranberrylever.memory_limit import MemoryLimit, MemoryPlace
 
 READ_AHEAD_BYTES = 327_680
-"""Bytes of a body that may arrive before its reading pauses: a buffer of 64 KiB and one read of 256 KiB."""
+"""Bytes of a body that arrive unread before its reading pauses: 64 KiB buffered and a read of 256 KiB."""
 
 LARGEST_BODY_FACTOR = 2
 """Size of the largest body that is taken, as a multiple of the limit; larger ones would end the process."""
@@ -73,6 +74,9 @@
             size: Bytes that it needs.
             remaining: Seconds until its deadline.
         """
+        if size > self.limit and not self.has_room(size):
+            # It would have to wait until there is no other, and hold up all that come after it.
+            return max(MIN_RETRY_AFTER_S, self.holding_time)
         wait = self.expected_wait(size)
         is_late = wait + self.holding_time > remaining
         is_crowded = self._read_ahead() + min(size, READ_AHEAD_BYTES) > WAITING_SHARE * self.limit
@@ -87,8 +91,17 @@
         """
         if self.has_room(size):
             return 0.0
-        queued = sum(place.size for place in self.waiting) + sum(growth.size for growth in self.growing)
-        return self.holding_time * max(0, self.held + queued + size - self.limit) / self.limit
+        return self._release_time(sum(place.size for place in self.waiting) + size)
+
+    def expected_wait_of(self, place: MemoryPlace) -> float:
+        """Return the seconds until a body that waits is expected to have its memory."""
+        ahead = itertools.takewhile(lambda other: other is not place, self.waiting)
+        return self._release_time(sum(other.size for other in ahead) + place.size)
+
+    def _release_time(self, queued: int) -> float:
+        """Return the seconds until the memory of bodies that have not begun is expected to be free."""
+        wanted = self.held + sum(growth.size for growth in self.growing) + queued
+        return self.holding_time * max(0, wanted - self.limit) / self.limit
 
     def refusal(self) -> str:
         """Return why a body is refused and what its caller can do."""
@@ -104,7 +117,7 @@
 
     def _read_ahead(self) -> int:
         """Return the bytes that may have arrived of waiting bodies."""
-        return sum(min(place.size, READ_AHEAD_BYTES) for place in self.waiting)
+        return sum(min(place.size, place.received + READ_AHEAD_BYTES) for place in self.waiting)
 
     # Memory ------------------------------------------------------------------------------------------
 
--- a/cranberrylever/http_server.py
+++ b/cranberrylever/http_server.py
@@ -11,7 +11,8 @@
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import ListenerLimits
-from cranberrylever.http_protocol import StrictHttpProtocol, create_protocol_class
+from cranberrylever.http_listener import create_protocol_class
+from cranberrylever.http_protocol import StrictHttpProtocol
 from cranberrylever.http_unsent import CutOffAnswers, find_unsent
 from cranberrylever.settings import split_address
 
--- a/tests/route_entry/test_body.py
+++ b/tests/route_entry/test_body.py
@@ -9,7 +9,7 @@
 from cranberrylever.logs import Log
 from cranberrylever.metrics import NullMetrics
 from cranberrylever.route_entry._app import RouteEntryApp
-from cranberrylever.route_entry._body import BodyReader
+from cranberrylever.route_entry._body import WATCHED_BYTES, BodyReader
 from cranberrylever.route_entry._default_format import DefaultHeaderFormat
 from cranberrylever.route_entry._estimates import ServiceTimeEstimator
 from cranberrylever.route_entry._request import AttemptResult
@@ -219,6 +219,31 @@
         self.assertEqual((503, b"close"), (caller.status, caller.headers[b"connection"]))
         assert caller.ended_at < 1.0, caller.ended_at
 
+    def play_stop_of_waiting(self, stops_in):
+        """Stop an entry while a body waits behind another one; return its caller."""
+
+        async def scenario(loop):
+            app = make_app(1_000_000, work=1.0)
+            holder = asyncio.ensure_future(Caller(app, 1_000_000, 1e6).run())
+            await asyncio.sleep(0.1)
+            caller = Caller(app, 120_000, 1e6)
+            loop.call_later(0.4, app.start_draining, 0.6, 0.5 + stops_in)
+            await caller.run()
+            await holder
+            return caller
+
+        return play(scenario)
+
+    def test_waiting_body_for_which_a_stop_has_no_time_is_refused_at_once(self):
+        """Guards against a caller that learns only at the stop that its body is not taken."""
+        caller = self.play_stop_of_waiting(1.05)
+        self.assertEqual((503, b"0.000"), (caller.status, caller.headers[b"retry-after"]))
+        assert caller.ended_at <= 0.51, caller.ended_at
+
+    def test_waiting_body_for_which_a_stop_has_the_time_is_served(self):
+        """Guards against a stop that refuses bodies that it could still serve."""
+        self.assertEqual(200, self.play_stop_of_waiting(6.0).status)
+
 
 class BodyMemoryUseTest(testtools.TestCase):
     """Callers of one entry whose memory for bodies is full."""
@@ -271,6 +296,56 @@
             callers, _ = self.play_callers(1, BODY_BYTES, size=19 * BODY_BYTES // 10, is_chunked=is_chunked)
             self.assertEqual([200], [caller.status for caller in callers])
 
+    def play_wait(self, size, leaves_at=None, rate=LINK_BYTES_PER_S):
+        """Let a body wait behind four that fill the memory; return its caller and a later one."""
+
+        async def scenario(loop):
+            app = make_app(4_000_000, work=1.0)
+            holders = [asyncio.ensure_future(Caller(app, 1_000_000, 1e6).run()) for _ in range(4)]
+            await asyncio.sleep(0.1)
+            waiting = Caller(app, size, rate, leaves_at)
+            running = asyncio.ensure_future(waiting.run())
+            await asyncio.sleep(0.4)
+            is_running = not running.done()
+            sent = waiting.sent
+            later = await Caller(app, 200_000).run()
+            await asyncio.gather(running, *holders)
+            return waiting, later, is_running, sent, app
+
+        return play(scenario)
+
+    def test_caller_that_left_while_its_body_waits_refuses_nobody(self):
+        """Guards against callers who are refused because others have left."""
+        for leaves_at in (0, 2 * PART_BYTES):
+            waiting, later, is_running, _, app = self.play_wait(1_000_000, leaves_at)
+            self.assertEqual((False, None, 200), (is_running, waiting.status, later.status))
+            assert app.bodies.memory.held == 0
+
+    def test_body_that_waits_is_read_no_further_than_to_watch_its_caller(self):
+        """Guards against a waiting body that is read without memory, and against parts that are lost."""
+        for size, limit in ((30_000, 30_000), (300_000, WATCHED_BYTES + PART_BYTES)):
+            waiting, _, is_running, sent, app = self.play_wait(size, rate=1e6)
+            self.assertEqual((True, 200), (is_running, waiting.status))
+            assert 0 < sent <= limit, sent
+            assert size in [length for _, length, _ in app.dispatcher.requests]
+
+    def test_body_that_gets_no_memory_in_time_is_refused_before_its_deadline(self):
+        """Guards against a caller that has no time left to send its body elsewhere."""
+
+        async def scenario(loop):
+            app = make_app(1_000_000, work=20.0)
+            holder = asyncio.ensure_future(Caller(app, 1_000_000).run())
+            await asyncio.sleep(0.2)
+            holding_time = app.bodies.memory.holding_time
+            caller = await Caller(app, 100_000).run()
+            holder.cancel()
+            return caller, holding_time
+
+        caller, holding_time = play(scenario)
+        self.assertEqual(503, caller.status)
+        assert caller.ended_at - 0.2 <= TIMEOUT_S - holding_time + 0.001, caller.ended_at
+        assert float(caller.headers[b"retry-after"]) > 0
+
     def test_small_bodies_do_not_count(self):
         """Guards against small requests that wait behind uploads."""
         callers, app = self.play_callers(50, BODY_BYTES, size=10_000)
