Accept a burst of a customer without a limit

A configuration with a rate of 0, which means no limit, and a burst was refused as invalid ("a burst stands without a rate"), though it is a proper one. The product's own plan format keeps the rule.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -68,6 +68,7 @@
         for fields, rest in (
             ({}, (None, None, 0.0)),
             ({"rate_per_s": 0}, (None, None, 0.0)),
+            ({"rate_per_s": 0, "burst": 4}, (None, None, 0.0)),
             ({"priority": 0, "rate_per_s": 2.5, "burst": 4}, (0, 2.5, 4.0)),
         ):
             plan = self.read(self.document(**fields))
