Check the API key again after a connection has been opened

Callers saw: a request whose key was taken away while the entry opened a connection to the target ran and was answered with 200.

Cause: the key was checked before TargetPool.exchange, which may open a connection first. The same in the relay, also between its attempts at several entries.

Change: TargetPool.exchange takes an optional callback before_send, called right before the bytes are written. An error of it means that nothing was sent: the new connection stays idle for other requests, and the attempt is not counted as one that may have run. The dispatcher and the relay pass the key check, for requests with a key digest and in plans with customers only; other requests pass None.

Ruled out: a check only after the exchange, because the target has run the request by then; a shorter time to connect, because the gap remains; the check in place of the one before, because a connection would be opened and the send recorded for a request that is refused anyway. Not covered: a request without a key in a plan without customers, while a plan with customers arrives.

The fake pools of three test modules and of the pool experiment take the parameter.

--- a/bench/experiments/pool.py
+++ b/bench/experiments/pool.py
@@ -8,6 +8,7 @@
 import collections
 import math
 import random
+from collections.abc import Callable
 
 import attrs
 import looptime
@@ -78,6 +79,7 @@
         request: bytes,
         request_id: bytes = b"",
         is_idempotent: bool = False,
+        before_send: Callable[[], None] | None = None,
     ) -> TargetAnswer:
         """Run a request at the target with an address."""
         await asyncio.sleep(NETWORK_DELAY_S)
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -143,7 +143,13 @@
 
     async def _pass_on(self, request: RoutedRequest) -> AttemptResult:
         self.key_check.require(request, self._now())
-        return await self.relay.run(request)
+        return await self.relay.run(request, self._check_before_send(request))
+
+    def _check_before_send(self, request: RoutedRequest) -> Callable[[], None] | None:
+        """Return the check of the request's key after a connection has been opened, ``None`` for none."""
+        if not request.key_digest and self.view.customers.is_empty:
+            return None
+        return lambda: self.key_check.require(request, self._now())
 
     # Sending -------------------------------------------------------------------------------------
 
@@ -175,9 +181,10 @@
                     request_bytes,
                     request.request_id,
                     request.route.idempotent,
+                    self._check_before_send(request),
                 )
             is_lost = False
-        except NotSentError:
+        except (NotSentError, RefusedError, OutcomeUnknownError):
             is_lost = False
             raise
         except asyncio.CancelledError:
--- a/cranberrylever/route_entry/_peer_relay.py
+++ b/cranberrylever/route_entry/_peer_relay.py
@@ -11,7 +11,7 @@
 import asyncio
 import collections
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.route_entry._format import HeaderFormat, parse_rate
@@ -85,9 +85,13 @@
             and (request.route.idempotent or not request.may_have_run)
         )
 
-    async def run(self, request: RoutedRequest) -> AttemptResult:
+    async def run(
+        self, request: RoutedRequest, before_send: Callable[[], None] | None = None
+    ) -> AttemptResult:
         """Send a request to another entry and return the target's answer.
 
+        ``before_send`` is called before each send; it raises one of the errors below if there may be none.
+
         Raises:
             RefusedError: The request has not run and will not run.
             OutcomeUnknownError: It may have run and there is no answer.
@@ -95,7 +99,7 @@
         request.is_passed_on = not request.may_have_run
         for address in self._candidates():
             try:
-                answer, is_genuine = await self._exchange(request, address)
+                answer, is_genuine = await self._exchange(request, address, before_send)
             except NotSentError as error:
                 self._drop(address)
                 request.reason = str(error)
@@ -126,7 +130,9 @@
             tried.add(address)
             yield address
 
-    async def _exchange(self, request: RoutedRequest, address: str) -> tuple[TargetAnswer, bool]:
+    async def _exchange(
+        self, request: RoutedRequest, address: str, before_send: Callable[[], None] | None
+    ) -> tuple[TargetAnswer, bool]:
         """Return the other entry's answer and whether it is a result of a target."""
         now = asyncio.get_running_loop().time()
         remaining = request.remaining(now) - ANSWER_MARGIN_S
@@ -135,11 +141,15 @@
         self.outstanding[address] += 1
         try:
             answer = await self.pool.exchange(
-                address, request.method, request_bytes, is_idempotent=request.route.idempotent
+                address,
+                request.method,
+                request_bytes,
+                is_idempotent=request.route.idempotent,
+                before_send=before_send,
             )
             is_genuine = self.format.read_answer(answer.status, answer.headers).is_genuine
             may_have_run = is_genuine or answer.status not in (*_REFUSED_STATUS_CODES, CANNOT_SERVE_STATUS)
-        except NotSentError:
+        except (NotSentError, RefusedError, OutcomeUnknownError):
             may_have_run = False
             raise
         finally:
--- a/cranberrylever/target_http/_pool.py
+++ b/cranberrylever/target_http/_pool.py
@@ -77,15 +77,25 @@
         request: bytes,
         request_id: bytes = b"",
         is_idempotent: bool = False,
+        before_send: Callable[[], None] | None = None,
     ) -> TargetAnswer:
         """Send a request to an address and return the answer.
 
+        ``before_send`` is called when a connection is open, right before the bytes are written. If it raises
+        an error, nothing is sent, the connection stays for other requests, and the error is passed on.
+
         Raises:
             NotSentError: There is no connection, or it closed before a byte was sent.
             AnswerLostError: The request may have arrived and there is no complete answer.
         """
         max_idle = IDEMPOTENT_MAX_IDLE_S if is_idempotent else self.max_idle
         connection = self._take_idle(address, max_idle, request_id) or await self._connect(address)
+        if before_send is not None:
+            try:
+                before_send()
+            except Exception:
+                self._store_idle(address, connection)
+                raise
         answer = await connection.exchange(method, request, request_id)
         self._store_idle(address, connection)
         return answer
--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -212,6 +212,56 @@
 
         self.run_system(scenario)
 
+    def test_key_removed_while_a_connection_opens_is_refused(self):
+        """Guards against a request that is sent by the view from before its connection was opened."""
+
+        async def scenario(system):
+            entry = system.route_entries[0]
+            self.remove_key_while_connecting(system, entry.app.dispatcher.pool)
+            assert (await self.call(system, "key-x")).status == 401
+            self.check_seen()
+            assert (await self.call(system, "key-y")).status == 200
+            self.check_seen("y")
+
+        self.run_system(scenario)
+
+    def test_key_removed_while_a_connection_to_another_entry_opens_is_refused(self):
+        """Guards against the same where an entry reaches no target; the other entry sees nothing."""
+
+        async def scenario(system):
+            first, second = system.route_entries
+            first.reachability.lost_at = asyncio.get_running_loop().time()
+
+            async def has_peers():
+                return bool(first.relay.addresses)
+
+            first.feed.request_report()
+            await system.until(has_peers)
+            log = second.app.request_log.log = RecordingLog()
+            self.remove_key_while_connecting(system, first.relay.pool)
+            assert (await self.call(system, "key-x")).status == 401
+            assert not [fields for name, fields in log.lines if name == "request"]
+            self.check_seen()
+
+        self.run_system(scenario, entry_count=2)
+
+    @staticmethod
+    def remove_key_while_connecting(system, pool):
+        """Make the next connection of a pool take until all entries know a plan without the key of x."""
+        connect = pool._connect
+
+        async def entries_know():
+            return all(len(entry.view.customers.by_digest) == 1 for entry in system.route_entries)
+
+        async def connect_late(address):
+            pool._connect = connect
+            assert await system.put(plan(5, {"x": [], "y": ["key-y"]}), 4) == 200
+            await system.until(entries_know)
+            return await connect(address)
+
+        pool.close()
+        pool._connect = connect_late
+
     def test_entry_without_control_refuses_keys_and_serves_public_routes(self):
         """Guards against a removed key that an entry out of touch accepts, and against a false 401 there."""
 
--- a/tests/route_entry/test_dispatcher.py
+++ b/tests/route_entry/test_dispatcher.py
@@ -31,7 +31,9 @@
         self.misdirected = misdirected
         self.sent = []
 
-    async def exchange(self, address, method, request_bytes, request_id=b"", is_idempotent=False):
+    async def exchange(
+        self, address, method, request_bytes, request_id=b"", is_idempotent=False, before_send=None
+    ):
         self.sent.append(address)
         if address == self.misdirected:
             return TargetAnswer(421, [(OUTCOME, NOT_RUN)])
--- a/tests/route_entry/test_peer_relay.py
+++ b/tests/route_entry/test_peer_relay.py
@@ -25,7 +25,7 @@
         self.outcomes = list(outcomes)
         self.sent = []
 
-    async def exchange(self, address, method, request_bytes, is_idempotent=False):
+    async def exchange(self, address, method, request_bytes, is_idempotent=False, before_send=None):
         self.sent.append((address, request_bytes))
         outcome = self.outcomes.pop(0)
         if outcome is None:
--- a/tests/route_entry/test_target_bodies.py
+++ b/tests/route_entry/test_target_bodies.py
@@ -44,7 +44,9 @@
         self.held = {}
         self.peak = {}
 
-    async def exchange(self, address, method, request_bytes, request_id=b"", is_idempotent=False):
+    async def exchange(
+        self, address, method, request_bytes, request_id=b"", is_idempotent=False, before_send=None
+    ):
         self.held[address] = self.held.get(address, 0) + len(request_bytes)
         self.peak[address] = max(self.peak.get(address, 0), self.held[address])
         await asyncio.sleep(self.work)
--- a/tests/target_http/test_connection.py
+++ b/tests/target_http/test_connection.py
@@ -127,6 +127,25 @@
         results, connections = exchange_with(sends(answer(b"1")), sends(answer(b"2")), ids=(b"1", b"2"))
         assert (results, connections) == ([b"ok", b"ok"], 1)
 
+    def test_connection_of_a_request_that_is_not_sent_after_all_stays(self):
+        """Guards against bytes that are sent although a check forbids it, and a lost connection."""
+
+        async def main():
+            async with ScriptedServer(sends(answer(b"2"))) as server:
+                pool = TargetPool(b"x-id")
+
+                def forbid():
+                    assert server.connections == 1
+                    raise PermissionError
+
+                with self.assertRaises(PermissionError):
+                    await pool.exchange(server.address, b"GET", REQUEST, b"1", before_send=forbid)
+                result = await pool.exchange(server.address, b"GET", REQUEST, b"2")
+                pool.close()
+                return result.body, server.connections
+
+        self.assertEqual((b"ok", 1), asyncio.run(main()))
+
     def test_second_answer_to_an_earlier_request_is_passed_over(self):
         """Guards against delivering the answer to another request."""
         late = answer(b"1", b"late")
