Take an answer that switches the protocol as invalid

Callers saw: nothing different, since the request was given up for its status 101 before. The event loop logged "Fatal error: protocol.data_received() call failed" with httptools.HttpParserUpgrade for each such answer.

Cause: for an answer with status 101 and the headers of a switch, the parser raises HttpParserUpgrade after the callbacks. That class is not an HttpParserError, so data_received did not catch it.

Change: data_received gives the answer up as invalid, like any other that is not valid HTTP.

Ruled out: catching Exception there, which would hide faults of the callbacks.

Evidence: the new test failed before with that message at the loop's exception handler. It also checks that the reason is an invalid answer and that the next request opens another connection.

--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -173,6 +173,10 @@
         self._received += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Not an HttpParserError; raised after the callbacks for an answer that switches the protocol.
+            self.give_up_answer("the answer switches to another protocol")
+            return
         except httptools.HttpParserError as error:
             self.give_up_answer(f"the answer is not valid HTTP: {error}")
             return
--- a/tests/target_http/test_connection.py
+++ b/tests/target_http/test_connection.py
@@ -223,6 +223,28 @@
         results, _ = exchange_with(sends(b"\x00\x01garbage\r\n\r\n"))
         assert results == [AnswerLostError]
 
+    def test_switch_to_another_protocol_is_no_answer(self):
+        """Guards against an error of the parser that reaches the event loop."""
+        head = b"HTTP/1.1 101 X\r\nx-id: 1\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n"
+
+        async def main():
+            errors = []
+            asyncio.get_running_loop().set_exception_handler(lambda loop, context: errors.append(context))
+            async with ScriptedServer(sends(head), sends(answer(b"2"))) as server:
+                pool = TargetPool(b"x-id")
+                error = None
+                try:
+                    async with asyncio.timeout(2.0):
+                        await pool.exchange(server.address, b"GET", REQUEST, b"1")
+                except AnswerLostError as lost:
+                    error = lost
+                result = await pool.exchange(server.address, b"GET", REQUEST, b"2")
+                pool.close()
+                await asyncio.sleep(0.05)
+                return errors, error.is_disconnect, result.body, server.connections
+
+        assert asyncio.run(main()) == ([], False, b"ok", 2)
+
     def test_connection_that_the_target_closed_is_not_used(self):
         """Guards against a request that is lost on a connection that was closed before."""
         results, connections = exchange_with(
