Count an answer with a status that does not exist as none at targets and commands

Callers saw: a target whose announcement was answered with the status 000 or 099 took it as acknowledged and announced the next one only 2 s later; a command reported "status 0" as a refusal of a ticket and asked no other member.

Cause: both compared the status with an upper bound only.

Change: both decide by http_status.is_final, like entries do, and by the bound. A command asks the next member, as after a status of 500 or above; a ticket that is sent twice gets the answer of the first submission.

Ruled out: leaving it to the HTTP client, which takes every number of three digits.

Evidence: both new tests failed before: 000 and 099 counted as acknowledgements, and a ticket answered with 000 ended with exit code 4. The fake control of the tests writes the status line itself, because the standard library's server writes numbers below 100 with fewer digits, which the client rejects anyway.

--- a/cranberrylever/_cli/_client.py
+++ b/cranberrylever/_cli/_client.py
@@ -8,12 +8,14 @@
 import msgspec
 
 from cranberrylever.errors import ControlRefusedError, ControlUnavailableError, UnauthorizedError
+from cranberrylever.http_status import is_final
 from cranberrylever.settings import OperatorSettings
 
 T = TypeVar("T")
 
 RETRY_DELAY_S = 0.2
 REQUEST_TIMEOUT_S = 5.0
+_SERVER_ERROR = 500
 _UNAVAILABLE_REMEDY = "check --control and that a majority of control members is running"
 _UNKNOWN_OUTCOME_REMEDY = (
     f"{_UNAVAILABLE_REMEDY}, then submit the same ticket again, because it may have been accepted"
@@ -31,8 +33,9 @@
 def call_control(settings: OperatorSettings, method: str, path: str, body: str | None = None) -> Any:
     """Send a request to the control members in turn until one of them answers it.
 
-    A request without a response, or with a status of 500 or above, is retried at the next member. Retrying a
-    ticket is safe, because a ticket with the same number and content gets the answer of the first submission.
+    A request without a response, or with a status of 500 or above or one that does not exist, is retried at
+    the next member. Retrying a ticket is safe, because a ticket with the same number and content gets the
+    answer of the first submission.
 
     Args:
         settings: Addresses, token and timeout.
@@ -76,7 +79,7 @@
                     except (aiohttp.ClientError, TimeoutError, ValueError) as error:
                         last_error = f"{address}: {_describe_error(error)}"
                         continue
-                    if response.status < 500:
+                    if is_final(response.status) and response.status < _SERVER_ERROR:
                         return _response_content(response, address)
                     last_error = f"{address}: {_error_text(response)}"
                 await asyncio.sleep(RETRY_DELAY_S)
--- a/cranberrylever/target/_announcer.py
+++ b/cranberrylever/target/_announcer.py
@@ -8,11 +8,13 @@
 import attrs
 import msgspec
 
+from cranberrylever.http_status import is_final
 from cranberrylever.membership import Announcement
 
 RETRY_DELAY_S = 0.5
 ANNOUNCE_INTERVAL_S = 2.0
 REQUEST_TIMEOUT_S = 1.0
+_REDIRECTION = 300
 
 
 @attrs.define
@@ -63,7 +65,7 @@
                 headers={"Content-Type": "application/json"},
             ) as response:
                 await response.read()
-                if response.status < 300:
+                if is_final(response.status) and response.status < _REDIRECTION:
                     self.acknowledged = announcement
                     return True
         except (aiohttp.ClientError, TimeoutError):
--- a/tests/cli/support.py
+++ b/tests/cli/support.py
@@ -50,7 +50,8 @@
                     self.close_connection = True
                     return
                 content = json.dumps(answer[1]).encode()
-                self.send_response(answer[0])
+                # send_response() writes a status below 100 with fewer than three digits.
+                self.wfile.write(b"HTTP/1.0 %03d X\r\n" % answer[0])
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Content-Length", str(len(content)))
                 self.end_headers()
--- a/tests/cli/test_tickets.py
+++ b/tests/cli/test_tickets.py
@@ -89,6 +89,12 @@
             result = self.submit(control.address)
         self.assertEqual((4, ""), (result.code, result.out))
 
+    def test_status_that_does_not_exist_is_no_answer(self):
+        """Guards against a ticket that is reported as refused by an answer that is none."""
+        for status in (0, 99, 600):
+            with FakeControl((status, {}), (200, ACCEPTED)) as control:
+                self.assertEqual(0, self.submit(control.address).code, status)
+
     def test_submit_check_sends_nothing(self):
         """Guards against ``submit --check`` that submits the ticket."""
         with FakeControl((200, ACCEPTED)) as control:
--- a/tests/target/test_program.py
+++ b/tests/target/test_program.py
@@ -14,8 +14,10 @@
 from starlette.routing import Route
 
 from cranberrylever.http_server import HttpServer
+from cranberrylever.membership import Announcement
 from cranberrylever.settings import TargetSettings
 from cranberrylever.target import create_target
+from cranberrylever.target._announcer import Announcer
 
 
 @contextlib.asynccontextmanager
@@ -229,6 +231,25 @@
         self.assertEqual((address, False), (received[0]["address"], received[0]["leaving"]))
         self.assertTrue(received[-1]["leaving"])
 
+    def test_answer_without_a_status_that_exists_is_no_acknowledgement(self):
+        """Guards against a target that counts as announced because something else answered."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 %s X\r\ncontent-length: 0\r\nconnection: close\r\n\r\n" % statuses.pop(0))
+            writer.close()
+
+        async def main():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            announcement = Announcement("t1", "s", "127.0.0.1:1", "a", "1", 1, 1)
+            announcer = Announcer((address,), "", lambda: announcement, asyncio.Event())
+            async with aiohttp.ClientSession() as session, server:
+                return [await announcer.announce(session) for _ in range(len(statuses))]
+
+        statuses = [b"000", b"099", b"503", b"200"]
+        self.assertEqual([False, False, False, True], asyncio.run(main()))
+
     def test_close_ends_while_control_is_unreachable(self):
         """Guards against an announcer that loses a cancellation when the state changes in the same step."""
 
