Drop a customer's name of a caller also with underscores in its header

Callers saw: a header like cranberrylever_customer, made up by a caller, reached targets beside the entry's own Cranberrylever-Customer. A target that folds underscores to hyphens, as gateways in the CGI style do, reads either one.

Cause: peer_headers dropped the format's customer header under its exact name only.

Change: peer_headers, and with it target_headers, drops each header whose name is the format's customer header after folding underscores and case. Other headers with underscores pass as before.

Ruled out: dropping all headers with underscores, which targets may use; refusing the request, which would tell apart callers that now work. Headers for the deadline and the target are left as they were.

Evidence: both new tests failed before: over loopback a target got cranberrylever_tenant beside the entry's header, and target_headers kept two values of the caller.

--- a/cranberrylever/route_entry/_format.py
+++ b/cranberrylever/route_entry/_format.py
@@ -112,11 +112,15 @@
 
         The other entry authenticates the request again, by the caller's API key.
         """
-        own_headers = (self.deadline_header, self.target_header, self.customer_header)
-        kept = [pair for pair in headers if pair[0] not in own_headers]
+        own_headers = (self.deadline_header, self.target_header)
+        kept = [pair for pair in headers if pair[0] not in own_headers and not self._names_customer(pair[0])]
         kept.append((self.deadline_header, b"%d" % max(1, int(remaining * 1000))))
         return kept
 
+    def _names_customer(self, name: bytes) -> bool:
+        """Return whether a receiver may read a header as the customer's; some fold underscores to hyphens."""
+        return name.lower().replace(b"_", b"-") == self.customer_header
+
     @abc.abstractmethod
     def read_answer(self, status: int, headers: Headers) -> AnswerHeaders:
         """Parse the headers of a target's answer."""
--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -117,6 +117,31 @@
 
         self.run_system(scenario)
 
+    def test_name_in_a_header_with_underscores_reaches_no_target(self):
+        """Guards against a target that takes underscores in names of headers for hyphens."""
+
+        async def scenario(system):
+            for number, name in enumerate((b"cranberrylever_tenant", b"CranberryLever_TENANT")):
+                lines = [
+                    b"POST /desk/x HTTP/1.1",
+                    b"host: h.example",
+                    b"cranberrylever-request-id: u%d" % number,
+                    b"authorization: Bearer key-x",
+                    name + b": y",
+                    b"other_name: z",
+                    b"content-length: 0",
+                ]
+                request = b"\r\n".join(lines) + b"\r\n\r\n"
+                answer = await system.caller.pool.exchange(system.entry, b"POST", request)
+                assert answer.status == 200
+                (headers,) = self.seen
+                assert headers["other_name"] == "z"
+                names = [name for name in headers if name.replace("_", "-") == "cranberrylever-tenant"]
+                assert names == ["cranberrylever-tenant"], names
+                self.check_seen("x")
+
+        self.run_system(scenario)
+
     def test_plan_without_customers_passes_keys_on(self):
         """Guards against a lost header that is for the targets, and against a name that a caller made up."""
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -314,6 +314,16 @@
         assert headers[b"cranberrylever-target-instance"] == b"i-1"
         assert headers[b"x"] == b"y"
 
+    def test_customer_of_a_caller_is_dropped_also_with_underscores(self):
+        """Guards against a name that a caller made up, at targets and entries that fold underscores."""
+        names = (b"cranberrylever-tenant", b"cranberrylever_tenant", b"Cranberrylever_Tenant")
+        headers = [*((name, b"y") for name in names), (b"x_y", b"z")]
+        to_target = self.FORMAT.target_headers(headers, "i-1", 0.7, "x")
+        to_peer = self.FORMAT.peer_headers(headers, 0.7)
+        assert [value for name, value in to_target if name.lower().endswith(b"tenant")] == [b"x"]
+        assert not [value for name, value in to_peer if name.lower().endswith(b"tenant")]
+        assert (b"x_y", b"z") in to_target and (b"x_y", b"z") in to_peer
+
     def test_answer(self):
         """Guards against a refused request that counts as run, and a run request that counts as refused."""
         read = self.FORMAT.read_answer
