--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -117,6 +117,31 @@
 
         self.run_system(scenario)
 
+    def test_name_in_a_header_with_underscores_reaches_no_target(self):
+        """Guards against a target that takes underscores in names of headers for hyphens."""
+
+        async def scenario(system):
+            for number, name in enumerate((b"cranberrylever_tenant", b"CranberryLever_TENANT")):
+                lines = [
+                    b"POST /desk/x HTTP/1.1",
+                    b"host: h.example",
+                    b"cranberrylever-request-id: u%d" % number,
+                    b"authorization: Bearer key-x",
+                    name + b": y",
+                    b"other_name: z",
+                    b"content-length: 0",
+                ]
+                request = b"\r\n".join(lines) + b"\r\n\r\n"
+                answer = await system.caller.pool.exchange(system.entry, b"POST", request)
+                assert answer.status == 200
+                (headers,) = self.seen
+                assert headers["other_name"] == "z"
+                names = [name for name in headers if name.replace("_", "-") == "cranberrylever-tenant"]
+                assert names == ["cranberrylever-tenant"], names
+                self.check_seen("x")
+
+        self.run_system(scenario)
+
     def test_plan_without_customers_passes_keys_on(self):
         """Guards against a lost header that is for the targets, and against a name that a caller made up."""
 
@@ -212,6 +237,56 @@
 
         self.run_system(scenario)
 
+    def test_key_removed_while_a_connection_opens_is_refused(self):
+        """Guards against a request that is sent by the view from before its connection was opened."""
+
+        async def scenario(system):
+            entry = system.route_entries[0]
+            self.remove_key_while_connecting(system, entry.app.dispatcher.pool)
+            assert (await self.call(system, "key-x")).status == 401
+            self.check_seen()
+            assert (await self.call(system, "key-y")).status == 200
+            self.check_seen("y")
+
+        self.run_system(scenario)
+
+    def test_key_removed_while_a_connection_to_another_entry_opens_is_refused(self):
+        """Guards against the same where an entry reaches no target; the other entry sees nothing."""
+
+        async def scenario(system):
+            first, second = system.route_entries
+            first.reachability.lost_at = asyncio.get_running_loop().time()
+
+            async def has_peers():
+                return bool(first.relay.addresses)
+
+            first.feed.request_report()
+            await system.until(has_peers)
+            log = second.app.request_log.log = RecordingLog()
+            self.remove_key_while_connecting(system, first.relay.pool)
+            assert (await self.call(system, "key-x")).status == 401
+            assert not [fields for name, fields in log.lines if name == "request"]
+            self.check_seen()
+
+        self.run_system(scenario, entry_count=2)
+
+    @staticmethod
+    def remove_key_while_connecting(system, pool):
+        """Make the next connection of a pool take until all entries know a plan without the key of x."""
+        connect = pool._connect
+
+        async def entries_know():
+            return all(len(entry.view.customers.by_digest) == 1 for entry in system.route_entries)
+
+        async def connect_late(address):
+            pool._connect = connect
+            assert await system.put(plan(5, {"x": [], "y": ["key-y"]}), 4) == 200
+            await system.until(entries_know)
+            return await connect(address)
+
+        pool.close()
+        pool._connect = connect_late
+
     def test_entry_without_control_refuses_keys_and_serves_public_routes(self):
         """Guards against a removed key that an entry out of touch accepts, and against a false 401 there."""
 
