Name and explain what a first reader of the change stumbled on

No behaviour changes: doc strings that were no longer true, "token" where the text said share, names (bytes_after_head, is_half_full, NO_MEMORY, on_room, PLACE_TIMEOUT_S, VIEW_UNCONFIRMED_REASON), one function for the digest of a plan and one for the time until the pool of a quota is refilled, one highest value for limits in bytes, one way to create the listeners of checks.

Not taken up: splitting RequestReader.read and Dispatcher._send, QuotaClient as a name, the versions of HTTP that stand twice.

--- a/cranberrylever/body_memory.py
+++ b/cranberrylever/body_memory.py
@@ -25,7 +25,7 @@
 """Size of the largest body that is taken, as a multiple of the limit; larger ones would end the process."""
 
 WAITING_SHARE = 0.125
-"""Limit on what waiting bodies hold in this way, as a share of the limit and beside it."""
+"""Limit on the bytes that may have arrived of waiting bodies, as a share of the limit and beside it."""
 
 INITIAL_HOLDING_TIME_S = 1.0
 """Time that a body is expected to hold its memory, before there are samples."""
--- a/cranberrylever/customers/_authenticator.py
+++ b/cranberrylever/customers/_authenticator.py
@@ -1,4 +1,4 @@
-"""Decides which customer sends a request, by its Authorization headers."""
+"""Reads the API key of a request from its Authorization headers."""
 
 from collections.abc import Sequence
 
--- a/cranberrylever/customers/_quota.py
+++ b/cranberrylever/customers/_quota.py
@@ -11,7 +11,7 @@
     """A customer has used up its quota; the request has not run.
 
     Args:
-        retry_after: Seconds until a share of the quota is free.
+        retry_after: Seconds until a token is expected.
     """
 
     def __init__(self, retry_after: float) -> None:
@@ -20,26 +20,26 @@
 
 
 class CustomerQuota(abc.ABC):
-    """Share of the customers' quotas that this entry may use."""
+    """Tokens that this entry may use for the requests of customers."""
 
     @abc.abstractmethod
     async def acquire(self, customer: Customer, deadline: float) -> float:
-        """Take the share of one request, which may wait for one until the loop time ``deadline``.
+        """Take a token for one request; wait for one until the loop time ``deadline`` at most.
 
         Returns:
-            Loop time at which the share was taken.
+            Loop time at which the token was taken.
 
         Raises:
-            QuotaExceededError: No share is free in time.
+            QuotaExceededError: No token is free in time.
         """
 
     @abc.abstractmethod
     def give_back(self, customer: Customer, taken_at: float) -> None:
-        """Return the share of a request that was refused and has not run.
+        """Give back the token of a request that was refused and has not run.
 
         Args:
             customer: The customer.
-            taken_at: What ``acquire`` returned, so that the share of no other request is returned.
+            taken_at: What ``acquire`` returned, so that no other request's token is given back.
         """
 
 
--- a/cranberrylever/customers/_revocation.py
+++ b/cranberrylever/customers/_revocation.py
@@ -1,9 +1,9 @@
 """Decides whether a request with an API key may be sent by the view that an entry holds.
 
-It answers a plan that takes a key away while entries are cut off, suspended or hold requests that wait. The
-leader confirms a view only while it holds its lease, so the view held all plans that were acknowledged when
-the entry asked. An entry that sends nothing with a key once that is longer ago than a part of the bound sends
-nothing later than the bound after the acknowledgement.
+Load: a plan takes a key away while entries are cut off, suspended or hold requests that wait. The leader
+confirms a view only while it holds its lease, so a confirmed view holds all plans that were acknowledged
+when the entry asked. An entry sends requests with a key only for a part of the bound after that moment,
+so nothing is sent later than the bound after the acknowledgement.
 """
 
 import enum
@@ -17,7 +17,7 @@
 """Share of the bound for which a confirmation counts; the rest is for clock rates and opening connections."""
 
 MIN_SUSPENSION_S = 0.1
-"""Growth of the time that the steady clock misses from which the process counts as suspended."""
+"""Time by which CLOCK_BOOTTIME must gain on the monotonic clock for a suspension; lesser gains add up."""
 
 
 class SendVerdict(enum.Enum):
@@ -70,7 +70,7 @@
         confirmed_at: float,
         now: float,
     ) -> SendVerdict:
-        """Decide on a request; its customer must be the one that it would be read with now.
+        """Decide on a request; it is sent only if it would be read with the same customer now.
 
         Args:
             directory: Customers of the newest view.
--- a/cranberrylever/http_connections.py
+++ b/cranberrylever/http_connections.py
@@ -1,6 +1,6 @@
 """Which connections a listener keeps when there are too many of them.
 
-The load that it answers: callers that open connections and send no request. Those of ordinary callers send
+Load: callers that open connections and send no request. Those of ordinary callers send
 one at once.
 """
 
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import Protocol, TypeVar
 
-_DESCRIPTOR_SHARE = 2
+_DESCRIPTOR_DIVISOR = 2
 """Part of the descriptors of the process that the connections of one listener may take: one half."""
 
 
@@ -35,4 +35,4 @@
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if descriptors == resource.RLIM_INFINITY:
         return max_connections
-    return min(max_connections, descriptors // _DESCRIPTOR_SHARE)
+    return min(max_connections, descriptors // _DESCRIPTOR_DIVISOR)
--- a/cranberrylever/http_flow.py
+++ b/cranberrylever/http_flow.py
@@ -11,16 +11,16 @@
 
     Args:
         transport: Transport of the connection.
-        on_wanted: Called when an application or the end of an answer makes room for more.
+        on_room: Called when an application or the end of an answer makes room for more.
     """
 
-    def __init__(self, transport: asyncio.Transport, on_wanted: Callable[[], None]) -> None:
+    def __init__(self, transport: asyncio.Transport, on_room: Callable[[], None]) -> None:
         super().__init__(transport)
-        self.on_wanted = on_wanted
+        self.on_room = on_room
 
     def pause_reading(self) -> None:
         """Leave the decision to the protocol."""
 
     def resume_reading(self) -> None:
         """Tell the protocol that there may be room."""
-        self.on_wanted()
+        self.on_room()
--- a/cranberrylever/http_given_up.py
+++ b/cranberrylever/http_given_up.py
@@ -1,6 +1,6 @@
 """Counts of the connections that listeners give up, by reason, with a bounded number of log lines.
 
-The load that it answers: callers that connect again after each refusal.
+Load: callers that connect again after each refusal.
 """
 
 import collections
--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -25,10 +25,10 @@
 """Bytes that are parsed at once; limits are checked between two such parts."""
 
 _PARSED_BODY_BYTES = 16_384
-"""The same within a body, where only the end of the part may hold further requests."""
+"""Bytes of a body parsed at once, or up to HIGH_WATER_LIMIT of its stated rest, which is one request."""
 
 _PROGRESS_BYTES = 65_536
-"""Bytes of a body whose arrival restarts its limit in time."""
+"""Bytes of a body after whose arrival its limit in time starts again."""
 
 _NOTHING = memoryview(b"")
 
@@ -37,11 +37,13 @@
 
 
 class StrictHttpProtocol(HttpToolsProtocol):
-    """Connection that answers a request without a Host header, or with two, by 400, and closes.
+    """Connection that refuses ambiguous requests and bounds what its caller sends.
 
-    A head that is too large is answered by 431; one that arrives too slowly ends the connection. Reading
-    stops while too many requests wait behind the one that is answered. The connection ends in a way by which
-    callers get each answer that was written before.
+    Refused by 400: invalid HTTP, another version than 1.0 or 1.1, a request of HTTP/1.1 without exactly one
+    Host header, a body beside an Upgrade header, and too many bytes between chunks. A head that is too large
+    is answered by 431, a body by 413. One that arrives too slowly ends the connection. Reading stops while
+    too many requests wait behind the one that is answered. The connection ends in a way by which callers get
+    each answer that was written before.
     """
 
     limits = ListenerLimits()
@@ -53,8 +55,8 @@
     is_rejected = False
     is_in_head = True
     head_bytes = 0
-    framed_bytes = 0
-    """Bytes since the end of the head."""
+    bytes_after_head = 0
+    """Bytes parsed since the end of the head: the body and what frames it."""
 
     body_bytes = 0
     dropped_bytes = 0
@@ -73,7 +75,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection."""
         super().connection_made(AnswerTransport(transport, self.loop, self.memory))
-        self.flow = ReadingControl(self.transport, self._on_wanted)
+        self.flow = ReadingControl(self.transport, self._on_room)
         self.ahead = RequestsAhead(self.limits, self.budget)
         self.accepted_at = self.loop.time()
         self._start_arrival_timer()
@@ -112,7 +114,7 @@
             self._drop(len(data))
             return
         self.unparsed = memoryview(data)
-        self._go_on()
+        self._parse_received()
 
     def _drop(self, size: int) -> None:
         """Count bytes of a rejected connection that waits for its last answer; read on to see its end."""
@@ -120,11 +122,11 @@
         if self.dropped_bytes > MAX_LINGER_BYTES:
             self._set_paused(True)
 
-    def _on_wanted(self) -> None:
+    def _on_room(self) -> None:
         if self.is_paused:
-            self.loop.call_soon(self._go_on)
+            self.loop.call_soon(self._parse_received)
 
-    def _go_on(self) -> None:
+    def _parse_received(self) -> None:
         """Parse what was received as far as there is room, and read on if there is."""
         if self.parser is None or self.is_rejected or self.transport.is_ending:
             return
@@ -163,9 +165,9 @@
             return False
         if len(self.cycle.body) > HIGH_WATER_LIMIT:
             return True
-        return not self._is_body_read() and self.ahead.is_full()
+        return not self._is_body_arriving() and self.ahead.is_full()
 
-    def _is_body_read(self) -> bool:
+    def _is_body_arriving(self) -> bool:
         """Return whether the body of the request that runs is still arriving."""
         return self.cycle is not None and self.cycle is self.answering and self.cycle.more_body
 
@@ -180,7 +182,7 @@
 
     def _count_waiting(self) -> None:
         # A body that has its turn is not held here but by the application.
-        received = 0 if self._is_body_read() else len(self.unparsed)
+        received = 0 if self._is_body_arriving() else len(self.unparsed)
         excessive = self.budget.record(self, received + self.ahead.total)
         while excessive is not None:
             excessive.give_up_waiting()
@@ -192,7 +194,7 @@
         self.cycle = self.answering
         if self.is_rejected and self.cycle is not None:
             self.cycle.keep_alive = False
-        self.reject(http_refusals.BUSY, "memory")
+        self.reject(http_refusals.NO_MEMORY, "memory")
 
     def _drop_waiting(self) -> None:
         self.unparsed = _NOTHING
@@ -205,7 +207,7 @@
         if self.is_in_head:
             self.head_bytes += size
         else:
-            self.framed_bytes += size
+            self.bytes_after_head += size
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
@@ -221,7 +223,7 @@
 
     def _has_too_much_framing(self) -> bool:
         """Return whether chunk sizes, chunk extensions and trailers are out of proportion."""
-        framing = self.framed_bytes - self.body_bytes
+        framing = self.bytes_after_head - self.body_bytes
         return framing > self.limits.max_head_bytes + _MAX_FRAMING_RATIO * self.body_bytes
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -256,7 +258,7 @@
         super().on_headers_complete()
         self.ahead.add(size)
         self.is_in_head = False
-        self.framed_bytes = self.body_bytes = 0
+        self.bytes_after_head = self.body_bytes = 0
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on to the application."""
@@ -335,7 +337,7 @@
             self.arrival_timer = None
 
     def _on_slow_arrival(self) -> None:
-        """End a connection whose head does not arrive; one without an answer loses none by it."""
+        """End a connection whose head or body comes too slowly; complete requests get their answers first."""
         if self.cycle is None:
             self._end_without_answer("slow")
         else:
@@ -363,7 +365,7 @@
         self._set_paused(False)
         if self.transport.is_closing():
             return
-        last = self._last_complete_request()
+        last = self._drop_incomplete_request()
         if last is not None:
             last.keep_alive = False
             return
@@ -373,8 +375,8 @@
             self.transport.write(answer)
         self.transport.close()
 
-    def _last_complete_request(self) -> RequestResponseCycle | None:
-        """Return the last request that has arrived and waits for its answer; drop a later one."""
+    def _drop_incomplete_request(self) -> RequestResponseCycle | None:
+        """Drop the last request if it is incomplete and has not begun; return the last complete one."""
         if self.cycle is None or self.cycle.response_complete:
             return None
         if self.cycle.more_body and self.pipeline:
--- a/cranberrylever/http_refusals.py
+++ b/cranberrylever/http_refusals.py
@@ -19,7 +19,7 @@
     b"content-length: 0\r\nconnection: close\r\n\r\n"
 )
 BODY_TOO_LARGE = b"HTTP/1.1 413 Content Too Large\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-BUSY = (
+NO_MEMORY = (
     b"HTTP/1.1 503 Service Unavailable\r\ncranberrylever-outcome: not-run\r\nretry-after: 1\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
 )
--- a/cranberrylever/http_requests_ahead.py
+++ b/cranberrylever/http_requests_ahead.py
@@ -1,6 +1,6 @@
 """Bounds on the requests that wait in a process behind others of their connections.
 
-The load that they answer: callers that send many requests ahead and read no answers. Reading stops at a limit
+Load: callers that send many requests ahead and read no answers. Reading stops at a limit
 for each connection, and at the first request while all connections together hold half of their limit. Beyond
 that limit, the connection that holds most gives up what waits.
 """
@@ -33,7 +33,7 @@
         self.given_up: set[Connection] = set()
 
     @property
-    def is_busy(self) -> bool:
+    def is_half_full(self) -> bool:
         """Whether connections should read nothing ahead."""
         return self.total > self.limit // 2
 
@@ -97,5 +97,5 @@
         """Return whether the next request has to wait unread while the first ``served`` ones are answered."""
         if len(self.sizes) < served:
             return False
-        max_ahead = 0 if self.budget.is_busy else self.limits.max_requests_ahead
+        max_ahead = 0 if self.budget.is_half_full else self.limits.max_requests_ahead
         return len(self.sizes) - served >= max_ahead or self.total > self.limits.max_bytes_ahead
--- a/cranberrylever/memory_limit.py
+++ b/cranberrylever/memory_limit.py
@@ -9,10 +9,9 @@
 
 
 class MemoryPlace:
-    """Memory of one message; it is given back when the last reference is gone.
+    """Memory of one message; ``release`` gives it back, at the latest when the last reference is gone.
 
-    So it lasts exactly as long as the message, whoever drops it. ``received`` counts the bytes that were read
-    while it waited.
+    ``received`` counts the bytes that were read while it waited.
     """
 
     def __init__(self, memory: "MemoryLimit", size: int) -> None:
--- a/cranberrylever/quota/_account.py
+++ b/cranberrylever/quota/_account.py
@@ -14,6 +14,9 @@
 MIN_BURST = 1.0
 """Smallest capacity of an account in requests, since no request would ever run with less."""
 
+PLACE_TIMEOUT_S = 0.25
+"""Time after which a process that was due to ask again, and has not, loses its place before others."""
+
 PREDECESSOR = -1
 """Number of the process to which all tokens count that an earlier leader may have granted."""
 
@@ -28,10 +31,6 @@
     is_ahead: bool
 
 
-MAX_DELAY_S = 0.25
-"""Time after which a process that was told to ask again has lost its place before others."""
-
-
 @attrs.define
 class _Demand:
     """What the last report of a process asked for and did not get, and the tokens that it wants ahead.
@@ -47,7 +46,7 @@
 class QuotaAccount:
     """Token bucket of one customer whose granted tokens still occupy it until they are used.
 
-    The load that it answers: requests of a customer arrive at many entries unevenly, at each only now and
+    Load: requests of a customer arrive at many entries unevenly, at each only now and
     then. ``pool`` and ``outstanding`` together never exceed the burst, and only ``pool`` is refilled. So the
     requests that run in a window stay within rate x window + burst, whenever the tokens are used. Times are
     loop seconds.
@@ -136,7 +135,7 @@
         self.unmet += waiting - old.unmet
         self.wanted_ahead += ahead - old.ahead
         if waiting or ahead:
-            keeps_place = old.unmet > 0 and old.due_at > now - MAX_DELAY_S
+            keeps_place = old.unmet > 0 and old.due_at > now - PLACE_TIMEOUT_S
             self.demands[process] = _Demand(waiting, ahead, old.due_at if keeps_place else math.inf)
             if not keeps_place:
                 self.demands[process].due_at = now + self.next_in(process, now)
@@ -166,14 +165,15 @@
 
     def next_in(self, process: int, now: float) -> float:
         """Return the seconds until the first of the requests that wait at a process gets a token."""
-        missing = self._unmet_before(process, now) + 1 - self.pool
-        if missing <= 0:
-            return 0.0
-        return missing / self.rate if self.rate > 0 else math.inf
+        return self._refill_time(self._unmet_before(process, now) + 1)
 
-    def queue(self) -> float:
+    def queue_time(self) -> float:
         """Return the seconds until the requests that wait at present at all processes get their tokens."""
-        missing = self.unmet - self.pool
+        return self._refill_time(self.unmet)
+
+    def _refill_time(self, tokens: int) -> float:
+        """Return the seconds until the pool holds so many tokens, infinite if it is not refilled."""
+        missing = tokens - self.pool
         if missing <= 0:
             return 0.0
         return missing / self.rate if self.rate > 0 else math.inf
@@ -188,7 +188,7 @@
         return sum(
             demand.unmet
             for demand in self.demands.values()
-            if demand is not own and now - MAX_DELAY_S < demand.due_at < own.due_at
+            if demand is not own and now - PLACE_TIMEOUT_S < demand.due_at < own.due_at
         )
 
     def _refill(self, now: float) -> None:
--- a/cranberrylever/quota/_client.py
+++ b/cranberrylever/quota/_client.py
@@ -27,6 +27,7 @@
 """Shortest delay after which the caller of a refused request may retry."""
 
 MAX_PROCESS_NUMBER = 2**62
+"""Bound of the random numbers of processes, so large that no two processes are expected to share one."""
 
 
 class QuotaClient(CustomerQuota):
--- a/cranberrylever/quota/_ledger.py
+++ b/cranberrylever/quota/_ledger.py
@@ -8,10 +8,10 @@
 from cranberrylever.quota._account import QuotaAccount
 from cranberrylever.quota._takeover import TakeoverStatements
 from cranberrylever.route_plan import Customer
-from cranberrylever.wire import AHEAD_TOKEN_LIFETIME_S, QuotaGrant, QuotaNeed, QuotaReport
+from cranberrylever.wire import QuotaGrant, QuotaNeed, QuotaReport
 
 PROCESS_TIMEOUT_S = 3.0
-"""Time without a report after which what a process asked for no longer counts; its tokens have expired."""
+"""Time without a report after which a process is forgotten; over AHEAD_TOKEN_LIFETIME_S."""
 
 NOTICE_INTERVAL_S = 10.0
 """Time between two notices that the same customer has used up its quota."""
@@ -52,8 +52,8 @@
         entries: Ids of all entries that an earlier leader may have granted tokens to; it follows changes.
 
     Attributes:
-        notices: Customers whose requests had to wait for tokens, each at most once in a while, until they
-            are taken.
+        notices: Customers whose requests had to wait for tokens, each at most once in
+            ``NOTICE_INTERVAL_S``, until they are taken.
         granted: Tokens granted in this term.
         unmet: Tokens that reports asked for and that were not granted at once, in this term.
     """
@@ -152,7 +152,7 @@
             return None
         is_unmet = count < need.waiting
         next_in = account.next_in(report.process, now) if is_unmet else 0.0
-        queue = account.queue() if is_unmet else 0.0
+        queue = account.queue_time() if is_unmet else 0.0
         longest = TAKEOVER_DELAY_S if now < self.term_began_at + TAKEOVER_S else MAX_NEXT_IN_S
         return QuotaGrant(need.customer, count, ahead, min(next_in, longest), min(queue, longest))
 
@@ -173,7 +173,7 @@
         silent = [
             number
             for number, process in self.processes.items()
-            if now - process.reported_at > max(PROCESS_TIMEOUT_S, AHEAD_TOKEN_LIFETIME_S)
+            if now - process.reported_at > PROCESS_TIMEOUT_S
         ]
         for number in silent:
             self._forget_process(number, self.processes.pop(number).customers, now)
--- a/cranberrylever/quota/_takeover.py
+++ b/cranberrylever/quota/_takeover.py
@@ -11,7 +11,7 @@
 class TakeoverStatements:
     """First reports of the entries in a term, by which a new leader learns what its predecessor granted.
 
-    The load that it answers: a leader is lost while customers use most of their quota. Without these reports
+    Load: a leader is lost while customers use most of their quota. Without these reports
     their accounts would begin empty, and requests that waited while there was no leader would be refused.
 
     Args:
--- a/cranberrylever/route_control/_plan_document.py
+++ b/cranberrylever/route_control/_plan_document.py
@@ -1,7 +1,5 @@
 """Route plan as an operator sends it, with API keys."""
 
-import hashlib
-
 import attrs
 
 from cranberrylever.route_plan import (
@@ -10,6 +8,7 @@
     Route,
     RoutedService,
     RoutePlan,
+    plan_digest,
     text_key_digest,
 )
 
@@ -18,7 +17,7 @@
 class CustomerDocument:
     """A customer in a plan; the fields are those of ``Customer``, with the keys in place of their digests.
 
-    A rate of 0 is none.
+    A rate of 0 means no quota.
     """
 
     name: str
@@ -51,6 +50,6 @@
             self.services,
             self.limits,
             source,
-            hashlib.sha256(source).hexdigest()[:32],
+            plan_digest(source),
             tuple(customer.to_customer() for customer in self.customers),
         )
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -54,7 +54,7 @@
         memory: Limit on the memory of answers.
         bodies: Reads the bodies of requests.
         revocation: Bound on the age of the view for requests with an API key.
-        quota: Share of the customers' quotas that this entry may use.
+        quota: Tokens that this entry may use for the requests of customers.
     """
 
     def __init__(
--- a/cranberrylever/route_entry/_dispatcher.py
+++ b/cranberrylever/route_entry/_dispatcher.py
@@ -42,7 +42,7 @@
 """Time that a request waits for a newer view after a target has answered that it does not hold the key."""
 
 DEADLINE_TOLERANCE_S = 0.05
-"""Time before the deadline from which a cancelled request counts as one that got no answer in time."""
+"""Time before the deadline from which a cancelled request counts as unanswered; over DEADLINE_MARGIN_S."""
 
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
--- a/cranberrylever/route_entry/_key_check.py
+++ b/cranberrylever/route_entry/_key_check.py
@@ -4,7 +4,7 @@
 from cranberrylever.route_entry._request import KeyRevokedError, RoutedRequest, raise_failure
 from cranberrylever.route_entry._view import EntryView
 
-VIEW_UNCONFIRMED = "this entry cannot confirm which API keys are in force"
+VIEW_UNCONFIRMED_REASON = "this entry cannot confirm which API keys are in force"
 VIEW_UNCONFIRMED_RETRY_AFTER_S = 0.5
 """Delay after which a caller may retry; it may reach an entry that knows the keys."""
 
@@ -41,7 +41,7 @@
             now,
         )
         if verdict is SendVerdict.VIEW_UNCONFIRMED:
-            raise_failure(request, VIEW_UNCONFIRMED, VIEW_UNCONFIRMED_RETRY_AFTER_S)
+            raise_failure(request, VIEW_UNCONFIRMED_REASON, VIEW_UNCONFIRMED_RETRY_AFTER_S)
         if verdict is SendVerdict.CUSTOMER_CHANGED:
             raise_failure(request, "the customer of the request has changed", 0.0)
         if verdict is SendVerdict.KEY_REVOKED:
--- a/cranberrylever/route_entry/_program.py
+++ b/cranberrylever/route_entry/_program.py
@@ -129,17 +129,9 @@
         self.servers = [self._create_server(self.app, settings.listen)]
         if settings.peer_listen:
             self.servers.append(self._create_server(PeerRequestApp(self.app), settings.peer_listen))
-        self.ready = HttpServer(
-            self._ready_app(), settings.ready_listen, CHECK_FINISH_TIMEOUT_S, self.limits, self.given_up
-        )
+        self.ready = self._create_check_server(self._ready_app(), settings.ready_listen)
         self.metrics_server = (
-            HttpServer(
-                self.metrics.app(),
-                settings.metrics_listen,
-                CHECK_FINISH_TIMEOUT_S,
-                self.limits,
-                self.given_up,
-            )
+            self._create_check_server(self.metrics.app(), settings.metrics_listen)
             if settings.metrics_listen
             else None
         )
@@ -194,6 +186,10 @@
         self.feed.contacts = contacts
         self.log.info("settings_reloaded", contacts=contacts)
 
+    def _create_check_server(self, app: Starlette, listen: str) -> HttpServer:
+        """Return a listener for readiness checks or metrics."""
+        return HttpServer(app, listen, CHECK_FINISH_TIMEOUT_S, self.limits, self.given_up)
+
     def _create_server(self, app: object, listen: str) -> CallerServer:
         return CallerServer(
             app, listen, self.tuning, self._read_request_id, self.memory, self.limits, self.given_up
--- a/cranberrylever/route_entry/_reader.py
+++ b/cranberrylever/route_entry/_reader.py
@@ -12,7 +12,7 @@
 from cranberrylever.route_entry._body import BodyReader
 from cranberrylever.route_entry._dispatcher import Dispatcher
 from cranberrylever.route_entry._format import AUTHORIZATION, HeaderFormat, Headers
-from cranberrylever.route_entry._key_check import VIEW_UNCONFIRMED, VIEW_UNCONFIRMED_RETRY_AFTER_S
+from cranberrylever.route_entry._key_check import VIEW_UNCONFIRMED_REASON, VIEW_UNCONFIRMED_RETRY_AFTER_S
 from cranberrylever.route_entry._peer_relay import CANNOT_SERVE_STATUS
 from cranberrylever.route_entry._reachability import TargetReachability
 from cranberrylever.route_entry._request import RoutedRequest
@@ -25,6 +25,9 @@
 MAX_CONCURRENT_REQUESTS = 2_000
 """Limit on requests in progress; with more of them an entry would run out of memory before it answers."""
 
+TOO_MANY_REQUESTS_RETRY_AFTER_S = 0.2
+"""Delay after which a caller may retry when too many requests are in progress."""
+
 MAX_VIEW_AGE_S = 2.0
 """Age of the view from which requests are refused while a leader exists, which may have changed it."""
 
@@ -164,7 +167,9 @@
         await self._wait_for_first_view(now, time_left)
         self._refuse_if_view_outdated(now)
         if requests > MAX_CONCURRENT_REQUESTS:
-            raise AnsweredError(503, "refused", "too many requests in progress at this entry", 0.2)
+            raise AnsweredError(
+                503, "refused", "too many requests in progress at this entry", TOO_MANY_REQUESTS_RETRY_AFTER_S
+            )
         if self.memory.is_full(requests):
             raise AnsweredError(503, "refused", self.memory.refusal(), FULL_RETRY_AFTER_S)
 
@@ -202,7 +207,7 @@
         except UnauthorizedError as error:
             raise AnsweredError(401, "unauthorized", str(error)) from None
         if not self.revocation.is_confirmed(self.view.confirmed_at, asyncio.get_running_loop().time()):
-            raise AnsweredError(503, "refused", VIEW_UNCONFIRMED, VIEW_UNCONFIRMED_RETRY_AFTER_S)
+            raise AnsweredError(503, "refused", VIEW_UNCONFIRMED_REASON, VIEW_UNCONFIRMED_RETRY_AFTER_S)
         customer = self.view.customers.find(digest)
         if customer is None:
             raise AnsweredError(401, "unauthorized", str(unknown_key_error()))
--- a/cranberrylever/route_entry/_request.py
+++ b/cranberrylever/route_entry/_request.py
@@ -24,9 +24,9 @@
     behind the last decision and ``rate_limit`` is the one that the last answer stated, in requests per
     second. ``is_caller_retry`` reports that the caller has waited before: it has less time left than the
     timeout of the route. ``is_relayed`` reports that another entry has passed it on, ``is_passed_on`` that
-    this one has before it may have run here. ``customer`` is the name of the customer that sends it and
-    ``key_digest`` the digest of its API key; both are empty without one. ``customer_priority`` goes before
-    that of the route.
+    this entry passes it on and no attempt of its own may have run. ``customer`` is the name of the customer
+    that sends it and ``key_digest`` the digest of its API key; both are empty without one.
+    ``customer_priority`` goes before that of the route.
     """
 
     request_id: bytes
--- a/cranberrylever/route_plan/__init__.py
+++ b/cranberrylever/route_plan/__init__.py
@@ -10,6 +10,7 @@
     RoutedService,
     RoutePlan,
     RouteShare,
+    plan_digest,
 )
 from cranberrylever.route_plan._registry import PlanOutcome, PlanRegistry, PlanRegistryRecord
 from cranberrylever.route_plan._rules import plan_problem
@@ -30,6 +31,7 @@
     "apply_changes",
     "changes_between",
     "key_digest",
+    "plan_digest",
     "plan_problem",
     "share_routes",
     "text_key_digest",
--- a/cranberrylever/route_plan/_plan.py
+++ b/cranberrylever/route_plan/_plan.py
@@ -1,7 +1,17 @@
 """Configuration of routes, services and caller limits."""
 
+import hashlib
+
 import attrs
 
+_DIGEST_CHARACTERS = 32
+"""Length of a plan's digest: 128 bits, so that no two plans are expected to share one."""
+
+
+def plan_digest(source: bytes) -> str:
+    """Return the digest of a plan as the operator sent it."""
+    return hashlib.sha256(source).hexdigest()[:_DIGEST_CHARACTERS]
+
 
 @attrs.frozen
 class RouteShare:
--- a/cranberrylever/settings/_routes.py
+++ b/cranberrylever/settings/_routes.py
@@ -19,10 +19,11 @@
 MAX_TIME_S = 600.0
 MAX_TOLERATED_LOSSES = 4
 MIN_ANSWER_MEMORY = 16 * 1_048_576
-MAX_ANSWER_MEMORY = 1 << 40
+MAX_MEMORY = 1 << 40
+"""Highest setting of a limit in bytes, above the memory of any instance."""
+
 DEFAULT_ANSWER_MEMORY = 96 * 1_048_576
 MIN_BODY_MEMORY = 1_048_576
-MAX_BODY_MEMORY = 1 << 40
 DEFAULT_BODY_MEMORY = 96 * 1_048_576
 MIN_READ_MEMORY = 1_048_576
 
@@ -65,13 +66,13 @@
         "Bytes of requests that wait for their turn, over all connections of one listener. While half of "
         "them are taken, nothing is read ahead; beyond them, the connection that holds most is closed after "
         "the answer to its first request. What it had sent behind that has not run.",
-        integer(MIN_READ_MEMORY, MAX_ANSWER_MEMORY),
+        integer(MIN_READ_MEMORY, MAX_MEMORY),
         32 * 1_048_576,
     )
     dropped_body: int = setting(
         "Bytes of a request's body that are read and dropped after its answer, so that the connection can be "
         "used again; beyond them it is closed.",
-        integer(0, MAX_ANSWER_MEMORY),
+        integer(0, MAX_MEMORY),
         64 * 1_048_576,
     )
 
@@ -114,7 +115,7 @@
         "the last one that a caller reads. While they are reached, requests are refused (503, not run, with "
         "Retry-After), and answers that are ready wait at their targets. The process needs about 100 MB "
         "beside them.",
-        integer(MIN_ANSWER_MEMORY, MAX_ANSWER_MEMORY),
+        integer(MIN_ANSWER_MEMORY, MAX_MEMORY),
         DEFAULT_ANSWER_MEMORY,
     )
     body_memory: int = setting(
@@ -123,14 +124,14 @@
         "Retry-After). A body takes twice its bytes while it is sent to a target, up to three times over a "
         "slow link, and for a moment up to four times. One above the limit is taken only while there is no "
         "other, one of more than twice the limit never; otherwise it is refused (503, not run).",
-        integer(MIN_BODY_MEMORY, MAX_BODY_MEMORY),
+        integer(MIN_BODY_MEMORY, MAX_MEMORY),
         DEFAULT_BODY_MEMORY,
     )
     target_body_memory: int = setting(
         "Bytes of request bodies of 16 KiB or more that one target may hold of all entries together, running "
         "and queued; 0 for no limit. Each entry uses an equal share of it, or one request if that is less. "
         "Only requests of routes with large_bodies in the plan are held back by it.",
-        integer(0, MAX_BODY_MEMORY),
+        integer(0, MAX_MEMORY),
         0,
     )
     rules: LimitSettings = attrs.field(factory=LimitSettings)
@@ -211,7 +212,7 @@
     max_body: int = setting(
         "Bytes of the body of a request of an operator or a target, 413 beyond them. Bodies count towards "
         "--listener-read-memory until they are answered; beyond that the largest is refused (503, not run).",
-        integer(65_536, MAX_ANSWER_MEMORY),
+        integer(65_536, MAX_MEMORY),
         16 * 1_048_576,
     )
     log: LogSettings = attrs.field(factory=LogSettings)
--- a/cranberrylever/wire/_quota.py
+++ b/cranberrylever/wire/_quota.py
@@ -32,11 +32,11 @@
 
 @attrs.frozen
 class QuotaReport:
-    """Tokens of all customers at an entry; it holds none of the customers without a need.
+    """Tokens of all customers at an entry; customers without a need are left out.
 
-    ``process`` identifies the process of the entry. ``received`` is the sequence of the last report whose
-    answer brought grants. ``uptime`` is how long the process has run in seconds in the first report on a
-    stream, -1 in later ones.
+    ``process`` is the incarnation of the entry, a random number. ``received`` is the sequence of the last
+    report whose answer brought grants. ``uptime`` is how long the process has run in seconds in the first
+    report on a stream, -1 in later ones.
     """
 
     process: int
