--- a/cranberrylever/http_protocol.py
+++ b/cranberrylever/http_protocol.py
@@ -14,12 +14,12 @@
 from cranberrylever.http_given_up import GivenUpConnections
 from cranberrylever.http_limits import ListenerLimits
 from cranberrylever.http_requests_ahead import ReadBudget, RequestsAhead
+from cranberrylever.http_status import HTTP_VERSIONS
 from cranberrylever.http_transport import MAX_LINGER_BYTES, AnswerTransport
 
 _HOST = b"host"
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
-_VERSIONS = ("1.0", "1.1")
 
 _PARSED_BYTES = 2_048
 """Bytes that are parsed at once; limits are checked between two such parts."""
@@ -242,7 +242,7 @@
             self.reject(http_refusals.HEAD_TOO_LARGE, "head")
             return
         version = self.parser.get_http_version()
-        if version not in _VERSIONS:
+        if version not in HTTP_VERSIONS:
             self.reject(http_refusals.BAD_VERSION, "version")
             return
         hosts = sum(name == _HOST for name, _ in self.headers)
--- a/cranberrylever/http_requests_ahead.py
+++ b/cranberrylever/http_requests_ahead.py
@@ -1,7 +1,7 @@
 """Bounds on the requests that wait in a process behind others of their connections.
 
-Load: callers that send many requests ahead and read no answers. Reading stops at a limit
-for each connection, and at the first request while all connections together hold half of their limit. Beyond
+Load: callers that send many requests ahead and read no answers. Reading stops at a limit for each
+connection, and at the first request while all connections together hold half of their limit. Beyond
 that limit, the connection that holds most gives up what waits.
 """
 
@@ -9,15 +9,13 @@
 from typing import Generic, TypeVar
 
 from cranberrylever.http_limits import ListenerLimits
+from cranberrylever.memory_limit import MIN_COUNTED_BYTES
 
 Connection = TypeVar("Connection")
 
 REQUEST_BYTES = 4_096
 """Memory of the objects of a request beside its head and body."""
 
-MIN_COUNTED_BYTES = 16_384
-"""Size from which a connection counts; 2,000 smaller ones take 32 MB."""
-
 
 class ReadBudget(Generic[Connection]):
     """Bytes that callers have sent and that wait in the process, by connection.
--- a/cranberrylever/http_status.py
+++ b/cranberrylever/http_status.py
@@ -1,4 +1,10 @@
-"""Which numbers are statuses of answers, for everything that reads one."""
+"""Which versions and statuses of HTTP are valid, for everything that reads one."""
+
+HTTP_VERSIONS = ("1.0", "1.1")
+"""Versions that listeners and connections to targets speak."""
+
+STATUS_WITHOUT_BODY = frozenset({204, 304})
+"""Statuses whose answers have no body."""
 
 _SWITCHING_PROTOCOLS = 101
 
--- a/cranberrylever/route_entry/_app.py
+++ b/cranberrylever/route_entry/_app.py
@@ -7,6 +7,7 @@
 from cranberrylever.answer_memory import AnswerMemory
 from cranberrylever.caller_http import CALLER_GONE, RequestGuard, RunningRequests, end_to_end_headers
 from cranberrylever.customers import CustomerQuota, QuotaExceededError, RevocationGuard, UnlimitedQuota
+from cranberrylever.http_status import STATUS_WITHOUT_BODY
 from cranberrylever.logs import Log
 from cranberrylever.metrics import Metrics
 from cranberrylever.route_entry._answered import AnsweredError
@@ -37,8 +38,6 @@
 
 UNAUTHORIZED_STATUS = 401
 
-_STATUS_WITHOUT_BODY = frozenset({204, 304})
-
 
 class RouteEntryApp:
     """ASGI application that reads a request, dispatches it and sends the answer to the caller.
@@ -236,7 +235,7 @@
         answer = result.answer
         self.memory.record_answer()
         headers = end_to_end_headers(answer.headers)
-        if request.method != b"HEAD" and answer.status not in _STATUS_WITHOUT_BODY:
+        if request.method != b"HEAD" and answer.status not in STATUS_WITHOUT_BODY:
             headers.append((b"content-length", str(len(answer.body)).encode()))
         await self._send_response(send, answer.status, headers, answer.body)
 
--- a/cranberrylever/target_http/_connection.py
+++ b/cranberrylever/target_http/_connection.py
@@ -8,7 +8,7 @@
 import httptools
 
 from cranberrylever.answer_memory import AnswerMemory
-from cranberrylever.http_status import is_final, is_interim
+from cranberrylever.http_status import HTTP_VERSIONS, STATUS_WITHOUT_BODY, is_final, is_interim
 from cranberrylever.memory_limit import MIN_COUNTED_BYTES, MemoryPlace
 from cranberrylever.target_http._budget import BufferBudget, BufferingConnection
 
@@ -30,8 +30,6 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time for which sent bytes may stay unacknowledged before the kernel closes the connection."""
 
-_VERSIONS = ("1.0", "1.1")
-_STATUS_WITHOUT_BODY = frozenset({204, 304})
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: enabled, 0 s
 
@@ -248,7 +246,7 @@
             self.give_up_answer(f"the answer has the status {status:03d}, which does not exist")
             return
         version = self._parser.get_http_version()
-        if version not in _VERSIONS:
+        if version not in HTTP_VERSIONS:
             self.give_up_answer(f"the answer has the HTTP version {version}")
             return
         if not self._parser.should_keep_alive():
@@ -261,7 +259,7 @@
         elif (
             self.memory is not None
             and MIN_COUNTED_BYTES <= self._length <= MAX_ANSWER_BYTES
-            and status not in _STATUS_WITHOUT_BODY
+            and status not in STATUS_WITHOUT_BODY
         ):
             self._place = self.memory.reserve(self._length, self.transport.resume_reading)
             if not self._place.is_reserved:
