--- a/review/standins2/servers.py
+++ b/review/standins2/servers.py
@@ -13,6 +13,7 @@
 
     def __init__(self, request_id: str, path: str, upstream: "Upstream", at: float) -> None:
         self.request_id, self.path, self.upstream, self.at = request_id, path, upstream, at
+        self.ended_at = 0.0
 
 
 class Upstream:
@@ -101,7 +102,10 @@
                 method, path, _ = line.decode("latin-1").split(" ", 2)
                 headers = await read_headers(reader)
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                status, extra, content = await self._answer(method, path, headers, body)
+                answer = await self._until_closed(reader, self._answer(method, path, headers, body))
+                if answer is None:
+                    return
+                status, extra, content = answer
                 lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(content)}", *extra]
                 if "cranberrylever-request-id" in headers:
                     lines.append(f"Cranberrylever-Request-Id: {headers['cranberrylever-request-id']}")
@@ -113,6 +117,20 @@
             self.connections.discard(writer)
             writer.close()
 
+    @staticmethod
+    async def _until_closed(reader: asyncio.StreamReader, answering):  # noqa: ANN001, ANN205
+        """Return an answer, None if its connection closes before: the upstream drops the request then."""
+        work = asyncio.ensure_future(answering)
+        closing = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait({work, closing}, return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            closing.cancel()
+            await asyncio.gather(closing, return_exceptions=True)
+            return work.result()
+        work.cancel()
+        await asyncio.gather(work, closing, return_exceptions=True)
+        return None
+
     async def _answer(
         self, method: str, path: str, headers: dict[str, str], body: bytes
     ) -> tuple[int, list[str], bytes]:
@@ -135,12 +153,13 @@
                 return answer
         request_id = headers["cranberrylever-request-id"]
         self.runs.append(Run(request_id, path, self, self.system.record.now()))
-        number = len(self.runs)
+        run, number = self.runs[-1], len(self.runs)
         self.running[number] = [key]
         try:
             await asyncio.sleep(self.work_s)
         finally:
             del self.running[number]
+            run.ended_at = self.system.record.now()
         signature = f"Cranberrylever-Upstream-Signature: {self.id}.{number}"
         return 200, [signature], f"{request_id} {path} {self.id}".encode()
 
