--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,9 @@
-"""An upstream that is still cold becomes cold again: its entries take it for warm when the first time is over."""
+"""After all processes were killed at once, ordinary requests are refused for minutes as if they crashed upstreams."""
 
 import asyncio
+import random
+import signal
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins2"))
@@ -11,110 +12,114 @@
 from system import BOUND, ZONES, CannotRun, Operator, System, main  # noqa: E402
 
 HOST = "ficu95.example"
-COLD_S, COLD_PER_S = 3.0, 11.0
-"""``warmup_s`` and ``warmup_per_s`` of the service, as in the example of PROTOCOL.md."""
+PATHS = 6
+RATE, DEADLINE_MS = 100.0, 3000
+UPSTREAMS, SLOTS, QUEUE, WORK_S = 6, 2, 2, 0.1
+DOWN_S = 1.4
+rng = random.Random(10)
 
-AGAIN_AFTER_S = 2.0
-RATE = 160.0
-LIMIT = COLD_PER_S * BOUND["warmup_excess"] + BOUND["warmup_slack"]
-CRASH_AT = 2 * LIMIT
-"""Requests in one second at which the cold upstream crashes; the pages say "at a rate well above" the bound."""
 
+class FullUpstream(Upstream):
+    """Runs SLOTS requests at once, queues QUEUE more and resets the connection of any beyond that."""
 
-class ColdUpstream(Upstream):
-    """States in its heartbeats and health answers how much longer it stays cold; its work is twice as slow then."""
-
-    cold_until = 0.0
-
-    def become_cold(self) -> None:
-        self.cold_until = time.monotonic() + COLD_S
-        self.system.record.write(f"{self.id} is cold for {COLD_S} s")
-
-    def cold_for(self) -> float:
-        return max(0.0, self.cold_until - time.monotonic())
-
-    def beat_body(self) -> bytes:
-        return super().beat_body().replace(b'"warmup_s_time": 0', b'"warmup_s_time": %.3f' % self.cold_for())
+    def __init__(self, *args, **options) -> None:  # noqa: ANN002, ANN003
+        super().__init__(*args, **options)
+        self.slots = SLOTS
+        self.free = asyncio.Semaphore(SLOTS)
+        self.present = 0
+        self.resets = []
 
     async def _answer(self, method, path, headers, body):  # noqa: ANN001, ANN202
-        if path == "/healthz" and self.cold_for() > 0:
-            left = f"Cranberrylever-Warmup-Ms: {int(self.cold_for() * 1000)}"
-            return 200, [f"Cranberrylever-Instance-Id: {self.id}", left], b""
-        self.work_s = 0.04 if self.cold_for() > 0 else 0.02
-        now = self.system.record.now()
-        if self.cold_for() > 0 and sum(now - run.at < 1.0 for run in self.runs) > CRASH_AT:
-            if not self.is_silent:
-                self.system.record.write(f"{self.id} crashes: {CRASH_AT:g} requests in a second while it is cold")
-            self.stop()
-            raise OSError("crashed")
-        return await super()._answer(method, path, headers, body)
-
-
-def most_in_a_second(times: list[float], start: float, end: float) -> tuple[int, float]:
-    """Return the most requests in any second between two times, and when that second begins."""
-    inside = sorted(at for at in times if start <= at <= end)
-    best = (0, start)
-    for index, at in enumerate(inside):
-        if at + 1.0 <= end:
-            best = max(best, (sum(other < at + 1.0 for other in inside[index:]), at))
-    return best
+        if not path.startswith("/look/"):
+            return await super()._answer(method, path, headers, body)
+        if self.present >= SLOTS + QUEUE:
+            self.resets.append((self.system.record.now(), path))
+            raise ConnectionResetError("full")
+        self.present += 1
+        try:
+            async with self.free:
+                return await super()._answer(method, path, headers, body)
+        finally:
+            self.present -= 1
 
 
 async def case(record, trouble: bool) -> bool:  # noqa: ANN001
-    async with System(record) as system:
+    async with System(record, entries=6) as system:
         operator = Operator(system)
-        warm = Upstream(system, "desk", 0, ZONES[0])
-        cold = ColdUpstream(system, "desk", 1, ZONES[1])
-        warm.slots = cold.slots = 4
-        await warm.start()
-        route = {"name": "r-1", "hostname": HOST, "path_prefix": "/desk/", "service": "desk", "type": "unsafe"}
+        upstreams = [FullUpstream(system, "desk", number, ZONES[number % 3], WORK_S) for number in range(UPSTREAMS)]
+        for upstream in upstreams:
+            await upstream.start()
+        route = {"name": "r-1", "hostname": HOST, "path_prefix": "/look/", "service": "desk", "timeout_s": 3.0}
         plan = configuration(1, [route], [("desk", False)])
         header = ("Content-Type: application/json", "Cranberrylever-Base-Version: 0")
         await operator.send("/Config.Put", None, plan, header, until_s=20)
         await system.wait_ready()
         await asyncio.sleep(3)
+        requests = []
 
-        answers = []
+        async def request(path: str) -> None:
+            """One request of a client, which comes again within its deadline, three times at most."""
+            started = record.now()
+            sent = [started]
+            while True:
+                left = DEADLINE_MS - (record.now() - started) * 1000
+                if left < 100 or len(sent) > 3:
+                    break
+                answer = await ask(system, rng.choice(system.entries), HOST, path, deadline_ms=int(left))
+                if answer.status == 200:
+                    requests.append((started, path, 200))
+                    return
+                sent.append(record.now())
+                wait = float(answer.headers.get("retry-after", 0.05)) if answer.status == 503 else 0.5
+                if wait > left / 3000:
+                    break
+                await asyncio.sleep(wait)
+            text = answer.body.decode("utf-8", "replace") if answer.status == 503 else ""
+            requests.append((started, path, f"{answer.status or 'no answer'} {text}".strip()))
+
+        tasks = []
 
         async def clients() -> None:
             number = 0
             while True:
                 number += 1
-                entry = system.entries[number % len(system.entries)]
-                task = asyncio.create_task(ask(system, entry, HOST, f"/desk/{number}", "POST", b"order"))
-                answers.append(task)
+                tasks.append(asyncio.create_task(request(f"/look/{number % PATHS}")))
                 await asyncio.sleep(1 / RATE)
 
         load = system.run(clients())
-        await asyncio.sleep(2)
-        cold.born = int(time.time() * 1000)
-        cold.become_cold()
-        await cold.start()
-        started = record.now()
-        await asyncio.sleep(AGAIN_AFTER_S)
+        await asyncio.sleep(6)
+        killed_at = record.now()
         if trouble:
-            cold.become_cold()
-        is_cold_until = record.now() + cold.cold_for()
-        # A heartbeat tells it within heartbeat_s; the bound is looked at from 1 s after that on, to its end.
-        await asyncio.sleep(max(0.0, is_cold_until - record.now()) + 2)
+            machines = (*system.controls, *system.entries)
+            for machine in machines:
+                machine.send_signal(signal.SIGKILL)
+            for machine in machines:
+                await machine.process.wait()
+            await asyncio.sleep(DOWN_S)
+            for machine in machines:
+                machine.bootstrap = False
+                await machine.start()
+        back_at = record.now()
+        await asyncio.sleep(BOUND["recover_s"] + 20)
         load.cancel()
-        done = await asyncio.gather(*answers)
-        served = sum(answer.status == 200 for answer in done)
-        record.write(f"{len(done)} requests sent, {served} served")
-        ran = {run.request_id for run in (*warm.runs, *cold.runs)}
-        lost = [answer for answer in done if answer.status != 200 and answer.request_id in ran]
-        for answer in lost:
-            record.write(f"lost: {answer.request_id} had begun to run and the client got {answer.status or 'no answer'}")
-        record.write(f"{len(lost)} orders had begun to run and have no result")
-        if served < 0.7 * len(done):
-            raise CannotRun("too few requests were served")
-        for run in (*warm.runs, *cold.runs):
-            record.write(f"{run.upstream.id} ran {run.request_id} {run.path} at {run.at:.3f}")
-        most, at = most_in_a_second([run.at for run in cold.runs], started, is_cold_until)
-        record.write(f"{cold.id} was cold from {started:.3f} to {is_cold_until:.3f}")
-        record.write(f"most requests in one second meanwhile: {most} from {at:.3f} on; allowed are {LIMIT}")
-        print(f"most requests in one second: {most}; allowed are {LIMIT}")
-        return most > LIMIT
+        await asyncio.gather(*tasks)
+        before = [status for at, _, status in requests if at < killed_at]
+        after = [status for at, _, status in requests if at > back_at + BOUND["recover_s"]]
+        for at, path, status in sorted(requests, key=lambda item: item[0]):
+            record.write(f"sent at {at:.3f} {path}: {status}")
+        for upstream in upstreams:
+            for at, path in upstream.resets:
+                record.write(f"{upstream.id} was full and reset the connection of {path} at {at:.3f}")
+        share_before = before.count(200) / len(before)
+        share = after.count(200) / len(after)
+        refused = sum("identical requests have crashed targets" in str(status) for status in after)
+        record.write(f"{refused} of {len(after)} requests sent after that were refused as ones that crash upstreams")
+        text = f"served before {share_before:.3f}, later than recover_s after the machines are back {share:.3f}"
+        record.write(text)
+        print(text)
+        if share_before < 0.25:
+            raise CannotRun("too few requests were served before")
+        return share < 0.25
 
 
 if __name__ == "__main__":
