--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""After all processes were killed at once, ordinary requests are refused for minutes as if they crashed upstreams."""
+"""After a kill of all processes ordinary requests are refused for minutes as if they crashed upstreams."""
 
 import asyncio
 import random
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins2"))
 
 from servers import Upstream, ask, configuration  # noqa: E402
-from system import BOUND, ZONES, CannotRun, Operator, System, main  # noqa: E402
+from system import BOUND, ZONES, CannotRunError, Operator, System, main  # noqa: E402
 
 HOST = "ficu95.example"
 PATHS = 6
@@ -43,14 +43,17 @@
             self.present -= 1
 
 
-async def case(record, trouble: bool) -> bool:  # noqa: ANN001
+async def case(record, trouble: bool) -> bool:  # noqa: ANN001 - a Record
+    """Run the case; return whether the rule was broken."""
     async with System(record, entries=6) as system:
         operator = Operator(system)
-        upstreams = [FullUpstream(system, "desk", number, ZONES[number % 3], WORK_S) for number in range(UPSTREAMS)]
+        upstreams = [
+            FullUpstream(system, "desk", number, ZONES[number % 3], WORK_S) for number in range(UPSTREAMS)
+        ]
         for upstream in upstreams:
             await upstream.start()
-        route = {"name": "r-1", "hostname": HOST, "path_prefix": "/look/", "service": "desk", "timeout_s": 3.0}
-        plan = configuration(1, [route], [("desk", False)])
+        route = {"name": "r-1", "hostname": HOST, "path_prefix": "/look/", "service": "desk"}
+        plan = configuration(1, [{**route, "timeout_s": 3.0}], [("desk", False)])
         header = ("Content-Type: application/json", "Cranberrylever-Base-Version: 0")
         await operator.send("/Config.Put", None, plan, header, until_s=20)
         await system.wait_ready()
@@ -113,12 +116,12 @@
         share_before = before.count(200) / len(before)
         share = after.count(200) / len(after)
         refused = sum("identical requests have crashed targets" in str(status) for status in after)
-        record.write(f"{refused} of {len(after)} requests sent after that were refused as ones that crash upstreams")
-        text = f"served before {share_before:.3f}, later than recover_s after the machines are back {share:.3f}"
+        record.write(f"{refused} of {len(after)} sent after that were refused as ones that crash upstreams")
+        text = f"served before {share_before:.3f}, over recover_s after the machines are back {share:.3f}"
         record.write(text)
         print(text)
         if share_before < 0.25:
-            raise CannotRun("too few requests were served before")
+            raise CannotRunError("too few requests were served before")
         return share < 0.25
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes its upstreams is run again after each planned restart of the leading control process."""
+"""A request that crashes its upstreams runs again after each planned restart of the leading control."""
 
 import asyncio
 import signal
@@ -8,7 +8,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins2"))
 
 from servers import Upstream, ask, configuration  # noqa: E402
-from system import BOUND, ZONES, CannotRun, Operator, System, main  # noqa: E402
+from system import BOUND, ZONES, CannotRunError, Operator, System, main  # noqa: E402
 
 HOST = "ficu95.example"
 UPSTREAMS, BACK_AFTER_S = 6, 3.0
@@ -18,7 +18,7 @@
 
 
 class Machine(Upstream):
-    """Ends at once when it begins to run the crashing request, with all that it runs; is back after seconds."""
+    """Ends with all that it runs when it begins to run the crashing request; is back after seconds."""
 
     crashes: list = []
 
@@ -26,7 +26,8 @@
         if path == "/desk/poison" and headers.get("cranberrylever-target-instance") == self.id:
             at = self.system.record.now()
             self.crashes.append((at, headers["cranberrylever-request-id"]))
-            self.system.record.write(f"{self.id} begins the crashing request and ends; it is number {len(self.crashes)}")
+            text = f"begins the crashing request and ends; it is number {len(self.crashes)}"
+            self.system.record.write(f"{self.id} {text}")
             self.stop()
             self.system.run(self._come_back())
             raise OSError("crashed")
@@ -41,15 +42,16 @@
         await successor.start()
 
 
-async def case(record, trouble: bool) -> bool:  # noqa: ANN001
+async def case(record, trouble: bool) -> bool:  # noqa: ANN001 - a Record
+    """Run the case; return whether the rule was broken."""
     Machine.crashes = []
     async with System(record) as system:
         operator = Operator(system)
         upstreams = [Machine(system, "desk", number, ZONES[number % 3], 0.2) for number in range(UPSTREAMS)]
         for upstream in upstreams:
             await upstream.start()
-        route = {"name": "r-1", "hostname": HOST, "path_prefix": "/desk/", "service": "desk", "type": "unsafe"}
-        plan = configuration(1, [route], [("desk", False)])
+        route = {"name": "r-1", "hostname": HOST, "path_prefix": "/desk/", "service": "desk"}
+        plan = configuration(1, [{**route, "type": "unsafe"}], [("desk", False)])
         header = ("Content-Type: application/json", "Cranberrylever-Base-Version: 0")
         await operator.send("/Config.Put", None, plan, header, until_s=20)
         await system.wait_ready()
@@ -62,7 +64,8 @@
             while True:
                 number += 1
                 entry = system.entries[number % len(system.entries)]
-                orders.append(asyncio.create_task(ask(system, entry, HOST, f"/desk/{number}", "POST", b"order")))
+                order = ask(system, entry, HOST, f"/desk/{number}", "POST", b"order")
+                orders.append(asyncio.create_task(order))
                 await asyncio.sleep(1 / ORDERS_PER_S)
 
         async def crashing_client() -> None:
@@ -74,7 +77,9 @@
                     number += 1
                     answer = await ask(system, entry, HOST, "/desk/poison", "POST", b"the same body")
                     poison.append(answer)
-                    record.write(f"the crashing request {answer.request_id} gets {answer.status or 'no answer'}")
+                    record.write(
+                        f"the crashing request {answer.request_id} gets {answer.status or 'no answer'}"
+                    )
                     await asyncio.sleep(ATTEMPT_PAUSE_S)
                 await asyncio.sleep(VISIT_INTERVAL_S - 2 * ATTEMPT_PAUSE_S)
 
@@ -82,7 +87,8 @@
         visits = system.run(crashing_client())
         started = record.now()
         for restart in range(RESTARTS):
-            await asyncio.sleep(max(0, started + restart * VISIT_INTERVAL_S + RESTART_AFTER_VISIT_S - record.now()))
+            restart_at = started + restart * VISIT_INTERVAL_S + RESTART_AFTER_VISIT_S
+            await asyncio.sleep(max(0, restart_at - record.now()))
             if not trouble:
                 continue
             leader = await system.leader()
@@ -101,7 +107,7 @@
         served = sum(answer.status == 200 for answer in done)
         record.write(f"{len(done)} orders sent, {served} served")
         if served < 0.7 * len(done):
-            raise CannotRun("too few requests were served")
+            raise CannotRunError("too few requests were served")
         ran = {run.request_id: run for upstream in upstreams for run in upstream.runs}
         for run in ran.values():
             record.write(f"{run.upstream.address} ran {run.request_id} {run.path} at {run.at:.3f}")
@@ -110,7 +116,7 @@
         crashes = Machine.crashes
         record.write(f"the request has crashed {len(crashes)} upstreams")
         if len(crashes) < 2:
-            raise CannotRun("the crashing request did not run")
+            raise CannotRunError("the crashing request did not run")
         third = crashes[2][0] if len(crashes) > 2 else float("inf")
         sent_at = {answer.request_id: answer.sent_at for answer in poison}
         counted = [
@@ -119,7 +125,7 @@
             if sent_at.get(request_id, at) > third + BOUND["contact_s"]
             and not any(begin <= at <= end for begin, end in disturbed)
         ]
-        text = f"{len(counted)} retries reached upstreams over contact_s after the third crash, in touch; 3 are allowed"
+        text = f"{len(counted)} retries, in touch, over contact_s after the third crash; 3 are allowed"
         record.write(text)
         print(text)
         return len(counted) > 3
--- a/review/standins2/servers.py
+++ b/review/standins2/servers.py
@@ -7,6 +7,8 @@
 
 from system import HEARTBEAT_S, Machine, System, http_call, read_answer, read_headers
 
+JSON_TYPE = ("Content-Type: application/json",)
+
 
 class Run:
     """One request that an upstream ran; times are those of the record."""
@@ -23,9 +25,16 @@
     """
 
     def __init__(
-        self, system: System, service: str, number: int, zone: str, work_s: float = 0.02, sharded: bool = False
+        self,
+        system: System,
+        service: str,
+        number: int,
+        zone: str,
+        work_s: float = 0.02,
+        sharded: bool = False,
     ) -> None:
-        self.system, self.service, self.zone, self.work_s, self.sharded = system, service, zone, work_s, sharded
+        self.system, self.service, self.zone = system, service, zone
+        self.work_s, self.sharded = work_s, sharded
         self.address = system.upstream_address(number)
         self.id = f"i-{secrets.token_hex(5)}"
         self.born = int(time.time() * 1000)
@@ -44,6 +53,7 @@
         self.on_request = None
 
     async def start(self) -> None:
+        """Listen and begin to announce itself."""
         host, _, port = self.address.rpartition(":")
         self.server = await asyncio.start_server(self._serve, host, int(port))
         self.system.run(self._beat())
@@ -58,6 +68,7 @@
     # Heartbeats --------------------------------------------------------------------------------------
 
     def beat_body(self) -> bytes:
+        """Return the body of the next heartbeat."""
         self.sequence += 1
         return json.dumps(
             {
@@ -82,9 +93,7 @@
             if self.beat_address:
                 addresses.insert(0, self.beat_address)
             for address in addresses:
-                answer = await http_call(
-                    address, "POST", f"/Instances.Heartbeat/{self.id}", body, ("Content-Type: application/json",)
-                )
+                answer = await http_call(address, "POST", f"/Instances.Heartbeat/{self.id}", body, JSON_TYPE)
                 if answer is not None and 200 <= answer[0] < 300:
                     self.beat_address = json.loads(answer[2] or b"{}").get("heartbeat_addr", "")
                     break
@@ -166,6 +175,7 @@
     # Keys --------------------------------------------------------------------------------------------
 
     def holder_until(self, key: int) -> float:
+        """Return until when it holds a key, 0 if it does not."""
         return max((until for first, last, _, until in self.holds if first <= key <= last), default=0.0)
 
     async def _keys(self, path: str, order: dict) -> tuple[int, list[str], bytes]:
--- a/review/standins2/system.py
+++ b/review/standins2/system.py
@@ -4,8 +4,8 @@
 import os
 import random
 import shlex
+import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -26,7 +26,7 @@
 CONTROL_PORT, FRONT_PORT, READY_PORT, PORT_RANGE = 8166, 8161, 8167, "7720,7735"
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not run, so that it shows nothing."""
 
 
@@ -38,9 +38,11 @@
         self.started = time.monotonic()
 
     def now(self) -> float:
+        """Return the seconds since the start of the record."""
         return time.monotonic() - self.started
 
     def write(self, text: str) -> None:
+        """Add a line."""
         self.file.write(f"{self.now():8.3f} {text}\n")
         self.file.flush()
 
@@ -58,13 +60,16 @@
 
     @property
     def front(self) -> str:
+        """Address for clients."""
         return f"{self.ip}:{FRONT_PORT}"
 
     @property
     def control(self) -> str:
+        """Address for operators and upstreams."""
         return f"{self.ip}:{CONTROL_PORT}"
 
     def settings(self) -> str:
+        """Return the settings file, with the fields of DEPLOY.md."""
         is_control = self.role == "control"
         lines = [
             f"node={self.name}",
@@ -102,11 +107,10 @@
         return "\n".join(lines) + "\n"
 
     async def start(self) -> None:
+        """Start the process of the role, as the deploy file says."""
         path = self.folder / "settings.conf"
         path.write_text(self.settings(), encoding="utf-8")
-        environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
-        }
+        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["CRANBERRYLEVER_CONFIG"] = str(path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         with (self.folder / "log").open("ab") as log:
@@ -120,10 +124,12 @@
             )
 
     def send_signal(self, number: signal.Signals) -> None:
+        """Send the process a signal and record it."""
         self.system.record.write(f"{self.name} gets {number.name}")
         self.process.send_signal(number)
 
     def log_text(self) -> str:
+        """Return what the process has logged."""
         return (self.folder / "log").read_text(encoding="utf-8", errors="replace")
 
 
@@ -148,14 +154,16 @@
         self.tasks: list[asyncio.Task] = []
 
     def seeds(self) -> str:
+        """Return the field of the settings file."""
         return ",".join(machine.control for machine in self.controls[:3])
 
     def upstream_address(self, number: int) -> str:
+        """Return the address of an upstream."""
         return f"{self.net}.{100 + number}:8080"
 
     async def __aenter__(self) -> "System":
         if not (ROOT / "target" / "deps").is_dir():
-            raise CannotRun("target/deps is missing: run the build of deploy/system.toml")
+            raise CannotRunError("target/deps is missing: run the build of deploy/system.toml")
         for machine in (*self.controls, *self.entries):
             await machine.start()
         return self
@@ -171,10 +179,11 @@
             if machine.process is not None:
                 await machine.process.wait()
         if os.environ.get("KEEP_LOGS"):
-            os.system(f"cp -r {self.folder} {os.environ['KEEP_LOGS']}")
+            shutil.copytree(self.folder, os.environ["KEEP_LOGS"])
         self.folder_object.cleanup()
 
     def run(self, coroutine) -> asyncio.Task:  # noqa: ANN001 - a coroutine
+        """Run a coroutine until the end of the case."""
         task = asyncio.create_task(coroutine)
         self.tasks.append(task)
         return task
@@ -188,7 +197,7 @@
                 if answer is not None and answer[0] == 200:
                     break
                 if time.monotonic() > end:
-                    raise CannotRun(f"{machine.name} is not ready after {timeout} s")
+                    raise CannotRunError(f"{machine.name} is not ready after {timeout} s")
                 await asyncio.sleep(0.1)
 
     async def leader(self) -> Machine:
@@ -200,7 +209,7 @@
                     term = int(line.split('"term":')[1].split(",")[0].strip(" }"))
                     latest = max(latest, (term, machine), key=lambda item: item[0])
         if latest[1] is None:
-            raise CannotRun("no control machine leads")
+            raise CannotRunError("no control machine leads")
         return latest[1]
 
 
@@ -236,7 +245,7 @@
             if answer is not None and (answer[0] == 200 or answer[0] in (400, 409, 412, 413, 422)):
                 return answer[0], answer[2], record.now()
             await asyncio.sleep(min(0.5, 0.05 * 2**attempt))
-        raise CannotRun(f"{path} was not acknowledged within {until_s} s")
+        raise CannotRunError(f"{path} was not acknowledged within {until_s} s")
 
 
 async def http_call(
@@ -281,6 +290,7 @@
 
 
 async def read_headers(reader: asyncio.StreamReader) -> dict[str, str]:
+    """Read headers up to the empty line; names are in lower case."""
     headers: dict[str, str] = {}
     while True:
         line = (await reader.readuntil(b"\r\n")).decode("latin-1").rstrip("\r\n")
@@ -301,7 +311,7 @@
 
     try:
         is_broken = asyncio.run(run())
-    except (CannotRun, TimeoutError) as error:
+    except (CannotRunError, TimeoutError) as error:
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
